Run the whole path as separate processes

The first thin path: entries, nodes, the operators' client, the stand-ins of the platform's table and of targets, and a demo that starts 3 entries and 11 nodes on loopback and judges by callers and targets.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+MODULES := pkg internal/core internal/wire internal/plat internal/daem internal/node internal/entry internal/stand cmd test
+PROGRAMS := gypentry gypnode gypctl gypstore gyptarget gypload gypdemo
+LINT := bin/tools/golangci-lint
+LINT_VERSION := v2.15.0
+
+.PHONY: all build demo test lint fuzz clean
+
+all: build
+
+build:
+	@mkdir -p bin
+	@for p in $(PROGRAMS); do (cd cmd && go build -o ../bin/$$p ./$$p) || exit 1; done
+
+demo: build
+	@bin/gypdemo
+
+test:
+	@for m in $(MODULES); do (cd $$m && go test -race ./...) || exit 1; done
+
+$(LINT):
+	GOBIN=$(CURDIR)/bin/tools go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+
+lint: $(LINT)
+	@for m in $(MODULES); do (cd $$m && $(CURDIR)/$(LINT) run --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
+
+clean:
+	rm -rf bin out
--- /dev/null
+++ b/internal/core/ledger/outcome.go
@@ -0,0 +1,71 @@
+package ledger
+
+// State is what is known of a job or a task.
+type State int
+
+const (
+	// Running means that the outcome is still open.
+	Running State = iota
+	// Answered means that the whole answer is there.
+	Answered
+	// NotRun means that nothing was started and nothing will be.
+	NotRun
+	// Failed means that it ran and failed.
+	Failed
+	// Unknown means that it may have run.
+	Unknown
+)
+
+var stateNames = [...]string{"running", "answered", "notrun", "failed", "unknown"}
+
+// String returns the state's name as callers see it.
+func (s State) String() string {
+	if s < 0 || int(s) >= len(stateNames) {
+		return "invalid"
+	}
+	return stateNames[s]
+}
+
+// ParseState returns the state named s.
+func ParseState(s string) (State, bool) {
+	for i, name := range stateNames {
+		if name == s {
+			return State(i), true
+		}
+	}
+	return Unknown, false
+}
+
+// Reason says in one word why an outcome is not an answer.
+type Reason string
+
+// Reasons of the home.
+const (
+	Expired     Reason = "expired"     // the key's deadline has passed
+	OwnerLost   Reason = "ownerlost"   // a former home that may have run the key is gone
+	NotOwner    Reason = "notowner"    // the home does not own the key's shard
+	Stale       Reason = "stale"       // the home's roster is older than the key
+	Full        Reason = "full"        // the ledger has no room
+	Unconfirmed Reason = "unconfirmed" // the roster is too old to serve plain keys
+	Dropped     Reason = "dropped"     // it was answered, but the answer is no longer kept
+	TooFar      Reason = "toofar"      // the deadline is too far ahead
+	Deadline    Reason = "deadline"    // the deadline came first
+	Broken      Reason = "broken"      // the connection broke and nobody can tell the outcome
+)
+
+// Outcome is what came of a job. Answers has one element a task when State is
+// Answered and is empty otherwise.
+type Outcome struct {
+	State   State
+	Reason  Reason
+	Answers [][]byte
+}
+
+// Size returns the bytes that the answers take.
+func (o Outcome) Size() int {
+	size := 0
+	for _, a := range o.Answers {
+		size += len(a)
+	}
+	return size
+}
--- /dev/null
+++ b/internal/core/place/place.go
@@ -0,0 +1,185 @@
+package place
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/core/roster"
+	"github.com/gypsumlanding/gypsumlanding/internal/core/slots"
+)
+
+const (
+	// SampleSize is the number of gates compared for one task.
+	SampleSize = 16
+
+	firstMean    = 50 * time.Millisecond // run time assumed of an unknown gate
+	staleAfter   = 2 * time.Second       // age at which a report no longer counts
+	penaltyTime  = 2 * time.Second       // how long a gate that refused is avoided
+	hopNear      = 200 * time.Microsecond
+	hopFar       = 1200 * time.Microsecond
+	localBenefit = 200 * time.Microsecond
+)
+
+// Picker chooses gates for one home. The zero value knows no gates. It is safe
+// for concurrent use.
+type Picker struct {
+	// Domain is the failure domain of the home.
+	Domain string
+	// Local is the home's own node.
+	Local roster.Ref
+	// Rand returns a number from 0 to n-1; nil means math/rand/v2.
+	Rand func(n int) int
+
+	mu    sync.Mutex
+	gates map[string][]*gate // by service
+	byRef map[roster.Ref]*gate
+}
+
+type gate struct {
+	node     roster.Node
+	load     slots.Load
+	reported time.Time
+	sent     int // started here and not yet answered
+	avoid    time.Time
+}
+
+// Update takes the gates of a newer roster and keeps what is known of them.
+func (p *Picker) Update(r roster.Roster) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.byRef
+	p.gates = map[string][]*gate{}
+	p.byRef = map[roster.Ref]*gate{}
+	for _, n := range r.Nodes() {
+		if n.Service == "" || n.Leaving || n.Slots == 0 {
+			continue
+		}
+		g := known[n.Ref]
+		if g == nil {
+			g = &gate{}
+		}
+		g.node = n
+		p.byRef[n.Ref] = g
+		p.gates[n.Service] = append(p.gates[n.Service], g)
+	}
+}
+
+// Pick returns the gate to start a task of the service at, and counts the task
+// as sent to it. It passes over the refs in tried. It returns false if no gate
+// is left.
+func (p *Picker) Pick(service string, tried []roster.Ref, now time.Time) (roster.Node, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var best *gate
+	var bestCost time.Duration
+	for _, g := range p.sample(service) {
+		if contains(tried, g.node.Ref) {
+			continue
+		}
+		cost := p.cost(g, now)
+		if best == nil || cost < bestCost {
+			best = g
+			bestCost = cost
+		}
+	}
+	if best == nil {
+		return roster.Node{}, false
+	}
+	best.sent++
+	return best.node, true
+}
+
+// Knows tells whether any gate serves the service.
+func (p *Picker) Knows(service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.gates[service]) > 0
+}
+
+// Done takes the report that came with the answer to a task sent to ref.
+func (p *Picker) Done(ref roster.Ref, load slots.Load, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g, ok := p.byRef[ref]
+	if !ok {
+		return
+	}
+	g.sent--
+	g.load = load
+	g.reported = now
+}
+
+// Avoid takes note that ref refused or could not be reached, and passes it
+// over for a while as long as others are there.
+func (p *Picker) Avoid(ref roster.Ref, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if g, ok := p.byRef[ref]; ok {
+		g.sent--
+		g.avoid = now.Add(penaltyTime)
+	}
+}
+
+// sample returns the local gate and random others, SampleSize at most.
+func (p *Picker) sample(service string) []*gate {
+	all := p.gates[service]
+	if len(all) <= SampleSize {
+		return all
+	}
+	picked := make([]*gate, 0, SampleSize)
+	if g, ok := p.byRef[p.Local]; ok && g.node.Service == service {
+		picked = append(picked, g)
+	}
+	for len(picked) < SampleSize {
+		picked = append(picked, all[p.random(len(all))])
+	}
+	return picked
+}
+
+// cost returns the time in which g is expected to finish one more task.
+func (p *Picker) cost(g *gate, now time.Time) time.Duration {
+	mean := g.load.Mean
+	if mean == 0 {
+		mean = firstMean
+	}
+	ahead := g.sent
+	if now.Sub(g.reported) < staleAfter {
+		ahead = max(ahead, g.load.Running+g.load.Queued)
+	}
+	cost := mean
+	if waiting := ahead - g.node.Slots + 1; waiting > 0 {
+		cost += mean * time.Duration(waiting) / time.Duration(g.node.Slots)
+	}
+	cost += p.distance(g)
+	if now.Before(g.avoid) {
+		cost += penaltyTime
+	}
+	return cost
+}
+
+func (p *Picker) distance(g *gate) time.Duration {
+	switch {
+	case g.node.Ref == p.Local:
+		return -localBenefit
+	case g.node.Domain == p.Domain:
+		return 2 * hopNear
+	}
+	return 2 * hopFar
+}
+
+func (p *Picker) random(n int) int {
+	if p.Rand != nil {
+		return p.Rand(n)
+	}
+	return rand.IntN(n)
+}
+
+func contains(refs []roster.Ref, ref roster.Ref) bool {
+	for _, r := range refs {
+		if r == ref {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/entry/doc.go
@@ -0,0 +1,2 @@
+// Package entry puts together the parts of an entry process.
+package entry
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,114 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/go-kratos/kratos/v2/transport"
+	"github.com/gypsumlanding/gypsumlanding/internal/core/clock"
+	"github.com/gypsumlanding/gypsumlanding/internal/core/roster"
+	"github.com/gypsumlanding/gypsumlanding/internal/daem/conf"
+	"github.com/gypsumlanding/gypsumlanding/internal/daem/life"
+	"github.com/gypsumlanding/gypsumlanding/internal/daem/logs"
+	"github.com/gypsumlanding/gypsumlanding/internal/daem/stats"
+	"github.com/gypsumlanding/gypsumlanding/internal/entry/edit"
+	"github.com/gypsumlanding/gypsumlanding/internal/entry/follow"
+	"github.com/gypsumlanding/gypsumlanding/internal/entry/relay"
+	"github.com/gypsumlanding/gypsumlanding/internal/entry/roll"
+	"github.com/gypsumlanding/gypsumlanding/internal/entry/web"
+	"github.com/gypsumlanding/gypsumlanding/internal/plat/table"
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/peer"
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/view"
+)
+
+const (
+	defaultShards = 512
+	maxShards     = 65536
+)
+
+// Config is the settings of an entry.
+type Config struct {
+	ID     string
+	Region string
+	Domain string
+	Listen string   // for the system's own processes
+	HTTP   string   // for callers and operators
+	Peers  []string // the other entries
+	Table  string
+	Shards int
+}
+
+// Declare adds the settings to set.
+func (c *Config) Declare(set *conf.Set) {
+	set.Name(&c.ID, "id", "", "name of this entry")
+	set.Name(&c.Region, "region", "", "region of this entry")
+	set.Name(&c.Domain, "domain", "", "failure domain of this entry")
+	set.Addr(&c.Listen, "listen", "`address` for the system's own processes, IP:port")
+	set.Addr(&c.HTTP, "http", "`address` for callers and operators, IP:port")
+	set.Addrs(&c.Peers, "peers", true, "`addresses` of the other entries, IP:port")
+	set.Addr(&c.Table, "table", "`address` of the platform's table service, IP:port")
+	set.Int(&c.Shards, "shards", defaultShards, 1, maxShards, "shards of a roster that is made anew")
+}
+
+// Run runs an entry until it is told to stop.
+func Run(ctx context.Context, cfg Config, out io.Writer) error {
+	log := logs.New(out, "gypentry", cfg.ID)
+	counters := &stats.Set{}
+	tab, err := table.New(ctx, cfg.Table)
+	if err != nil {
+		return err
+	}
+	clk := &clock.Clock{}
+	tab.OnTime = func(t time.Time) { clk.Follow(t) }
+	v := &view.View{Clock: clk}
+	pool := &peer.Pool{}
+	writer := &roll.Writer{Region: cfg.Region, Shards: cfg.Shards, Table: tab, View: v, Stats: counters, Log: log}
+	writer.Open()
+	follower := &follow.Follower{
+		Region: cfg.Region, Peers: cfg.Peers, Table: tab, Clock: clk, View: v, Pool: pool, Stats: counters, Log: log,
+	}
+	follower.Greet(ctx)
+	srv, err := life.HTTP(cfg.HTTP, log, counters)
+	if err != nil {
+		return err
+	}
+	jobs := &web.Jobs{
+		Region: cfg.Region, Clock: clk, View: v, Stats: counters,
+		Relay: &relay.Relay{Region: cfg.Region, Domain: cfg.Domain, Clock: clk, View: v, Pool: pool, Stats: counters},
+	}
+	jobs.Serve(srv)
+	oper := &web.Oper{
+		ID: cfg.ID, Region: cfg.Region, View: v, Roll: writer,
+		Editor: &edit.Editor{Table: tab, Clock: clk, Stats: counters, Log: log},
+	}
+	oper.Serve(srv)
+	rpc, err := peer.Listen(cfg.Listen, map[string]any{"Entry": &service{view: v, roll: writer}})
+	if err != nil {
+		return err
+	}
+	daemon := life.Daemon{
+		Name: "gypentry", Log: log,
+		Servers: []transport.Server{srv, rpc},
+		Started: func(ctx context.Context) {
+			go writer.Run(ctx)
+			go follower.Run(ctx)
+		},
+	}
+	return daemon.Run(ctx)
+}
+
+// service is what an entry does for the system's own processes.
+type service struct {
+	view *view.View
+	roll *roll.Writer
+}
+
+// Watch answers with newer state once there is some.
+func (s *service) Watch(args *msgs.Watch, reply *msgs.News) error { return s.view.Watch(args, reply) }
+
+// Change queues a change of the roster.
+func (s *service) Change(args *msgs.Member, _ *msgs.Empty) error {
+	return s.roll.Change(roster.Change{Kind: roster.Kind(args.Kind), Node: args.Node})
+}
--- /dev/null
+++ b/internal/entry/relay/relay.go
@@ -0,0 +1,221 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/core/catlg"
+	"github.com/gypsumlanding/gypsumlanding/internal/core/clock"
+	"github.com/gypsumlanding/gypsumlanding/internal/core/ledger"
+	"github.com/gypsumlanding/gypsumlanding/internal/core/roster"
+	"github.com/gypsumlanding/gypsumlanding/internal/daem/stats"
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/peer"
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/view"
+	"github.com/gypsumlanding/gypsumlanding/pkg/jobkey"
+)
+
+// Reasons of the entry.
+const (
+	NoHome      ledger.Reason = "nohome"      // nobody owns the key's shard
+	OtherRegion ledger.Reason = "otherregion" // the key belongs to another region
+)
+
+const (
+	keyTries    = 32                    // fresh keys drawn for a reachable home
+	nearTries   = 8                     // of these, drawn for a home in the same domain
+	retryPause  = 30 * time.Millisecond // before a key is sent again
+	suspectTime = time.Second           // how long an unreachable home is avoided
+	replyMargin = 100 * time.Millisecond
+	homeMethod  = "Home.Run"
+)
+
+// Job is what a caller asks for. A zero Key asks for a fresh one.
+type Job struct {
+	Key      jobkey.Key
+	Entry    catlg.Entry
+	Deadline time.Time // cluster time
+	Look     bool      // only look the key up; start nothing
+	Tasks    [][]byte
+}
+
+// Relay sends jobs to their homes. All exported fields must be set before use.
+type Relay struct {
+	Region string
+	Domain string
+	Clock  *clock.Clock
+	View   *view.View
+	Pool   *peer.Pool
+	Stats  *stats.Set
+
+	mu       sync.Mutex
+	suspects map[string]time.Time // addresses not to be chosen until then
+}
+
+// trip is the way of one job.
+type trip struct {
+	relay *Relay
+	job   Job
+	key   jobkey.Key
+	ours  bool // the entry made the key, and no home has it yet
+	sent  bool // the key may have arrived at a home
+}
+
+// Do brings the job to its home and returns its key and outcome by the job's
+// deadline.
+func (r *Relay) Do(job Job) (jobkey.Key, ledger.Outcome) {
+	ctx, cancel := context.WithTimeout(context.Background(), r.Clock.Until(job.Deadline)+replyMargin)
+	defer cancel()
+	t := &trip{relay: r, job: job, key: job.Key, ours: job.Key.IsZero()}
+	outcome := t.run(ctx)
+	if outcome.State != ledger.Answered {
+		r.Stats.Refused(string(outcome.Reason))
+	}
+	return t.key, outcome
+}
+
+func (t *trip) run(ctx context.Context) ledger.Outcome {
+	r := t.relay
+	if t.key.Region() != "" && t.key.Region() != r.Region {
+		return ledger.Outcome{State: ledger.Unknown, Reason: OtherRegion}
+	}
+	if !r.View.WaitEpoch(ctx, max(1, t.key.Birth())) {
+		return t.failure(ledger.Stale)
+	}
+	last := NoHome
+	for ctx.Err() == nil {
+		home, ok := t.home()
+		if !ok {
+			r.await(ctx, r.View.Roster().Epoch()+1)
+			continue
+		}
+		reply, err := t.send(ctx, home)
+		switch {
+		case errors.Is(err, peer.ErrLate):
+			return t.failure(ledger.Deadline)
+		case err != nil:
+			last = t.failed(home, err)
+			if t.ours {
+				continue
+			}
+			r.await(ctx, r.View.Roster().Epoch()+1)
+		case reply.Moved:
+			last = ledger.NotOwner
+			r.waste("redirected")
+			r.await(ctx, reply.Epoch)
+		default:
+			return outcomeOf(reply)
+		}
+	}
+	return t.failure(last)
+}
+
+// send sends the job to a home and waits for its reply.
+func (t *trip) send(ctx context.Context, home roster.Node) (*msgs.RunReply, error) {
+	reply := &msgs.RunReply{}
+	args := &msgs.Run{
+		Key:      t.key.String(),
+		Entry:    t.job.Entry.Name,
+		Service:  t.job.Entry.Service,
+		Epoch:    t.relay.View.Roster().Epoch(),
+		Catalog:  t.job.Entry.Version,
+		Deadline: msgs.Millis(t.job.Deadline),
+		Left:     t.relay.Clock.Until(t.job.Deadline).Milliseconds(),
+		Look:     t.job.Look,
+		Tasks:    t.job.Tasks,
+	}
+	err := t.relay.Pool.Call(ctx, home.Addr, homeMethod, args, reply)
+	if !errors.Is(err, peer.ErrNotSent) {
+		t.ours = false
+		t.sent = true
+	}
+	return reply, err
+}
+
+// failed takes note of a call that brought no reply and returns its reason.
+func (t *trip) failed(home roster.Node, err error) ledger.Reason {
+	t.relay.suspect(home.Addr)
+	if errors.Is(err, peer.ErrNotSent) {
+		t.relay.Stats.Retried("homeunreached")
+		return NoHome
+	}
+	t.relay.Stats.Retried("homebroken")
+	t.relay.waste("resent")
+	return ledger.Broken
+}
+
+// failure returns the honest failure of a job without a reply: notrun if the
+// key was made here and never sent, unknown else.
+func (t *trip) failure(reason ledger.Reason) ledger.Outcome {
+	state := ledger.Unknown
+	if !t.sent && t.job.Key.IsZero() {
+		state = ledger.NotRun
+	}
+	return ledger.Outcome{State: state, Reason: reason}
+}
+
+// home returns the home of the job's key. For a key of the entry's own it draws
+// keys until one has a home that can be reached, best in the same domain.
+func (t *trip) home() (roster.Node, bool) {
+	r := t.relay
+	newest := r.View.Roster()
+	if !t.ours {
+		return newest.Owner(t.key.Shard(len(newest.Shards())))
+	}
+	var found roster.Node
+	ok := false
+	for i := range keyTries {
+		key := jobkey.New(r.Region, newest.Epoch(), t.job.Deadline)
+		home, owned := newest.Owner(key.Shard(len(newest.Shards())))
+		if !owned || home.Leaving || r.suspected(home.Addr) {
+			continue
+		}
+		if ok && home.Domain != r.Domain {
+			continue
+		}
+		t.key = key
+		found = home
+		ok = true
+		if home.Domain == r.Domain || i >= nearTries {
+			break
+		}
+	}
+	return found, ok
+}
+
+// await waits for the roster to reach epoch, for a moment at most.
+func (r *Relay) await(ctx context.Context, epoch uint64) {
+	ctx, cancel := context.WithTimeout(ctx, retryPause)
+	defer cancel()
+	r.View.WaitEpoch(ctx, epoch)
+}
+
+func (r *Relay) waste(reason string) { r.Stats.Add("wasted."+reason, 1) }
+
+func (r *Relay) suspect(addr string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.suspects == nil {
+		r.suspects = map[string]time.Time{}
+	}
+	r.suspects[addr] = time.Now().Add(suspectTime)
+}
+
+func (r *Relay) suspected(addr string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	until, ok := r.suspects[addr]
+	if ok && time.Now().After(until) {
+		delete(r.suspects, addr)
+		return false
+	}
+	return ok
+}
+
+func outcomeOf(reply *msgs.RunReply) ledger.Outcome {
+	return ledger.Outcome{
+		State: ledger.State(reply.State), Reason: ledger.Reason(reply.Reason), Answers: reply.Answers,
+	}
+}
--- /dev/null
+++ b/internal/node/home/admit.go
@@ -0,0 +1,141 @@
+package home
+
+import (
+	"context"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/gypsumlanding/gypsumlanding/internal/core/catlg"
+	"github.com/gypsumlanding/gypsumlanding/internal/core/ledger"
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
+	"github.com/gypsumlanding/gypsumlanding/pkg/jobkey"
+)
+
+// Reasons of the home.
+const (
+	Unseen    ledger.Reason = "unseen"    // the home holds no such key
+	Withdrawn ledger.Reason = "withdrawn" // the catalogue no longer has the entry
+)
+
+var errTasks = merry.Sentinel("a job must have 1 to 300 tasks")
+
+// Run handles one message of an entry: it runs the job, or waits for it if the
+// key is known, and answers by the job's deadline.
+func (h *Home) Run(args *msgs.Run, reply *msgs.RunReply) error {
+	key, err := jobkey.Parse(args.Key)
+	if err != nil {
+		return err
+	}
+	if !args.Look && (len(args.Tasks) == 0 || len(args.Tasks) > catlg.MaxTasks) {
+		return errTasks
+	}
+	left := time.Duration(args.Left) * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), left)
+	defer cancel()
+	if h.catchUp(ctx, max(args.Epoch, key.Birth())) {
+		h.serve(ctx, key, args, reply)
+	} else {
+		fill(reply, unknown(ledger.Stale))
+	}
+	reply.Epoch = h.View.Roster().Epoch()
+	if reply.State != int(ledger.Answered) && reply.Reason != "" {
+		h.Stats.Refused(reply.Reason)
+	}
+	return nil
+}
+
+// catchUp waits until the home's roster has the given epoch.
+func (h *Home) catchUp(ctx context.Context, epoch uint64) bool {
+	if !h.View.WaitEpoch(ctx, epoch) {
+		return false
+	}
+	h.Update(h.View.Roster())
+	return true
+}
+
+func (h *Home) serve(ctx context.Context, key jobkey.Key, args *msgs.Run, reply *msgs.RunReply) {
+	l := h.present()
+	if args.Look {
+		h.look(ctx, l, key, reply)
+		return
+	}
+	for {
+		v := l.ledger.Admit(key, h.Clock.Now())
+		switch v.Decision {
+		case ledger.Run:
+			h.Stats.Count("jobs")
+			tried, outcome := h.execute(ctx, l, v.Record, args)
+			reply.Tried = tried
+			fill(reply, outcome)
+			return
+		case ledger.Join:
+			h.Stats.Count("joined")
+			fill(reply, await(ctx, v.Record))
+			return
+		case ledger.Refuse:
+			fill(reply, v.Outcome)
+			return
+		case ledger.Redirect:
+			reply.Moved = true
+			return
+		case ledger.Fetch:
+			fill(reply, unknown(ledger.Stale))
+			return
+		case ledger.Wait:
+			if !waitFor(ctx, v.Ready) {
+				fill(reply, unknown(ledger.OwnerLost))
+				return
+			}
+		}
+	}
+}
+
+func (h *Home) look(ctx context.Context, l *life, key jobkey.Key, reply *msgs.RunReply) {
+	rec, ok := l.ledger.Look(key)
+	if !ok {
+		fill(reply, unknown(Unseen))
+		return
+	}
+	fill(reply, await(ctx, rec))
+}
+
+// await waits for a record's outcome until ctx ends.
+func await(ctx context.Context, rec *ledger.Record) ledger.Outcome {
+	if waitFor(ctx, rec.Done()) {
+		return rec.Outcome()
+	}
+	return unknown(ledger.Deadline)
+}
+
+func waitFor(ctx context.Context, done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func fill(reply *msgs.RunReply, o ledger.Outcome) {
+	reply.State = int(o.State)
+	reply.Reason = string(o.Reason)
+	reply.Answers = o.Answers
+}
+
+func unknown(reason ledger.Reason) ledger.Outcome {
+	return ledger.Outcome{State: ledger.Unknown, Reason: reason}
+}
+
+func notRun(reason ledger.Reason) ledger.Outcome {
+	return ledger.Outcome{State: ledger.NotRun, Reason: reason}
+}
+
+// admitLimits takes room for the job within its entry's limits. The catalogue
+// in force now decides, not the one the job came with.
+func (h *Home) admitLimits(args *msgs.Run, now time.Time) ledger.Reason {
+	e, ok := h.View.Catalogue().Get(args.Entry)
+	if !ok {
+		return Withdrawn
+	}
+	return h.limiter.Acquire(e, len(args.Tasks), now)
+}
--- /dev/null
+++ b/internal/node/home/start.go
@@ -0,0 +1,156 @@
+package home
+
+import (
+	"errors"
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/core/ledger"
+	"github.com/gypsumlanding/gypsumlanding/internal/core/roster"
+	"github.com/gypsumlanding/gypsumlanding/internal/core/slots"
+	"github.com/gypsumlanding/gypsumlanding/internal/core/starts"
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/peer"
+)
+
+// Reasons of the home about gates.
+const (
+	NoGate   ledger.Reason = "nogate"   // no gate serves the service
+	NoRoute  ledger.Reason = "noroute"  // the gate could not be reached
+	GateLost ledger.Reason = "gatelost" // the gate that may have started the task is gone
+	Halted   ledger.Reason = "halted"   // the job failed before the task was started
+)
+
+const (
+	maxPlaces = 3                     // gates tried for one task
+	askPause  = 20 * time.Millisecond // between questions for an outcome
+)
+
+// method is the net/rpc method of a gate.
+const method = "Gate.Start"
+
+// place starts task i at a gate, and at another only if the first has proved
+// that it did not start it.
+func (j *job) place(i int) starts.Result {
+	var tried []roster.Ref
+	last := starts.Result{State: ledger.NotRun, Reason: NoGate}
+	for len(tried) < maxPlaces {
+		if j.halted() {
+			return starts.Result{State: ledger.NotRun, Reason: Halted}
+		}
+		if len(tried) > 0 {
+			j.home.Stats.Retried(string(last.Reason))
+			j.waste("bounced")
+		}
+		node, ok := j.home.picker.Pick(j.args.Service, tried, time.Now())
+		if !ok {
+			return last
+		}
+		last = j.start(node, i)
+		if last.State != ledger.NotRun {
+			return last
+		}
+		tried = append(tried, node.Ref)
+	}
+	return last
+}
+
+// start starts task i at node and returns its outcome.
+func (j *job) start(node roster.Node, i int) starts.Result {
+	reply := &msgs.StartReply{}
+	done := make(chan error, 1)
+	go func() { done <- j.send(node, j.message(node, i, msgs.Begin), reply) }()
+	var err error
+	select {
+	case err = <-done:
+	case <-j.stop:
+		go j.cancel(node, i)
+		err = <-done
+	}
+	if err == nil {
+		return j.note(node, reply)
+	}
+	j.home.picker.Avoid(node.Ref, time.Now())
+	switch {
+	case errors.Is(err, peer.ErrNotSent):
+		return starts.Result{State: ledger.NotRun, Reason: NoRoute}
+	case errors.Is(err, peer.ErrLate):
+		return starts.Result{State: ledger.Unknown, Reason: ledger.Deadline}
+	}
+	return j.ask(node, i)
+}
+
+// ask learns the outcome of a task whose start may or may not have arrived.
+// It asks the same incarnation of the gate until that answers, is gone, or the
+// deadline comes.
+func (j *job) ask(node roster.Node, i int) starts.Result {
+	for {
+		j.waste("asked")
+		reply := &msgs.StartReply{}
+		err := j.send(node, j.message(node, i, msgs.Ask), reply)
+		switch {
+		case err == nil:
+			return resultOf(reply)
+		case errors.Is(err, peer.ErrRefused):
+			return starts.Result{State: ledger.Unknown, Reason: GateLost}
+		case errors.Is(err, peer.ErrLate):
+			return starts.Result{State: ledger.Unknown, Reason: ledger.Deadline}
+		}
+		select {
+		case <-j.ctx.Done():
+			return starts.Result{State: ledger.Unknown, Reason: ledger.Deadline}
+		case <-time.After(askPause):
+		}
+	}
+}
+
+// cancel takes task i out of the gate's queue if it still waits there.
+func (j *job) cancel(node roster.Node, i int) {
+	j.waste("cancelled")
+	_ = j.send(node, j.message(node, i, msgs.Cancel), &msgs.StartReply{})
+}
+
+// send sends one message to a gate, which may be the home's own.
+func (j *job) send(node roster.Node, args *msgs.Start, reply *msgs.StartReply) error {
+	if node.Ref == j.life.ref {
+		j.home.Local(args, reply)
+		return nil
+	}
+	return j.home.Pool.Call(j.ctx, node.Addr, method, args, reply)
+}
+
+// note takes the load that came with a reply and returns the task's result.
+func (j *job) note(node roster.Node, reply *msgs.StartReply) starts.Result {
+	now := time.Now()
+	if ledger.State(reply.State) == ledger.NotRun {
+		j.home.picker.Avoid(node.Ref, now)
+	} else {
+		j.home.picker.Done(node.Ref, slots.Load{
+			Slots: reply.Slots, Running: reply.Running, Queued: reply.Queued,
+			Mean: time.Duration(reply.Mean) * time.Microsecond, Leaving: reply.Leaving,
+		}, now)
+	}
+	return resultOf(reply)
+}
+
+func resultOf(reply *msgs.StartReply) starts.Result {
+	return starts.Result{
+		State: ledger.State(reply.State), Reason: ledger.Reason(reply.Reason), Answer: reply.Answer,
+	}
+}
+
+func (j *job) message(node roster.Node, i int, mode msgs.Mode) *msgs.Start {
+	deadline, _ := j.ctx.Deadline()
+	return &msgs.Start{
+		Mode:     mode,
+		Key:      j.args.Key,
+		Task:     i,
+		FromID:   j.life.ref.ID,
+		FromInc:  j.life.ref.Inc,
+		ToInc:    node.Inc,
+		Deadline: j.args.Deadline,
+		Left:     time.Until(deadline).Milliseconds(),
+		Service:  j.args.Service,
+		Entry:    j.args.Entry,
+		Body:     j.args.Tasks[i],
+	}
+}
--- /dev/null
+++ b/internal/stand/load/load.go
@@ -0,0 +1,157 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/stand/targ"
+	"github.com/gypsumlanding/gypsumlanding/pkg/client"
+)
+
+const (
+	minTask    = 50 * time.Millisecond
+	maxTask    = time.Second
+	meanExtra  = 150 * time.Millisecond // mean of what a task takes above minTask
+	maxIdle    = 512                    // connections kept to an entry
+	resubAfter = 100 * time.Millisecond // longest time before a job is sent again
+)
+
+// Plan describes the load. Entries, Entry, Rate and Time must be set.
+type Plan struct {
+	Entries  []string // base URLs
+	Entry    string   // catalogue entry
+	Rate     float64  // jobs a second
+	Time     time.Duration
+	Seed     uint64
+	MaxTasks int           // tasks of the largest job; 0 means 30
+	Single   float64       // share of jobs that have one task
+	Resubmit float64       // share of jobs submitted a second time through another entry
+	Timeout  time.Duration // of each job; 0 means 5 s
+	Speeds   []int         // percent of each target, for the ideal
+	Slots    int           // of each target, for the ideal
+}
+
+func (p Plan) withDefaults() Plan {
+	if p.MaxTasks == 0 {
+		p.MaxTasks = 30
+	}
+	if p.Timeout == 0 {
+		p.Timeout = 5 * time.Second
+	}
+	return p
+}
+
+// Job is one job of a load and what its caller got.
+type Job struct {
+	Tasks    []targ.Work
+	Arrival  time.Time
+	Resubmit time.Duration // after the arrival; 0 means never
+
+	Outcome  client.Outcome
+	Err      error
+	Second   client.Outcome // of the resubmission
+	Resent   bool
+	Response time.Duration // from the intended arrival to the outcome
+}
+
+// Run submits the load and returns its jobs once all have an outcome.
+func Run(ctx context.Context, p Plan) []*Job {
+	p = p.withDefaults()
+	transport := &http.Transport{MaxIdleConnsPerHost: maxIdle}
+	defer transport.CloseIdleConnections()
+	c := &client.Client{Entries: p.Entries, HTTP: &http.Client{Transport: transport}}
+	jobs := p.draw()
+	var wg sync.WaitGroup
+	start := time.Now()
+	for _, j := range jobs {
+		j.Arrival = start.Add(j.Arrival.Sub(time.Time{}))
+		if !sleepUntil(ctx, j.Arrival) {
+			break
+		}
+		wg.Go(func() { j.run(ctx, c, p) })
+	}
+	wg.Wait()
+	return jobs
+}
+
+// draw makes the jobs; their arrivals count from the zero time.
+func (p Plan) draw() []*Job {
+	rng := rand.New(rand.NewPCG(p.Seed, p.Seed))
+	var jobs []*Job
+	var at time.Duration
+	for n := 0; ; n++ {
+		at += time.Duration(rng.ExpFloat64() / p.Rate * float64(time.Second))
+		if at > p.Time {
+			return jobs
+		}
+		j := &Job{Arrival: time.Time{}.Add(at)}
+		tasks := 1
+		if rng.Float64() >= p.Single {
+			tasks = 1 + rng.IntN(p.MaxTasks)
+		}
+		for i := range tasks {
+			extra := time.Duration(rng.ExpFloat64() * float64(meanExtra))
+			took := min(minTask+extra, maxTask)
+			j.Tasks = append(j.Tasks, targ.Work{Token: fmt.Sprintf("%d-%d-%d", p.Seed, n, i), Time: took.Milliseconds()})
+		}
+		if rng.Float64() < p.Resubmit {
+			j.Resubmit = 1 + time.Duration(rng.Int64N(int64(resubAfter)))
+		}
+		jobs = append(jobs, j)
+	}
+}
+
+// run submits the job, and a second time where it is drawn to be.
+func (j *Job) run(ctx context.Context, c *client.Client, p Plan) {
+	job := client.Job{Entry: p.Entry, Timeout: p.Timeout}
+	for _, t := range j.Tasks {
+		body, err := json.Marshal(t)
+		if err != nil {
+			j.Err = err
+			return
+		}
+		job.Tasks = append(job.Tasks, body)
+	}
+	if j.Resubmit == 0 {
+		j.submitOnce(ctx, c, job)
+		return
+	}
+	key, err := c.Key(ctx, p.Timeout)
+	if err != nil {
+		j.Err = err
+		return
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		if sleepUntil(ctx, j.Arrival.Add(j.Resubmit)) {
+			out, err := c.Submit(ctx, key, job)
+			j.Second = out
+			j.Resent = err == nil
+		}
+	})
+	j.Outcome, j.Err = c.Submit(ctx, key, job)
+	j.Response = time.Since(j.Arrival)
+	wg.Wait()
+}
+
+// submitOnce leaves the key to the client and takes its outcome.
+func (j *Job) submitOnce(ctx context.Context, c *client.Client, job client.Job) {
+	j.Outcome, j.Err = c.Do(ctx, job)
+	j.Response = time.Since(j.Arrival)
+}
+
+func sleepUntil(ctx context.Context, t time.Time) bool {
+	timer := time.NewTimer(time.Until(t))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/wire/msgs/msgs_test.go
@@ -0,0 +1,98 @@
+package msgs
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/core/catlg"
+	"github.com/gypsumlanding/gypsumlanding/internal/core/ledger"
+	"github.com/gypsumlanding/gypsumlanding/internal/core/roster"
+	"github.com/gypsumlanding/gypsumlanding/pkg/jobkey"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+func examples() []any {
+	node := roster.Node{Ref: roster.Ref{ID: "n1", Inc: 7}, Addr: "127.0.0.1:1", Domain: "d", Service: "s", Slots: 8, Leaving: true}
+	shard := roster.Shard{Owner: node.Ref, Moved: 3, Prev: roster.Ref{ID: "n0", Inc: 9}}
+	key := jobkey.New("st", 4, time.UnixMilli(1_700_000_000_000))
+	entry := catlg.Entry{
+		Name: "plan", Owner: "o", Class: catlg.Urgent, Service: "s", Version: 5, Deleted: true,
+		Limits: catlg.Limits{Tasks: 1, Running: 2, Rate: 3, Timeout: 4 * time.Millisecond},
+	}
+	item := ledger.Item{
+		Key: key, Hold: time.UnixMilli(1_700_000_010_000),
+		Outcome: ledger.Outcome{State: ledger.Answered, Answers: [][]byte{[]byte("a"), []byte("b")}},
+	}
+	return []any{
+		&Run{Key: "k", Entry: "e", Service: "s", Epoch: 1, Catalog: 2, Deadline: 3, Left: 4, Look: true, Tasks: [][]byte{[]byte("x")}},
+		&RunReply{State: 1, Reason: "r", Moved: true, Epoch: 2, Tried: 3, Answers: [][]byte{[]byte("x")}},
+		&Start{Mode: Cancel, Key: "k", Task: 1, FromID: "f", FromInc: 2, ToInc: 3, Deadline: 4, Left: 5, Service: "s", Entry: "e", Body: []byte("b")},
+		&StartReply{State: 1, Reason: "r", Inc: 2, Slots: 3, Running: 4, Queued: 5, Mean: 6, Leaving: true, Answer: []byte("a")},
+		&Watch{Epoch: 1, Catalog: 2, Wait: 3},
+		&News{
+			Time: 1, Fresh: true, Epoch: 2, Roster: roster.Make(2, []roster.Node{node}, []roster.Shard{shard}),
+			Catalog: 3, Entries: []catlg.Entry{entry},
+		},
+		&Member{Kind: 1, Node: node},
+		&Probe{ID: "a", Inc: 1, Ask: "b", AInc: 2},
+		&ProbeReply{Inc: 1, Suspect: true},
+		&Take{Inc: 1, Shard: 2, Moved: 3},
+		&TakeReply{OK: true, Gone: true, Handover: ledger.Handover{
+			MinBirth: 1, PlainFrom: time.UnixMilli(2), Floor: time.UnixMilli(3), Items: []ledger.Item{item},
+		}},
+		&Settle{Epoch: 1, Key: "k", Hold: 2, State: 3, Reason: "r", Answers: [][]byte{[]byte("x")}},
+		&Empty{},
+	}
+}
+
+func TestMessagesKeepTheirFields(t *testing.T) {
+	for _, m := range examples() {
+		text, err := msgpack.Marshal(m)
+		if err != nil {
+			t.Fatalf("%T: %v", m, err)
+		}
+		got := reflect.New(reflect.TypeOf(m).Elem()).Interface()
+		if err := msgpack.Unmarshal(text, got); err != nil {
+			t.Fatalf("%T: %v", m, err)
+		}
+		if !reflect.DeepEqual(m, got) {
+			t.Errorf("%T: got %+v, want %+v", m, got, m)
+		}
+	}
+}
+
+func TestReaderSkipsUnknownFieldsAndKeepsMissingOnes(t *testing.T) {
+	longer, err := msgpack.Marshal([]any{uint64(1), uint64(2), int64(3), "new", []int{1}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var w Watch
+	if err := msgpack.Unmarshal(longer, &w); err != nil || w != (Watch{Epoch: 1, Catalog: 2, Wait: 3}) {
+		t.Errorf("longer message: got %+v, %v", w, err)
+	}
+	shorter, err := msgpack.Marshal([]any{uint64(4)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w = Watch{}
+	if err := msgpack.Unmarshal(shorter, &w); err != nil || w != (Watch{Epoch: 4}) {
+		t.Errorf("shorter message: got %+v, %v", w, err)
+	}
+}
+
+func FuzzMessages(f *testing.F) {
+	for _, m := range examples() {
+		text, err := msgpack.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(text)
+	}
+	f.Fuzz(func(_ *testing.T, text []byte) {
+		for _, m := range examples() {
+			got := reflect.New(reflect.TypeOf(m).Elem()).Interface()
+			_ = msgpack.Unmarshal(text, got)
+		}
+	})
+}
--- /dev/null
+++ b/internal/wire/msgs/work.go
@@ -0,0 +1,106 @@
+package msgs
+
+import "github.com/vmihailenco/msgpack/v5"
+
+// Run asks a home to run a job, or to tell the outcome if it knows the key.
+type Run struct {
+	Key      string
+	Entry    string
+	Service  string
+	Epoch    uint64 // of the sender's roster
+	Catalog  uint64 // version of the catalogue the job was accepted by
+	Deadline int64  // cluster time, Unix ms
+	Left     int64  // ms left before the deadline when the message was sent
+	Look     bool   // only look the key up; start nothing
+	Tasks    [][]byte
+}
+
+// RunReply tells the outcome of a job, or why the home does not serve the key.
+type RunReply struct {
+	State   int
+	Reason  string
+	Moved   bool   // the home does not own the key's shard
+	Epoch   uint64 // of the home's roster
+	Tried   int    // messages to gates above one a task
+	Answers [][]byte
+}
+
+// Mode tells what a Start message asks for.
+type Mode int
+
+const (
+	// Begin starts the task, unless it was seen before.
+	Begin Mode = iota
+	// Ask only tells the outcome; a task not seen before never starts.
+	Ask
+	// Cancel is Ask, and takes the task out of the gate's queue.
+	Cancel
+)
+
+// Start asks a gate to run one task, or for its outcome.
+type Start struct {
+	Mode     Mode
+	Key      string
+	Task     int
+	FromID   string
+	FromInc  uint64
+	ToInc    uint64 // incarnation of the gate that the message is meant for
+	Deadline int64  // cluster time, Unix ms
+	Left     int64  // ms left before the deadline when the message was sent
+	Service  string
+	Entry    string
+	Body     []byte
+}
+
+// StartReply tells the outcome of a task and the gate's load.
+type StartReply struct {
+	State   int
+	Reason  string
+	Inc     uint64
+	Slots   int
+	Running int
+	Queued  int
+	Mean    int64 // run time, microseconds
+	Leaving bool
+	Answer  []byte
+}
+
+// EncodeMsgpack writes the message.
+func (m *Run) EncodeMsgpack(e *msgpack.Encoder) error {
+	return pack(e, m.Key, m.Entry, m.Service, m.Epoch, m.Catalog, m.Deadline, m.Left, m.Look, blobs(&m.Tasks))
+}
+
+// DecodeMsgpack reads the message.
+func (m *Run) DecodeMsgpack(d *msgpack.Decoder) error {
+	return unpack(d, &m.Key, &m.Entry, &m.Service, &m.Epoch, &m.Catalog, &m.Deadline, &m.Left, &m.Look, blobs(&m.Tasks))
+}
+
+// EncodeMsgpack writes the message.
+func (m *RunReply) EncodeMsgpack(e *msgpack.Encoder) error {
+	return pack(e, m.State, m.Reason, m.Moved, m.Epoch, m.Tried, blobs(&m.Answers))
+}
+
+// DecodeMsgpack reads the message.
+func (m *RunReply) DecodeMsgpack(d *msgpack.Decoder) error {
+	return unpack(d, &m.State, &m.Reason, &m.Moved, &m.Epoch, &m.Tried, blobs(&m.Answers))
+}
+
+// EncodeMsgpack writes the message.
+func (m *Start) EncodeMsgpack(e *msgpack.Encoder) error {
+	return pack(e, int(m.Mode), m.Key, m.Task, m.FromID, m.FromInc, m.ToInc, m.Deadline, m.Left, m.Service, m.Entry, m.Body)
+}
+
+// DecodeMsgpack reads the message.
+func (m *Start) DecodeMsgpack(d *msgpack.Decoder) error {
+	return unpack(d, (*int)(&m.Mode), &m.Key, &m.Task, &m.FromID, &m.FromInc, &m.ToInc, &m.Deadline, &m.Left, &m.Service, &m.Entry, &m.Body)
+}
+
+// EncodeMsgpack writes the message.
+func (m *StartReply) EncodeMsgpack(e *msgpack.Encoder) error {
+	return pack(e, m.State, m.Reason, m.Inc, m.Slots, m.Running, m.Queued, m.Mean, m.Leaving, m.Answer)
+}
+
+// DecodeMsgpack reads the message.
+func (m *StartReply) DecodeMsgpack(d *msgpack.Decoder) error {
+	return unpack(d, &m.State, &m.Reason, &m.Inc, &m.Slots, &m.Running, &m.Queued, &m.Mean, &m.Leaving, &m.Answer)
+}
--- /dev/null
+++ b/internal/wire/peer/pool.go
@@ -0,0 +1,165 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/codec"
+)
+
+const (
+	dialTimeout  = 500 * time.Millisecond // longest wait for a connection
+	writeTimeout = 2 * time.Second        // longest wait for a peer that does not read
+)
+
+// Errors of Call.
+var (
+	// ErrNotSent means that the call did not leave this process.
+	ErrNotSent = merry.Sentinel("call not sent")
+	// ErrRefused is an ErrNotSent whose address refused the connection.
+	ErrRefused = merry.Sentinel("connection refused", merry.WithCause(ErrNotSent))
+	// ErrBroken means that the call may have arrived, but no reply did.
+	ErrBroken = merry.Sentinel("connection broken")
+	// ErrLate means that the deadline passed before the reply.
+	ErrLate = merry.Sentinel("no reply before the deadline")
+)
+
+// Pool keeps one connection to each address it calls. The zero value is ready
+// for use. It is safe for concurrent use.
+type Pool struct {
+	// Dial opens a connection; nil means TCP.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
+
+	mu    sync.Mutex
+	lines map[string]*line
+}
+
+// line is the connection to one address.
+type line struct {
+	mu     sync.Mutex
+	client *rpc.Client
+}
+
+// Call calls method at addr and waits for the reply until ctx ends. An error
+// that the method itself returned comes back as rpc.ServerError. After an error
+// neither args nor reply may be used again, since both may still be in use here.
+func (p *Pool) Call(ctx context.Context, addr, method string, args, reply any) error {
+	l := p.line(addr)
+	for {
+		client, fresh, err := p.open(ctx, l, addr)
+		if err != nil {
+			return err
+		}
+		err = call(ctx, client, method, args, reply)
+		if !errors.Is(err, rpc.ErrShutdown) {
+			return err
+		}
+		l.drop(client)
+		if fresh {
+			return merry.Append(ErrNotSent, "connection closed at once")
+		}
+	}
+}
+
+// Close closes all connections. Calls in progress fail with ErrBroken.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.lines {
+		l.mu.Lock()
+		client := l.client
+		l.mu.Unlock()
+		l.drop(client)
+	}
+	p.lines = nil
+}
+
+func call(ctx context.Context, client *rpc.Client, method string, args, reply any) error {
+	done := make(chan *rpc.Call, 1)
+	go client.Go(method, args, reply, done)
+	select {
+	case c := <-done:
+		return classify(c.Error)
+	case <-ctx.Done():
+		return ErrLate
+	}
+}
+
+// classify keeps ErrShutdown, which net/rpc gives to calls it did not write.
+func classify(err error) error {
+	var own rpc.ServerError
+	if err == nil || errors.Is(err, rpc.ErrShutdown) || errors.As(err, &own) {
+		return err
+	}
+	return merry.Append(ErrBroken, err.Error())
+}
+
+func (p *Pool) line(addr string) *line {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l, ok := p.lines[addr]
+	if !ok {
+		if p.lines == nil {
+			p.lines = map[string]*line{}
+		}
+		l = &line{}
+		p.lines[addr] = l
+	}
+	return l
+}
+
+// open returns the line's client and whether it was opened just now.
+func (p *Pool) open(ctx context.Context, l *line, addr string) (*rpc.Client, bool, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.client != nil {
+		return l.client, false, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := p.dial(ctx, addr)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return nil, false, ErrRefused
+	}
+	if err != nil {
+		return nil, false, merry.Append(ErrNotSent, err.Error())
+	}
+	l.client = rpc.NewClientWithCodec(codec.NewClient(boundedConn{conn}))
+	return l.client, true, nil
+}
+
+func (p *Pool) dial(ctx context.Context, addr string) (net.Conn, error) {
+	if p.Dial != nil {
+		return p.Dial(ctx, addr)
+	}
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+// boundedConn breaks a connection whose other end stops reading.
+type boundedConn struct{ net.Conn }
+
+// Write writes b, or fails after writeTimeout.
+func (c boundedConn) Write(b []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(b)
+}
+
+func (l *line) drop(client *rpc.Client) {
+	l.mu.Lock()
+	if l.client == client {
+		l.client = nil
+	}
+	l.mu.Unlock()
+	if client != nil {
+		_ = client.Close()
+	}
+}
--- /dev/null
+++ b/internal/wire/peer/server.go
@@ -0,0 +1,76 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/codec"
+)
+
+// Server serves net/rpc methods at one TCP address. It is a kratos transport
+// server. The zero value is not usable; make one with Listen.
+type Server struct {
+	ln  net.Listener
+	rpc *rpc.Server
+
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+}
+
+// Listen binds addr and returns a server for the receivers, each under the name
+// it is given with. It does not accept before Start.
+func Listen(addr string, receivers map[string]any) (*Server, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{ln: ln, rpc: rpc.NewServer(), conns: map[net.Conn]struct{}{}}
+	for name, receiver := range receivers {
+		if err := s.rpc.RegisterName(name, receiver); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+// Addr returns the address that the server is bound to.
+func (s *Server) Addr() string { return s.ln.Addr().String() }
+
+// Start accepts connections until Stop.
+func (s *Server) Start(context.Context) error {
+	for {
+		conn, err := s.ln.Accept()
+		if err != nil {
+			return nil
+		}
+		s.add(conn)
+		go s.serve(conn)
+	}
+}
+
+// Stop closes the listener and all connections. Calls in progress are cut, so
+// the owner first waits for those that matter.
+func (s *Server) Stop(context.Context) error {
+	err := s.ln.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+	return err
+}
+
+func (s *Server) serve(conn net.Conn) {
+	s.rpc.ServeCodec(codec.NewServer(boundedConn{conn}))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
+
+func (s *Server) add(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[conn] = struct{}{}
+}
