Keep a shard's former owner when it moves twice in one epoch

Cause: one batch of changes may restart a node and rebalance. The shard then moved to the new incarnation and on to another node within one epoch, and Prev named the new incarnation, which never held the shard's ledger. Found by: the property TestChangesKeepShardsOwnedAndBalanced, which failed after 2 cases. Ruled out as harmful: the ledger treats a handover from a home that never held the shard as lost, so no key could run twice; the cost was plain keys refused for their horizon.

--- a/internal/core/roster/change.go
+++ b/internal/core/roster/change.go
@@ -169,7 +169,14 @@
 	return best
 }
 
+// move gives shard i to another owner. Prev stays the owner of the epoch before,
+// also if the shard moves twice within one.
 func (r *Roster) move(i int, to Ref) {
 	s := r.shards[i]
-	r.shards[i] = Shard{Owner: to, Moved: r.epoch, Prev: s.Owner}
+	if s.Moved < r.epoch {
+		s.Prev = s.Owner
+	}
+	s.Owner = to
+	s.Moved = r.epoch
+	r.shards[i] = s
 }
