Never pass on a shard whose own handover was given up as whole

Cause: a home that waited for a shard's handover and learned from the roster that the shard had moved on ended the wait without noting that it lacks the former owner's records. Asked for the shard next, it claimed to be complete, and the third home ran a key again. Ruled out: an entry's old roster (the same double without it) and the order of seal and accept.

--- a/internal/core/ledger/shard.go
+++ b/internal/core/ledger/shard.go
@@ -79,13 +79,13 @@
 	s := &l.shards[i]
 	row := l.roster.Shard(i)
 	if row.Owner != l.self || s.sealed > row.Moved {
-		s.release()
+		l.release(s, now)
 		return Takeover{}, false
 	}
 	if s.mine && s.moved == row.Moved {
 		return Takeover{}, false
 	}
-	s.release()
+	l.release(s, now)
 	s.mine = true
 	s.moved = row.Moved
 	if row.Prev == (roster.Ref{}) {
@@ -107,14 +107,22 @@
 	s.plainFrom = now.Add(l.opts.Horizon)
 }
 
-func (s *shard) release() {
+// release stops serving a shard. A handover still pending is given up, since its
+// records can no longer be passed on.
+func (l *Ledger) release(s *shard, now time.Time) {
 	s.mine = false
 	if s.ready != nil {
-		close(s.ready)
-		s.ready = nil
+		l.endWait(s, now)
 	}
 }
 
+// endWait ends the wait for a handover that will not be taken.
+func (l *Ledger) endWait(s *shard, now time.Time) {
+	l.lose(s, now)
+	close(s.ready)
+	s.ready = nil
+}
+
 // Seal stops serving shard i, which moved to another home at epoch moved, and
 // returns what that home needs. It may be called again for the same move. It
 // returns false if the home knows of a newer move of the shard.
@@ -132,12 +140,8 @@
 		s.minBirth = moved
 		s.plainFrom = now.Add(l.opts.Horizon)
 	}
-	pending := s.ready != nil
-	s.release()
+	l.release(s, now)
 	s.sealed = moved
-	if pending {
-		l.lose(s, now)
-	}
 	h := Handover{MinBirth: s.minBirth, PlainFrom: s.plainFrom, Floor: now}
 	if s.floor.After(now) {
 		h.Floor = s.floor
@@ -208,9 +212,7 @@
 	if !ok {
 		return
 	}
-	l.lose(s, now)
-	close(s.ready)
-	s.ready = nil
+	l.endWait(s, now)
 }
 
 // Pending tells whether the home still waits for the handover of shard i for
