--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -26,6 +26,10 @@
 	MaxBytes   int           // bytes of answers held at a time
 }
 
+// Linger returns how long past its deadline the outcome of a job may still be
+// learned: well before the keys of its tasks are forgotten.
+func (o Options) Linger() time.Duration { return o.withDefaults().Slack / 2 }
+
 func (o Options) withDefaults() Options {
 	if o.Slack == 0 {
 		o.Slack = DefaultSlack
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -32,7 +32,8 @@
 	Rand func(n int) int
 
 	mu    sync.Mutex
-	gates map[string][]*gate // by service
+	known map[string]bool    // services that any node is listed with
+	gates map[string][]*gate // gates open to new work, by service
 	byRef map[roster.Ref]*gate
 }
 
@@ -48,14 +49,16 @@
 func (p *Picker) Update(r roster.Roster) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	known := p.byRef
+	old := p.byRef
+	p.known = map[string]bool{}
 	p.gates = map[string][]*gate{}
 	p.byRef = map[roster.Ref]*gate{}
 	for _, n := range r.Nodes() {
+		p.known[n.Service] = true
 		if n.Service == "" || n.Leaving || n.Slots == 0 {
 			continue
 		}
-		g := known[n.Ref]
+		g := old[n.Ref]
 		if g == nil {
 			g = &gate{}
 		}
@@ -90,11 +93,12 @@
 	return best.node, true
 }
 
-// Knows tells whether any gate serves the service.
+// Knows tells whether any node is listed with the service, also if none is open
+// to new work now.
 func (p *Picker) Knows(service string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.gates[service]) > 0
+	return p.known[service]
 }
 
 // Done takes the report that came with the answer to a task sent to ref.
--- a/internal/core/roster/change.go
+++ b/internal/core/roster/change.go
@@ -25,7 +25,8 @@
 
 // With returns the roster with the changes made, one epoch later, or r itself
 // if they change nothing. A join of an incarnation already listed updates its
-// data; a leave or removal of an incarnation not listed does nothing.
+// data, and one that does not know its service yet keeps the one listed under
+// its ID. A leave or removal of an incarnation not listed does nothing.
 func (r Roster) With(changes ...Change) Roster {
 	next := Make(r.epoch+1, r.nodes, r.shards)
 	changed := false
@@ -69,10 +70,14 @@
 		sortNodes(r.nodes)
 		return true
 	}
-	if r.nodes[i].Inc == n.Inc {
-		n.Leaving = n.Leaving || r.nodes[i].Leaving
+	old := r.nodes[i]
+	if old.Inc == n.Inc {
+		n.Leaving = n.Leaving || old.Leaving
 	}
-	if r.nodes[i] == n {
+	if n.Service == "" {
+		n.Service = old.Service
+	}
+	if old == n {
 		return false
 	}
 	r.nodes[i] = n
--- a/internal/daem/conf/conf.go
+++ b/internal/daem/conf/conf.go
@@ -38,6 +38,7 @@
 	faults   []Fault
 	required []string
 	given    map[string]bool
+	broken   bool // the file could not be parsed
 }
 
 // New returns an empty set for the named program. Its usage goes to out.
@@ -64,6 +65,17 @@
 	s.declare(p, name, "", usage, checkAddr)
 }
 
+// OptionalAddr declares a setting that is an IP address and port, or not given.
+func (s *Set) OptionalAddr(p *string, name, usage string) {
+	s.flags.Func(name, usage, func(text string) error {
+		if err := checkAddr(text); err != nil {
+			return err
+		}
+		*p = text
+		return nil
+	})
+}
+
 // Addrs declares a setting that is a list of IP addresses and ports, separated
 // by commas in flags and variables and an array in the file. If optional is
 // false, at least one must be given.
@@ -131,7 +143,7 @@
 		s.fault("settings", err.Error())
 	}
 	for _, name := range s.required {
-		if !s.given[name] {
+		if !s.given[name] && !s.broken {
 			s.fault(name, "is missing")
 		}
 	}
--- a/internal/daem/conf/file.go
+++ b/internal/daem/conf/file.go
@@ -22,6 +22,7 @@
 	}
 	fields, err := parseFile(text)
 	if err != nil {
+		s.broken = true
 		return err
 	}
 	for _, name := range slices.Sorted(maps.Keys(fields)) {
@@ -29,6 +30,7 @@
 			s.fault(name, "is no setting")
 			continue
 		}
+		s.given[name] = true
 		value, err := scalar(fields[name])
 		if err != nil {
 			s.fault(name, err.Error())
--- a/internal/entry/relay/doc.go
+++ b/internal/entry/relay/doc.go
@@ -2,6 +2,6 @@
 // whole answer or an honest failure.
 //
 // It runs nothing itself. A key may be sent to a home more than once, since the
-// home's ledger makes that harmless; a key that the entry made and never sent
-// may be replaced by another.
+// home's ledger makes that harmless; a key that the entry made and no home has
+// taken may be replaced by another.
 package relay
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -59,16 +59,19 @@
 	relay *Relay
 	job   Job
 	key   jobkey.Key
-	ours  bool // the entry made the key, and no home has it yet
-	sent  bool // the key may have arrived at a home
+	taken bool // a home may have taken the key
 }
 
+// ours tells whether the key was made here and no home has taken it, so that
+// it may be replaced and the job is known not to have run.
+func (t *trip) ours() bool { return t.job.Key.IsZero() && !t.taken }
+
 // Do brings the job to its home and returns its key and outcome by the job's
 // deadline.
 func (r *Relay) Do(job Job) (jobkey.Key, ledger.Outcome) {
 	ctx, cancel := context.WithTimeout(context.Background(), r.Clock.Until(job.Deadline)+replyMargin)
 	defer cancel()
-	t := &trip{relay: r, job: job, key: job.Key, ours: job.Key.IsZero()}
+	t := &trip{relay: r, job: job, key: job.Key}
 	outcome := t.run(ctx)
 	if outcome.State != ledger.Answered {
 		r.Stats.Refused(string(outcome.Reason))
@@ -97,17 +100,21 @@
 			return t.failure(ledger.Deadline)
 		case err != nil:
 			last = t.failed(home, err)
-			if t.ours {
-				continue
-			}
-			r.await(ctx, r.View.Roster().Epoch()+1)
 		case reply.Moved:
 			last = ledger.NotOwner
 			r.waste("redirected")
 			r.await(ctx, reply.Epoch)
+			continue
+		case reply.Untaken && t.ours():
+			last = ledger.Reason(reply.Reason)
+			r.Stats.Retried(reply.Reason)
+			r.waste("refused")
 		default:
 			return outcomeOf(reply)
 		}
+		if !errors.Is(err, peer.ErrNotSent) || !t.ours() {
+			r.await(ctx, r.View.Roster().Epoch()+1)
+		}
 	}
 	return t.failure(last)
 }
@@ -127,9 +134,8 @@
 		Tasks:    t.job.Tasks,
 	}
 	err := t.relay.Pool.Call(ctx, home.Addr, homeMethod, args, reply)
-	if !errors.Is(err, peer.ErrNotSent) {
-		t.ours = false
-		t.sent = true
+	if err != nil && !errors.Is(err, peer.ErrNotSent) || err == nil && !reply.Untaken {
+		t.taken = true
 	}
 	return reply, err
 }
@@ -147,10 +153,10 @@
 }
 
 // failure returns the honest failure of a job without a reply: notrun if the
-// key was made here and never sent, unknown else.
+// key was made here and no home took it, unknown else.
 func (t *trip) failure(reason ledger.Reason) ledger.Outcome {
 	state := ledger.Unknown
-	if !t.sent && t.job.Key.IsZero() {
+	if t.ours() {
 		state = ledger.NotRun
 	}
 	return ledger.Outcome{State: state, Reason: reason}
@@ -161,7 +167,7 @@
 func (t *trip) home() (roster.Node, bool) {
 	r := t.relay
 	newest := r.View.Roster()
-	if !t.ours {
+	if !t.ours() {
 		return newest.Owner(t.key.Shard(len(newest.Shards())))
 	}
 	var found roster.Node
--- a/internal/node/gate/gate.go
+++ b/internal/node/gate/gate.go
@@ -49,8 +49,8 @@
 	g.book = &starts.Book{}
 }
 
-// Start handles one message of a home and waits for the outcome, until the
-// task's deadline at the latest.
+// Start handles one message of a home and waits for the outcome. A task that was
+// started in time may end some time past its deadline.
 func (g *Gate) Start(args *msgs.Start, reply *msgs.StartReply) {
 	defer g.report(reply)
 	deadline := time.Now().Add(time.Duration(args.Left) * time.Millisecond)
@@ -60,7 +60,7 @@
 		return
 	}
 	rec := g.record(book, args, deadline)
-	timer := time.NewTimer(time.Until(deadline))
+	timer := time.NewTimer(time.Until(deadline) + g.linger())
 	defer timer.Stop()
 	select {
 	case <-rec.Done():
@@ -73,6 +73,9 @@
 	}
 }
 
+// linger returns how long past its deadline a task's outcome is waited for.
+func (g *Gate) linger() time.Duration { return ledger.Options{Slack: g.Slack}.Linger() }
+
 // Load returns the present load.
 func (g *Gate) Load() slots.Load { return g.queue.Load() }
 
--- a/internal/node/home/admit.go
+++ b/internal/node/home/admit.go
@@ -35,6 +35,7 @@
 	if h.catchUp(ctx, max(args.Epoch, key.Birth())) {
 		h.serve(ctx, key, args, reply)
 	} else {
+		reply.Untaken = true
 		fill(reply, unknown(ledger.Stale))
 	}
 	reply.Epoch = h.View.Roster().Epoch()
@@ -64,29 +65,26 @@
 		switch v.Decision {
 		case ledger.Run:
 			h.Stats.Count("jobs")
-			tried, outcome := h.execute(ctx, l, v.Record, args)
-			reply.Tried = tried
-			fill(reply, outcome)
+			h.begin(ctx, l, v.Record, args)
+			fill(reply, await(ctx, v.Record))
 			return
 		case ledger.Join:
 			h.Stats.Count("joined")
 			fill(reply, await(ctx, v.Record))
 			return
-		case ledger.Refuse:
-			fill(reply, v.Outcome)
-			return
-		case ledger.Redirect:
-			reply.Moved = true
-			return
-		case ledger.Fetch:
-			fill(reply, unknown(ledger.Stale))
-			return
 		case ledger.Wait:
-			if !waitFor(ctx, v.Ready) {
-				fill(reply, unknown(ledger.OwnerLost))
-				return
+			if waitFor(ctx, v.Ready) {
+				continue
 			}
+			v.Outcome = unknown(ledger.OwnerLost)
+		case ledger.Fetch:
+			v.Outcome = unknown(ledger.Stale)
+		case ledger.Redirect:
+			reply.Moved = true
 		}
+		reply.Untaken = true
+		fill(reply, v.Outcome)
+		return
 	}
 }
 
--- a/internal/node/home/job.go
+++ b/internal/node/home/job.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/core/ledger"
 	"github.com/gypsumlanding/gypsumlanding/internal/core/starts"
@@ -13,9 +14,11 @@
 // not be started.
 const Incomplete ledger.Reason = "incomplete"
 
-// job is one job in progress. Its context ends at its deadline.
+// job is one job in progress. No task is started past its deadline; its context
+// ends some time later, so that what was started by then can still be learned.
 type job struct {
-	ctx  context.Context
+	ctx      context.Context
+	deadline time.Time
 	home *Home
 	life *life
 	args *msgs.Run
@@ -23,8 +26,6 @@
 	stop     chan struct{} // closed when no further task is to be started
 	stopOnce sync.Once
 
-	mu    sync.Mutex
-	tried int // messages above one a task
 }
 
 // result is the outcome of one task of a job.
@@ -33,19 +34,21 @@
 	starts.Result
 }
 
-// execute runs the job that the ledger admitted and settles its record. It
-// returns the messages sent above one a task, and the outcome.
-func (h *Home) execute(ctx context.Context, l *life, rec *ledger.Record, args *msgs.Run) (int, ledger.Outcome) {
+// begin runs the job that the ledger admitted, until its outcome is settled. The
+// caller's context ends at the job's deadline.
+func (h *Home) begin(caller context.Context, l *life, rec *ledger.Record, args *msgs.Run) {
+	deadline, _ := caller.Deadline()
+	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(h.Options.Linger()))
+	j := &job{ctx: ctx, deadline: deadline, home: h, life: l, args: args, stop: make(chan struct{})}
 	h.running.Add(1)
-	defer h.running.Add(-1)
-	j := &job{ctx: ctx, home: h, life: l, args: args, stop: make(chan struct{})}
-	outcome := j.run()
-	if !l.ledger.Finish(rec, outcome) {
-		h.settleElsewhere(rec, outcome)
-	}
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return j.tried, outcome
+	go func() {
+		defer h.running.Add(-1)
+		defer cancel()
+		outcome := j.run()
+		if !l.ledger.Finish(rec, outcome) {
+			h.settleElsewhere(rec, outcome)
+		}
+	}()
 }
 
 func (j *job) run() ledger.Outcome {
@@ -98,12 +101,7 @@
 }
 
 // waste counts a message above one a task.
-func (j *job) waste(reason string) {
-	j.home.Stats.Count("wasted." + reason)
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.tried++
-}
+func (j *job) waste(reason string) { j.home.Stats.Count("wasted." + reason) }
 
 // outcomeOf returns the outcome of a job of n tasks from the results so far.
 // It is failed if a task is known to have run and the answer can't be whole,
--- a/internal/node/home/start.go
+++ b/internal/node/home/start.go
@@ -2,12 +2,14 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/core/ledger"
 	"github.com/gypsumlanding/gypsumlanding/internal/core/roster"
 	"github.com/gypsumlanding/gypsumlanding/internal/core/slots"
 	"github.com/gypsumlanding/gypsumlanding/internal/core/starts"
+	"github.com/gypsumlanding/gypsumlanding/internal/node/gate"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/peer"
 )
@@ -21,22 +23,42 @@
 )
 
 const (
-	maxPlaces = 3                     // gates tried for one task
-	askPause  = 20 * time.Millisecond // between questions for an outcome
+	maxPlaces  = 3                     // gates tried for one task in one round
+	maxRounds  = 5                     // pauses made for one task
+	firstPause = 50 * time.Millisecond // doubled each time, and spread by chance
+	askPause   = 20 * time.Millisecond // between questions for an outcome
 )
 
 // method is the net/rpc method of a gate.
 const method = "Gate.Start"
 
 // place starts task i at a gate, and at another only if the first has proved
-// that it did not start it.
+// that it did not start it. If no gate is open just now, as when many restart,
+// it tries again after a pause.
 func (j *job) place(i int) starts.Result {
+	pause := firstPause
+	for range maxRounds {
+		res := j.placeOnce(i)
+		if !passing(res) || !j.rest(pause) {
+			return res
+		}
+		j.home.Stats.Retried(string(res.Reason))
+		pause *= 2
+	}
+	return j.placeOnce(i)
+}
+
+// placeOnce tries up to maxPlaces gates.
+func (j *job) placeOnce(i int) starts.Result {
 	var tried []roster.Ref
 	last := starts.Result{State: ledger.NotRun, Reason: NoGate}
 	for len(tried) < maxPlaces {
 		if j.halted() {
 			return starts.Result{State: ledger.NotRun, Reason: Halted}
 		}
+		if !time.Now().Before(j.deadline) {
+			return starts.Result{State: ledger.NotRun, Reason: slots.Hopeless}
+		}
 		if len(tried) > 0 {
 			j.home.Stats.Retried(string(last.Reason))
 			j.waste("bounced")
@@ -54,6 +76,35 @@
 	return last
 }
 
+// passing tells whether a refusal is likely to pass once the roster is newer or
+// targets have announced themselves. A full queue is none: trying again there
+// would only add to the load.
+func passing(res starts.Result) bool {
+	if res.State != ledger.NotRun {
+		return false
+	}
+	switch res.Reason {
+	case NoGate, NoRoute, gate.Incarnation, slots.Leaving, slots.NoTarget:
+		return true
+	}
+	return false
+}
+
+// rest waits for the given time, more or less, and reports whether the job may
+// still start tasks then.
+func (j *job) rest(pause time.Duration) bool {
+	pause += rand.N(pause)
+	if time.Until(j.deadline) < pause {
+		return false
+	}
+	select {
+	case <-time.After(pause):
+		return true
+	case <-j.stop:
+		return false
+	}
+}
+
 // start starts task i at node and returns its outcome.
 func (j *job) start(node roster.Node, i int) starts.Result {
 	reply := &msgs.StartReply{}
@@ -139,7 +190,6 @@
 }
 
 func (j *job) message(node roster.Node, i int, mode msgs.Mode) *msgs.Start {
-	deadline, _ := j.ctx.Deadline()
 	return &msgs.Start{
 		Mode:     mode,
 		Key:      j.args.Key,
@@ -148,7 +198,7 @@
 		FromInc:  j.life.ref.Inc,
 		ToInc:    node.Inc,
 		Deadline: j.args.Deadline,
-		Left:     time.Until(deadline).Milliseconds(),
+		Left:     time.Until(j.deadline).Milliseconds(),
 		Service:  j.args.Service,
 		Entry:    j.args.Entry,
 		Body:     j.args.Tasks[i],
--- a/internal/node/member/member.go
+++ b/internal/node/member/member.go
@@ -176,6 +176,9 @@
 	want := roster.Node{Ref: m.ref, Addr: m.Addr, Domain: m.Domain, Service: service, Slots: slots}
 	have, ok := m.View.Roster().Find(m.ref)
 	want.Leaving = have.Leaving
+	if want.Service == "" {
+		want.Service = have.Service
+	}
 	if m.leaving || ok && have == want {
 		return roster.Change{}, false
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,6 +36,7 @@
 	Region  string
 	Domain  string
 	Listen  string   // for the system's own processes
+	Reach   string   // where they reach the node; "" means at Listen
 	HTTP    string   // for the target beside the node
 	Entries []string // entries of the region
 	Grace   time.Duration
@@ -49,6 +50,7 @@
 	set.Name(&c.Region, "region", "", "region of this node")
 	set.Name(&c.Domain, "domain", "", "failure domain of this node")
 	set.Addr(&c.Listen, "listen", "`address` for the system's own processes, IP:port")
+	set.OptionalAddr(&c.Reach, "reach", "`address` where the system's own processes reach this node, IP:port (default listen)")
 	set.Addr(&c.HTTP, "http", "`address` for the target's announcements and the counters, IP:port")
 	set.Addrs(&c.Entries, "entries", false, "`addresses` of the region's entries, IP:port")
 	set.Millis(&c.Grace, "grace", defaultGrace, time.Second, maxGrace, "longest time that a planned stop may take")
@@ -95,6 +97,9 @@
 }
 
 func assemble(cfg Config, log logs.Logger) *Node {
+	if cfg.Reach == "" {
+		cfg.Reach = cfg.Listen
+	}
 	clk := &clock.Clock{}
 	n := &Node{cfg: cfg, log: log, stats: &stats.Set{}, view: &view.View{Clock: clk}}
 	pool := &peer.Pool{}
@@ -105,7 +110,7 @@
 		Options: ledger.Options{Slack: cfg.Slack, Horizon: cfg.Horizon},
 	}
 	n.member = &member.Member{
-		ID: cfg.ID, Addr: cfg.Listen, Domain: cfg.Domain, Entries: cfg.Entries,
+		ID: cfg.ID, Addr: cfg.Reach, Domain: cfg.Domain, Entries: cfg.Entries,
 		Clock: clk, View: n.view, Pool: pool, Stats: n.stats, Log: log,
 		Service: n.gate.Service,
 		Renew: func(ref roster.Ref) {
--- a/internal/stand/fleet/await.go
+++ b/internal/stand/fleet/await.go
@@ -61,20 +61,25 @@
 }
 
 // AwaitNodes waits until every running entry lists just n nodes, all with a
-// target and together with all shards, and every running node has that epoch.
+// target and together with all shards, and every running node is listed with
+// its present incarnation and has that epoch.
 func (f *Fleet) AwaitNodes(ctx context.Context, n int) error {
 	return Await(ctx, "all processes agree on the nodes", func() bool {
 		epochs := map[uint64]bool{}
+		listed := map[string]uint64{}
 		for _, name := range f.Names("e") {
 			var s Status
 			if f.Get(ctx, name+".http", "/v1/status", &s) != nil || !s.complete(n) {
 				return false
 			}
 			epochs[s.Epoch] = true
+			for _, node := range s.Nodes {
+				listed[node.ID] = node.Inc
+			}
 		}
 		for _, name := range f.Names("n") {
 			var s NodeStatus
-			if f.Get(ctx, name+".http", "/v1/status", &s) != nil {
+			if f.Get(ctx, name+".http", "/v1/status", &s) != nil || listed[name] != s.Inc {
 				return false
 			}
 			epochs[s.Epoch] = true
@@ -83,17 +88,6 @@
 	})
 }
 
-func (s Status) complete(n int) bool {
-	shards := 0
-	for _, node := range s.Nodes {
-		if node.Slots == 0 || node.Leaving {
-			return false
-		}
-		shards += node.Shards
-	}
-	return len(s.Nodes) == n && shards == s.Shards
-}
-
 // AwaitCatalogue waits until every running entry and node has the catalogue's
 // version.
 func (f *Fleet) AwaitCatalogue(ctx context.Context, version uint64) error {
@@ -127,3 +121,14 @@
 	}
 	return sum
 }
+
+func (s Status) complete(n int) bool {
+	shards := 0
+	for _, node := range s.Nodes {
+		if node.Slots == 0 || node.Leaving {
+			return false
+		}
+		shards += node.Shards
+	}
+	return len(s.Nodes) == n && shards == s.Shards
+}
--- a/internal/stand/fleet/fleet.go
+++ b/internal/stand/fleet/fleet.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -16,6 +15,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/gypsumlanding/gypsumlanding/internal/stand/cable"
 	"github.com/gypsumlanding/gypsumlanding/internal/stand/targ"
 )
 
@@ -35,6 +35,7 @@
 	Speeds  []int    // percent, given to the targets in turn; none means 100
 	Shards  int      // 0 means 512
 	Extra   []string // further arguments of every node
+	Cables  bool     // put a cable before every node
 }
 
 func (o Options) withDefaults() Options {
@@ -66,7 +67,8 @@
 	mu      sync.Mutex
 	procs   map[string]*Proc
 	addrs   map[string]string // address by process name and kind, such as "n1.http"
-	retired []targ.Report     // of targets that were stopped
+	cables  map[string]*cable.Cable
+	retired []targ.Report // of targets that were stopped
 }
 
 // New returns a fleet without processes that takes programs from bin and
@@ -74,7 +76,7 @@
 func New(bin, dir string, opts Options) *Fleet {
 	return &Fleet{
 		opts: opts.withDefaults(), bin: bin, dir: dir,
-		procs: map[string]*Proc{}, addrs: map[string]string{},
+		procs: map[string]*Proc{}, addrs: map[string]string{}, cables: map[string]*cable.Cable{},
 	}
 }
 
@@ -150,6 +152,13 @@
 				"entries": f.entries(""),
 			}),
 		}
+		if f.opts.Cables {
+			c, err := f.Cable(name)
+			if err != nil {
+				return "", nil, err
+			}
+			args = append(args, "-reach", c.Addr())
+		}
 		return "gypnode", append(args, f.opts.Extra...), nil
 	}
 	return "", nil, merry.Errorf("no process can be called %q", name)
@@ -186,12 +195,7 @@
 	if addr, ok := f.addrs[name]; ok {
 		return addr
 	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
-	}
-	addr := ln.Addr().String()
-	_ = ln.Close()
+	addr := freeAddr()
 	f.addrs[name] = addr
 	return addr
 }
@@ -213,6 +217,21 @@
 	return p, ok
 }
 
+// Cable returns the cable before a node.
+func (f *Fleet) Cable(name string) (*cable.Cable, error) {
+	addr := f.Addr(name + ".rpc")
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c, ok := f.cables[name]; ok {
+		return c, nil
+	}
+	c, err := cable.Lay(addr)
+	if err == nil {
+		f.cables[name] = c
+	}
+	return c, err
+}
+
 // Names returns the names of the processes whose names start with prefix.
 func (f *Fleet) Names(prefix string) []string {
 	f.mu.Lock()
@@ -231,6 +250,9 @@
 	f.mu.Lock()
 	procs := f.procs
 	f.procs = map[string]*Proc{}
+	for _, c := range f.cables {
+		c.Close()
+	}
 	f.mu.Unlock()
 	for _, p := range procs {
 		p.Kill()
--- a/internal/wire/msgs/work.go
+++ b/internal/wire/msgs/work.go
@@ -20,8 +20,8 @@
 	State   int
 	Reason  string
 	Moved   bool   // the home does not own the key's shard
+	Untaken bool   // the home did not take the key and never runs this copy
 	Epoch   uint64 // of the home's roster
-	Tried   int    // messages to gates above one a task
 	Answers [][]byte
 }
 
@@ -77,12 +77,12 @@
 
 // EncodeMsgpack writes the message.
 func (m *RunReply) EncodeMsgpack(e *msgpack.Encoder) error {
-	return pack(e, m.State, m.Reason, m.Moved, m.Epoch, m.Tried, blobs(&m.Answers))
+	return pack(e, m.State, m.Reason, m.Moved, m.Untaken, m.Epoch, blobs(&m.Answers))
 }
 
 // DecodeMsgpack reads the message.
 func (m *RunReply) DecodeMsgpack(d *msgpack.Decoder) error {
-	return unpack(d, &m.State, &m.Reason, &m.Moved, &m.Epoch, &m.Tried, blobs(&m.Answers))
+	return unpack(d, &m.State, &m.Reason, &m.Moved, &m.Untaken, &m.Epoch, blobs(&m.Answers))
 }
 
 // EncodeMsgpack writes the message.
