Keep an unknown or unreachable node from drawing work

New command gypmeasure (make bench).

Cause of cut: a node that reaches others but can't be reached was removed, joined again as a new incarnation, and was removed again without end; and each new incarnation was assumed to take 50 ms a task, less than any known gate, so it drew most work. Mended: an entry calls a new node back at its address before it takes the join; an unknown gate counts as typical for its service; a gate that leaves starts unanswered is passed over after 100 ms and two mean run times.

--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
 MODULES := pkg internal/core internal/wire internal/plat internal/daem internal/node internal/entry internal/stand cmd test
-PROGRAMS := gypentry gypnode gypctl gypstore gyptarget gypload gypdemo
+PROGRAMS := gypentry gypnode gypctl gypstore gyptarget gypload gypdemo gypmeasure
 LINT := bin/tools/golangci-lint
 LINT_VERSION := v2.15.0
 
-.PHONY: all build demo test lint fuzz clean
+.PHONY: all build demo bench test lint fuzz clean
 
 all: build
 
@@ -14,6 +14,9 @@
 demo: build
 	@bin/gypdemo
 
+bench: build
+	@bin/gypmeasure
+
 test:
 	@for m in $(MODULES); do (cd $$m && go test -race ./...) || exit 1; done
 
--- a/cmd/gypdemo/main.go
+++ b/cmd/gypdemo/main.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"flag"
 	"fmt"
-	"net/http"
 	"os"
 	"path/filepath"
 	"time"
@@ -28,13 +27,6 @@
 // speeds are the percents of full speed of the eleven targets.
 var speeds = []int{100, 60, 140, 100, 80, 120, 50, 100, 150, 90, 110}
 
-type entryDoc struct {
-	Name    string `json:"name"`
-	Owner   string `json:"owner"`
-	Class   string `json:"class"`
-	Service string `json:"service"`
-}
-
 func main() {
 	rate := flag.Float64("rate", 40, "jobs a second")
 	seed := flag.Uint64("seed", 1, "seed of the load")
@@ -95,11 +87,7 @@
 		return err
 	}
 	fmt.Printf("3 entries and 11 nodes ready after %s\n", time.Since(began).Round(time.Millisecond))
-	doc := entryDoc{Name: "plan", Owner: "leistenwerk", Class: "urgent", Service: "dehnplan"}
-	if err := f.Send(ctx, http.MethodPut, "e1.http", "/v1/catalogue/plan", doc, nil); err != nil {
-		return err
-	}
-	return f.AwaitCatalogue(ctx, 1)
+	return f.PutPlan(ctx)
 }
 
 // stopAll stops the processes in turn, as an operator would.
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -13,9 +13,12 @@
 	// SampleSize is the number of gates compared for one task.
 	SampleSize = 16
 
-	firstMean    = 50 * time.Millisecond // run time assumed of an unknown gate
-	staleAfter   = 2 * time.Second       // age at which a report no longer counts
-	penaltyTime  = 2 * time.Second       // how long a gate that refused is avoided
+	firstMean    = 50 * time.Millisecond // run time assumed while no gate is known
+	typicalPart  = 10                    // a report counts one part in this in the typical run time
+	silentBase   = 100 * time.Millisecond
+	silentFactor = 2               // a gate is silent after silentBase and this many mean run times
+	staleAfter   = 2 * time.Second // age at which a report no longer counts
+	penaltyTime  = 2 * time.Second // how long a gate that refused is avoided
 	hopNear      = 200 * time.Microsecond
 	hopFar       = 1200 * time.Microsecond
 	localBenefit = 200 * time.Microsecond
@@ -35,13 +38,15 @@
 	known map[string]bool    // services that any node is listed with
 	gates map[string][]*gate // gates open to new work, by service
 	byRef map[roster.Ref]*gate
+	mean  map[string]time.Duration // typical run time, by service
 }
 
 type gate struct {
 	node     roster.Node
 	load     slots.Load
 	reported time.Time
-	sent     int // started here and not yet answered
+	sent     int       // started here and not yet answered
+	heard    time.Time // of the last answer, or of the first start since there was none to wait for
 	avoid    time.Time
 }
 
@@ -89,6 +94,9 @@
 	if best == nil {
 		return roster.Node{}, false
 	}
+	if best.sent == 0 {
+		best.heard = now
+	}
 	best.sent++
 	return best.node, true
 }
@@ -110,8 +118,10 @@
 		return
 	}
 	g.sent--
+	g.heard = now
 	g.load = load
 	g.reported = now
+	p.learn(g.node.Service, load.Mean)
 }
 
 // Avoid takes note that ref refused or could not be reached, and passes it
@@ -121,6 +131,7 @@
 	defer p.mu.Unlock()
 	if g, ok := p.byRef[ref]; ok {
 		g.sent--
+		g.heard = now
 		g.avoid = now.Add(penaltyTime)
 	}
 }
@@ -143,10 +154,7 @@
 
 // cost returns the time in which g is expected to finish one more task.
 func (p *Picker) cost(g *gate, now time.Time) time.Duration {
-	mean := g.load.Mean
-	if mean == 0 {
-		mean = firstMean
-	}
+	mean := p.meanOf(g)
 	ahead := g.sent
 	if now.Sub(g.reported) < staleAfter {
 		ahead = max(ahead, g.load.Running+g.load.Queued)
@@ -156,12 +164,44 @@
 		cost += mean * time.Duration(waiting) / time.Duration(g.node.Slots)
 	}
 	cost += p.distance(g)
-	if now.Before(g.avoid) {
+	if now.Before(g.avoid) || g.silent(mean, now) {
 		cost += penaltyTime
 	}
 	return cost
 }
 
+// silent tells whether the gate has left starts unanswered for long.
+func (g *gate) silent(mean time.Duration, now time.Time) bool {
+	return g.sent > 0 && now.Sub(g.heard) > silentBase+silentFactor*mean
+}
+
+// meanOf returns the gate's mean run time, or the service's typical one for a
+// gate that is not known yet: an unknown gate must not draw all work.
+func (p *Picker) meanOf(g *gate) time.Duration {
+	if g.load.Mean > 0 {
+		return g.load.Mean
+	}
+	if mean := p.mean[g.node.Service]; mean > 0 {
+		return mean
+	}
+	return firstMean
+}
+
+// learn takes a reported mean into the service's typical run time.
+func (p *Picker) learn(service string, mean time.Duration) {
+	if mean <= 0 {
+		return
+	}
+	if p.mean == nil {
+		p.mean = map[string]time.Duration{}
+	}
+	if p.mean[service] == 0 {
+		p.mean[service] = mean
+		return
+	}
+	p.mean[service] += (mean - p.mean[service]) / typicalPart
+}
+
 func (p *Picker) distance(g *gate) time.Duration {
 	switch {
 	case g.node.Ref == p.Local:
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,6 +5,7 @@
 	"io"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/go-kratos/kratos/v2/transport"
 	"github.com/gypsumlanding/gypsumlanding/internal/core/clock"
 	"github.com/gypsumlanding/gypsumlanding/internal/core/roster"
@@ -26,8 +27,11 @@
 const (
 	defaultShards = 512
 	maxShards     = 65536
+	reachTimeout  = 500 * time.Millisecond
 )
 
+var errUnreachable = merry.Sentinel("the node can't be reached at its address")
+
 // Config is the settings of an entry.
 type Config struct {
 	ID     string
@@ -84,7 +88,7 @@
 		Editor: &edit.Editor{Table: tab, Clock: clk, Stats: counters, Log: log},
 	}
 	oper.Serve(srv)
-	rpc, err := peer.Listen(cfg.Listen, map[string]any{"Entry": &service{view: v, roll: writer}})
+	rpc, err := peer.Listen(cfg.Listen, map[string]any{"Entry": &service{view: v, roll: writer, pool: pool, stats: counters}})
 	if err != nil {
 		return err
 	}
@@ -101,14 +105,32 @@
 
 // service is what an entry does for the system's own processes.
 type service struct {
-	view *view.View
-	roll *roll.Writer
+	view  *view.View
+	roll  *roll.Writer
+	pool  *peer.Pool
+	stats *stats.Set
 }
 
 // Watch answers with newer state once there is some.
 func (s *service) Watch(args *msgs.Watch, reply *msgs.News) error { return s.view.Watch(args, reply) }
 
-// Change queues a change of the roster.
+// Change queues a change of the roster. A new incarnation must be reachable at
+// its address: one that can't be reached would be given shards and tasks, be
+// removed, and join again without end.
 func (s *service) Change(args *msgs.Member, _ *msgs.Empty) error {
-	return s.roll.Change(roster.Change{Kind: roster.Kind(args.Kind), Node: args.Node})
+	c := roster.Change{Kind: roster.Kind(args.Kind), Node: args.Node}
+	if _, listed := s.view.Roster().Find(c.Node.Ref); c.Kind == roster.Join && !listed && !s.reachable(c.Node) {
+		s.stats.Refused("unreachable")
+		return errUnreachable
+	}
+	return s.roll.Change(c)
+}
+
+// reachable tells whether the node answers at the address it gives.
+func (s *service) reachable(n roster.Node) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), reachTimeout)
+	defer cancel()
+	var reply msgs.ProbeReply
+	err := s.pool.Call(ctx, n.Addr, "Member.Probe", &msgs.Probe{}, &reply)
+	return err == nil && reply.Inc == n.Inc
 }
--- a/internal/node/home/job.go
+++ b/internal/node/home/job.go
@@ -19,13 +19,12 @@
 type job struct {
 	ctx      context.Context
 	deadline time.Time
-	home *Home
-	life *life
-	args *msgs.Run
+	home     *Home
+	life     *life
+	args     *msgs.Run
 
 	stop     chan struct{} // closed when no further task is to be started
 	stopOnce sync.Once
-
 }
 
 // result is the outcome of one task of a job.
--- a/internal/stand/fleet/await.go
+++ b/internal/stand/fleet/await.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"net"
+	"net/http"
 	"slices"
 	"time"
 
@@ -88,6 +89,15 @@
 	})
 }
 
+// PutPlan puts the catalogue entry "plan" and waits until it is everywhere.
+func (f *Fleet) PutPlan(ctx context.Context) error {
+	doc := map[string]string{"name": "plan", "owner": "leistenwerk", "class": "urgent", "service": "dehnplan"}
+	if err := f.Send(ctx, http.MethodPut, "e1.http", "/v1/catalogue/plan", doc, nil); err != nil {
+		return err
+	}
+	return f.AwaitCatalogue(ctx, 1)
+}
+
 // AwaitCatalogue waits until every running entry and node has the catalogue's
 // version.
 func (f *Fleet) AwaitCatalogue(ctx context.Context, version uint64) error {
--- a/internal/stand/fleet/fleet.go
+++ b/internal/stand/fleet/fleet.go
@@ -137,13 +137,15 @@
 			"-slots", strconv.Itoa(f.opts.Slots), "-speed", strconv.Itoa(f.opts.Speeds[(i-1)%len(f.opts.Speeds)]),
 		}, nil
 	case "e":
-		return "gypentry", []string{
-			"-config", f.settings(name, map[string]any{
-				"id": name, "region": region, "domain": domains[(i-1)%len(domains)],
-				"listen": f.Addr(name + ".rpc"), "http": f.Addr(name + ".http"),
-				"peers": f.entries(name), "table": f.Addr("store.http"), "shards": f.opts.Shards,
-			}),
-		}, nil
+		fields := map[string]any{
+			"id": name, "region": region, "domain": domains[(i-1)%len(domains)],
+			"listen": f.Addr(name + ".rpc"), "http": f.Addr(name + ".http"),
+			"table": f.Addr("store.http"), "shards": f.opts.Shards,
+		}
+		if peers := f.entries(name); len(peers) > 0 {
+			fields["peers"] = peers
+		}
+		return "gypentry", []string{"-config", f.settings(name, fields)}, nil
 	case "n":
 		args := []string{
 			"-config", f.settings(name, map[string]any{
--- a/internal/stand/load/load.go
+++ b/internal/stand/load/load.go
@@ -32,6 +32,7 @@
 	Single   float64       // share of jobs that have one task
 	Resubmit float64       // share of jobs submitted a second time through another entry
 	Timeout  time.Duration // of each job; 0 means 5 s
+	Fresh    bool          // leave the keys of jobs submitted once to the entries
 	Speeds   []int         // percent of each target, for the ideal
 	Slots    int           // of each target, for the ideal
 }
@@ -48,6 +49,7 @@
 
 // Job is one job of a load and what its caller got.
 type Job struct {
+	Number   int // in order of arrival
 	Tasks    []targ.Work
 	Arrival  time.Time
 	Resubmit time.Duration // after the arrival; 0 means never
@@ -89,7 +91,7 @@
 		if at > p.Time {
 			return jobs
 		}
-		j := &Job{Arrival: time.Time{}.Add(at)}
+		j := &Job{Number: n, Arrival: time.Time{}.Add(at)}
 		tasks := 1
 		if rng.Float64() >= p.Single {
 			tasks = 1 + rng.IntN(p.MaxTasks)
@@ -118,7 +120,7 @@
 		job.Tasks = append(job.Tasks, body)
 	}
 	if j.Resubmit == 0 {
-		j.submitOnce(ctx, c, job)
+		j.submitOnce(ctx, c, p, job)
 		return
 	}
 	key, err := c.Key(ctx, p.Timeout)
@@ -139,9 +141,14 @@
 	wg.Wait()
 }
 
-// submitOnce leaves the key to the client and takes its outcome.
-func (j *Job) submitOnce(ctx context.Context, c *client.Client, job client.Job) {
-	j.Outcome, j.Err = c.Do(ctx, job)
+// submitOnce leaves the key to the client, or to an entry, and takes the outcome.
+func (j *Job) submitOnce(ctx context.Context, c *client.Client, p Plan, job client.Job) {
+	if p.Fresh {
+		entry := p.Entries[j.Number%len(p.Entries)]
+		j.Outcome, j.Err = c.Once(ctx, entry, "", job)
+	} else {
+		j.Outcome, j.Err = c.Do(ctx, job)
+	}
 	j.Response = time.Since(j.Arrival)
 }
 
--- a/test/commands_test.go
+++ b/test/commands_test.go
@@ -91,11 +91,7 @@
 		if err := s.fleet.Start(ctx); err != nil {
 			return err
 		}
-		entry := map[string]string{"name": "plan", "owner": "leistenwerk", "class": "urgent", "service": "dehnplan"}
-		if err := s.fleet.Send(ctx, http.MethodPut, "e1.http", "/v1/catalogue/plan", entry, nil); err != nil {
-			return err
-		}
-		return s.fleet.AwaitCatalogue(ctx, 1)
+		return s.fleet.PutPlan(ctx)
 	})
 	ts.Setenv("GYP_ENTRY", s.fleet.Addr("e1.http"))
 	for _, name := range s.fleet.Names("") {
