Show that each proof fails without the rule it guards

TestPropertiesCatchBrokenRules builds the product with one rule taken out, by an overlay that leaves the tree alone, and wants the property or the scenario to fail: 26 broken builds for S1 to S9, P6, P7 and P8.

--- a/test/mutant_test.go
+++ b/test/mutant_test.go
@@ -16,30 +16,74 @@
 	file string // below the repository's root
 	old  string
 	new  string
-	test string // package and test
+	test string // package and test, or "scenario" and its name
+	more []edit // where a second guard stands behind the first
 }
 
-const ledgerTest = "internal/core/ledger TestKeyRunsAtMostOnce"
+// edit is one further replacement of a mutant.
+type edit struct{ file, old, new string }
+
+const (
+	ledgerFile = "internal/core/ledger/ledger.go"
+	shardFile  = "internal/core/ledger/shard.go"
+	startsFile = "internal/core/starts/starts.go"
+	editFile   = "internal/entry/edit/edit.go"
+
+	ledgerTest = "internal/core/ledger TestKeyRunsAtMostOnce"
+	startsTest = "internal/core/starts TestTaskStartsAtMostOnce"
+	editTest   = "internal/entry/edit TestEveryAcceptedEditIsMadeOnce"
+)
 
 var mutants = []mutant{
-	{"S1", "internal/core/ledger/ledger.go", "k.Birth() > l.roster.Epoch() ||", "", ledgerTest},
-	{"S2 serve after a move", "internal/core/ledger/shard.go",
-		"if row.Owner != l.self || s.sealed > row.Moved {\n\t\tl.release(s, now)", "if row.Owner != l.self || s.sealed > row.Moved {", ledgerTest},
-	{"S2 serve after handover", "internal/core/ledger/shard.go", "l.release(s, now)\n\ts.sealed = moved", "s.sealed = moved", ledgerTest},
-	{"S2 serve before handover", "internal/core/ledger/ledger.go", "if s.ready != nil && k.Birth() < s.moved {", "if false {", ledgerTest},
-	{"S2 older roster after handover", "internal/core/ledger/shard.go", "|| s.sealed > row.Moved", "",
-		"internal/core/ledger TestSealedShardStaysSealedUnderAnOlderRoster"},
-	{"S2 missed move", "internal/core/ledger/shard.go", "if s.mine && s.moved == row.Moved {", "if s.mine {", ledgerTest},
-	{"S2 handover from one who had nothing", "internal/core/ledger/shard.go", "if s.moved == 0 {", "if false {", ledgerTest},
-	{"S2 handover while waiting for another", "internal/core/ledger/shard.go", "l.lose(s, now)\n\tclose(s.ready)", "close(s.ready)", ledgerTest},
-	{"S3", "internal/core/ledger/ledger.go", "if k.Birth() < s.minBirth {", "if false {", ledgerTest},
-	{"S3 passed on", "internal/core/ledger/shard.go", "s.minBirth = h.MinBirth", "s.minBirth = 0", ledgerTest},
-	{"S3 plain keys", "internal/core/ledger/ledger.go", "if now.Before(s.plainFrom) {", "if false {", ledgerTest},
-	{"S3 plain keys passed on", "internal/core/ledger/shard.go", "s.plainFrom = h.PlainFrom", "_ = h.PlainFrom", ledgerTest},
-	{"S4", "internal/core/ledger/ledger.go", "if !now.Before(hold) || !s.floor.Before(hold) {", "if !s.floor.Before(hold) {", ledgerTest},
-	{"S4 floor", "internal/core/ledger/ledger.go", "if !now.Before(hold) || !s.floor.Before(hold) {", "if !now.Before(hold) {",
-		"internal/core/ledger TestKeyForgottenByAFasterClockIsRefusedAfterHandover"},
-	{"S5", "internal/core/ledger/shard.go", "if !listed {\n\t\tl.lose(s, now)", "if !listed {", ledgerTest},
+	{rule: "S1", file: ledgerFile, old: "k.Birth() > l.roster.Epoch() ||", new: "", test: ledgerTest},
+	{
+		rule: "S2 serve after a move", file: shardFile, test: ledgerTest,
+		old: "if row.Owner != l.self || s.sealed > row.Moved {\n\t\tl.release(s, now)",
+		new: "if row.Owner != l.self || s.sealed > row.Moved {",
+	},
+	{rule: "S2 serve after handover", file: shardFile, old: "l.release(s, now)\n\ts.sealed = moved", new: "s.sealed = moved", test: ledgerTest},
+	{rule: "S2 serve before handover", file: ledgerFile, old: "if s.ready != nil && k.Birth() < s.moved {", new: "if false {", test: ledgerTest},
+	{
+		rule: "S2 older roster after handover", file: shardFile, old: "|| s.sealed > row.Moved", new: "",
+		test: "internal/core/ledger TestSealedShardStaysSealedUnderAnOlderRoster",
+	},
+	{rule: "S2 missed move", file: shardFile, old: "if s.mine && s.moved == row.Moved {", new: "if s.mine {", test: ledgerTest},
+	{rule: "S2 handover from one who had nothing", file: shardFile, old: "if s.moved == 0 {", new: "if false {", test: ledgerTest},
+	{rule: "S2 handover while waiting for another", file: shardFile, old: "l.lose(s, now)\n\tclose(s.ready)", new: "close(s.ready)", test: ledgerTest},
+	{rule: "S3", file: ledgerFile, old: "if k.Birth() < s.minBirth {", new: "if false {", test: ledgerTest},
+	{rule: "S3 passed on", file: shardFile, old: "s.minBirth = h.MinBirth", new: "s.minBirth = 0", test: ledgerTest},
+	{rule: "S3 plain keys", file: ledgerFile, old: "if now.Before(s.plainFrom) {", new: "if false {", test: ledgerTest},
+	{rule: "S3 plain keys passed on", file: shardFile, old: "s.plainFrom = h.PlainFrom", new: "_ = h.PlainFrom", test: ledgerTest},
+	{
+		rule: "S4", file: ledgerFile, test: ledgerTest,
+		old: "if !now.Before(hold) || !s.floor.Before(hold) {", new: "if !s.floor.Before(hold) {",
+	},
+	{
+		rule: "S4 floor", file: ledgerFile, test: "internal/core/ledger TestKeyForgottenByAFasterClockIsRefusedAfterHandover",
+		old: "if !now.Before(hold) || !s.floor.Before(hold) {", new: "if !now.Before(hold) {",
+	},
+	{rule: "S5", file: shardFile, old: "if !listed {\n\t\tl.lose(s, now)", new: "if !listed {", test: ledgerTest},
+	{rule: "S6", file: startsFile, old: "if rec, ok := b.records[id]; ok {\n\t\treturn rec, false", new: "if rec, ok := b.records[id]; ok && false {\n\t\treturn rec, false", test: startsTest},
+	{rule: "S6 forgetting and refusing", file: startsFile, old: "if !now.Before(hold) {\n\t\treturn closed(Result{State: ledger.NotRun, Reason: Late}), false", new: "if false {\n\t\treturn nil, false", test: startsTest},
+	{rule: "S7", file: startsFile, old: "rec.hold = hold\n\tb.put(id, rec)", new: "rec.hold = hold", test: startsTest},
+	{rule: "P8 lost reply", file: editFile, old: "if errors.Is(err, table.ErrLost) {", new: "if false {", test: editTest},
+	{rule: "P8 compare-and-set", file: editFile, old: "if old.Version != version {", new: "if false {", test: "scenario operators"},
+	{
+		rule: "P8 older catalogue", file: "internal/wire/view/view.go", test: "internal/wire/view TestNothingGoesBack",
+		old: "if version <= v.catalogue.Version() {", new: "if false {",
+		more: []edit{
+			{"internal/core/catlg/catlg.go", "version: max(c.version, version)", "version: version"},
+		},
+	},
+	{rule: "S7 no question", file: "internal/node/home/start.go", old: "return j.ask(node, i)\n}", new: "return starts.Result{State: ledger.NotRun, Reason: NoRoute}\n}", test: "scenario broken"},
+	{rule: "S8 whole answers", file: "internal/node/home/job.go", old: "if answered == n {", new: "if answered > 0 {", test: "scenario failing"},
+	{rule: "S9 matched answers", file: "internal/node/home/job.go", old: "answers[r.task] = r.Answer", new: "answers[answered] = r.Answer", test: "scenario path"},
+	{
+		rule: "P6 leaving targets", file: "internal/node/gate/announce.go", test: "scenario leaving",
+		old: "g.queue.Leave(g.draining || a.Leaving)", new: "g.queue.Leave(g.draining)",
+		more: []edit{{"internal/node/gate/announce.go", "if g.runner == nil || g.announce.Leaving {", "if g.runner == nil {"}},
+	},
+	{rule: "P7 drain before the end", file: "internal/node/node.go", old: "Drain: n.drain,", new: "", test: "scenario rolling"},
 }
 
 // TestPropertiesCatchBrokenRules runs each property against a build with the
@@ -58,35 +102,56 @@
 }
 
 func (m mutant) mustFail(t *testing.T, root string) {
-	pkg, test, _ := strings.Cut(m.test, " ")
 	overlay := m.overlay(t, root)
-	cmd := exec.Command("go", "test", "-count=1", "-overlay", overlay, "-run", "^"+test+"$", ".")
-	cmd.Dir = filepath.Join(root, pkg)
+	where, name, _ := strings.Cut(m.test, " ")
+	var cmd *exec.Cmd
+	if where == "scenario" {
+		cmd = exec.Command("go", "test", "-count=1", "-run", "^TestScenarios$/^"+name+"$", ".")
+		cmd.Env = append(os.Environ(), overlayVariable+"="+overlay, "GYP_PROOF=")
+		cmd.Dir = filepath.Join(root, "test")
+	} else {
+		cmd = exec.Command("go", "test", "-count=1", "-overlay", overlay, "-run", "^"+name+"$", ".")
+		cmd.Dir = filepath.Join(root, where)
+	}
 	out, err := cmd.CombinedOutput()
-	if strings.Contains(string(out), "[build failed]") || strings.Contains(string(out), "[setup failed]") {
-		t.Fatalf("the mutant does not build:\n%s", out)
+	for _, word := range []string{"[build failed]", "[setup failed]", "building the programs", "gave up waiting", "no tests to run"} {
+		if strings.Contains(string(out), word) {
+			t.Fatalf("the mutant fails for another reason:\n%s", out)
+		}
 	}
 	if err == nil {
-		t.Errorf("%s passes without rule %s", test, m.rule)
+		t.Errorf("%s passes without rule %s", m.test, m.rule)
 	}
 }
 
-// overlay writes the mutated file and the list that has the go command use it.
+// overlay writes the mutated files and the list that has the go command use
+// them.
 func (m mutant) overlay(t *testing.T, root string) string {
-	file := filepath.Join(root, m.file)
-	text, err := os.ReadFile(file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if strings.Count(string(text), m.old) != 1 {
-		t.Fatalf("%s has not just one %q", m.file, m.old)
+	texts := map[string]string{}
+	for _, e := range append([]edit{{m.file, m.old, m.new}}, m.more...) {
+		file := filepath.Join(root, e.file)
+		if _, ok := texts[file]; !ok {
+			text, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			texts[file] = string(text)
+		}
+		if strings.Count(texts[file], e.old) != 1 {
+			t.Fatalf("%s has not just one %q", e.file, e.old)
+		}
+		texts[file] = strings.Replace(texts[file], e.old, e.new, 1)
 	}
 	dir := t.TempDir()
-	mutated := filepath.Join(dir, "mutated.go")
-	if err := os.WriteFile(mutated, []byte(strings.Replace(string(text), m.old, m.new, 1)), 0o600); err != nil {
-		t.Fatal(err)
+	replace := map[string]string{}
+	for file, text := range texts {
+		mutated := filepath.Join(dir, filepath.Base(filepath.Dir(file))+"-"+filepath.Base(file))
+		if err := os.WriteFile(mutated, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		replace[file] = mutated
 	}
-	list, err := json.Marshal(map[string]map[string]string{"Replace": {file: mutated}})
+	list, err := json.Marshal(map[string]any{"Replace": replace})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/test/script_test.go
+++ b/test/script_test.go
@@ -17,6 +17,10 @@
 // waitTimeout bounds every wait for a condition. It is no measure of speed.
 const waitTimeout = 60 * time.Second
 
+// overlayVariable names the environment variable with the overlay that a
+// deliberately broken build is made with.
+const overlayVariable = "GYP_OVERLAY"
+
 // bin is the folder of the programs under test.
 var bin string
 
@@ -33,7 +37,13 @@
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
 	bin = dir
-	build := exec.Command("go", "build", "-race", "-o", bin+"/", "./...")
+	args := []string{"build", "-o", bin + "/"}
+	if overlay := os.Getenv(overlayVariable); overlay != "" {
+		args = append(args, "-overlay", overlay)
+	} else {
+		args = append(args, "-race")
+	}
+	build := exec.Command("go", append(args, "./...")...)
 	build.Dir = filepath.Join("..", "cmd")
 	if out, err := build.CombinedOutput(); err != nil {
 		fmt.Printf("building the programs: %v\n%s", err, out)
