--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
 MODULES := pkg internal/core internal/wire internal/plat internal/daem internal/node internal/entry internal/stand cmd test
-PROGRAMS := gypentry gypnode gypctl gypstore gyptarget gypload gypdemo gypmeasure
+PROGRAMS := gypentry gypnode gypctl gypstore gyptarget gypload gypdemo gypmeasure gypprove
 LINT := bin/tools/golangci-lint
 LINT_VERSION := v2.15.0
 
-.PHONY: all build demo bench test lint fuzz clean
+.PHONY: all build demo bench prove test lint fuzz clean
 
 all: build
 
@@ -20,6 +20,10 @@
 test:
 	@for m in $(MODULES); do (cd $$m && go test -race ./...) || exit 1; done
 
+prove: build
+	@mkdir -p out && rm -f out/proof.txt
+	@cd test && GYP_PROOF=$(CURDIR)/out/proof.txt go test -count=1 -run TestScenarios . ; cd .. ; bin/gypprove out/proof.txt
+
 $(LINT):
 	GOBIN=$(CURDIR)/bin/tools go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
 
--- a/cmd/gypmeasure/idle.go
+++ b/cmd/gypmeasure/idle.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -16,50 +17,83 @@
 	clockTicks = 100 // a second, as Linux counts processor time for programs
 )
 
+// idleDoc is what the daemons of an idle fleet use.
 type idleDoc struct {
-	NodeMB    float64 `json:"node_mb"`
-	NodeCore  float64 `json:"node_core_percent"`
-	EntryMB   float64 `json:"entry_mb"`
-	EntryCore float64 `json:"entry_core_percent"`
+	Nodes int     `json:"nodes"`
+	Node  useDoc  `json:"node"`
+	Entry useDoc  `json:"entry"`
+	Reads float64 `json:"table_reads_per_s"`
 }
 
-// idle reads what the daemons of an idle fleet of today's size use.
-func idle(ctx context.Context, bin string) (any, error) {
-	var doc idleDoc
-	err := withFleet(ctx, bin, fleet.Options{}, func(f *fleet.Fleet) error {
-		var err error
-		if doc.NodeMB, doc.NodeCore, err = use(f, f.Names("n")); err != nil {
-			return err
-		}
-		doc.EntryMB, doc.EntryCore, err = use(f, f.Names("e"))
-		return err
-	})
-	return doc, err
+// useDoc is the largest resident memory of one kind of daemon, and its mean
+// share of a core and traffic with the system's other processes.
+type useDoc struct {
+	MB    float64 `json:"mb"`
+	Core  float64 `json:"core_percent"`
+	Bytes float64 `json:"bytes_per_s"`
+}
+
+// reading is one look at one process.
+type reading struct{ seconds, bytes, mb float64 }
+
+// idle returns the measurement of an idle fleet of n nodes.
+func idle(n int) func(ctx context.Context, bin string) (any, error) {
+	return func(ctx context.Context, bin string) (any, error) {
+		doc := idleDoc{Nodes: n}
+		err := withFleet(ctx, bin, fleet.Options{Nodes: n}, func(f *fleet.Fleet) error {
+			names := slices.Concat(f.Names("n"), f.Names("e"))
+			before, err := readAll(ctx, f, names)
+			if err != nil {
+				return err
+			}
+			reads := f.Counters(ctx, "e")["table.reads"]
+			time.Sleep(idleTime)
+			after, err := readAll(ctx, f, names)
+			if err != nil {
+				return err
+			}
+			doc.Reads = float64(f.Counters(ctx, "e")["table.reads"]-reads) / idleTime.Seconds()
+			doc.Node = mean(f.Names("n"), before, after)
+			doc.Entry = mean(f.Names("e"), before, after)
+			return nil
+		})
+		return doc, err
+	}
 }
 
-// use returns the largest resident memory of the named processes, in MB, and
-// their mean share of a core over idleTime, in percent.
-func use(f *fleet.Fleet, names []string) (mb, core float64, err error) {
-	before := map[string]float64{}
+func mean(names []string, before, after map[string]reading) useDoc {
+	var doc useDoc
 	for _, name := range names {
-		if before[name], err = processor(f, name); err != nil {
-			return 0, 0, err
-		}
+		share := idleTime.Seconds() * float64(len(names))
+		doc.Core += 100 * (after[name].seconds - before[name].seconds) / share
+		doc.Bytes += (after[name].bytes - before[name].bytes) / share
+		doc.MB = max(doc.MB, after[name].mb)
 	}
-	time.Sleep(idleTime)
+	return doc
+}
+
+func readAll(ctx context.Context, f *fleet.Fleet, names []string) (map[string]reading, error) {
+	all := map[string]reading{}
 	for _, name := range names {
-		after, err := processor(f, name)
+		seconds, err := processor(f, name)
 		if err != nil {
-			return 0, 0, err
+			return nil, err
 		}
-		core += 100 * (after - before[name]) / idleTime.Seconds() / float64(len(names))
-		size, err := resident(f, name)
+		mb, err := resident(f, name)
 		if err != nil {
-			return 0, 0, err
+			return nil, err
+		}
+		var metrics struct {
+			Wire struct {
+				Value float64 `json:"value"`
+			} `json:"wire.bytes"`
+		}
+		if err := f.Get(ctx, name+".http", "/metrics", &metrics); err != nil {
+			return nil, err
 		}
-		mb = max(mb, size)
+		all[name] = reading{seconds: seconds, mb: mb, bytes: metrics.Wire.Value}
 	}
-	return mb, core, nil
+	return all, nil
 }
 
 // processor returns the processor time of a process, in seconds.
--- a/cmd/gypmeasure/main.go
+++ b/cmd/gypmeasure/main.go
@@ -17,7 +17,10 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/stand/fleet"
 )
 
-const readyTimeout = 30 * time.Second
+const (
+	readyTimeout = 60 * time.Second
+	today        = 11 // nodes of each firm
+)
 
 // measurements are the parts of a full run, in order.
 var measurements = []struct {
@@ -26,7 +29,9 @@
 }{
 	{"overhead", overhead},
 	{"throughput", throughput},
-	{"idle", idle},
+	{"idle", idle(today)},
+	{"idle50", idle(50)},
+	{"idle100", idle(100)},
 	{"kill", failing(fleet.Options{}, killed)},
 	{"freeze", failing(fleet.Options{}, frozen)},
 	{"cut", failing(fleet.Options{Cables: true}, unreachable)},
--- /dev/null
+++ b/internal/core/limit/limit_test.go
@@ -0,0 +1,70 @@
+package limit
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/core/catlg"
+	"github.com/gypsumlanding/gypsumlanding/internal/core/roster"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func TestSharesAddUpToTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var nodes []roster.Node
+		for i := range rapid.IntRange(1, 30).Draw(t, "nodes") {
+			nodes = append(nodes, roster.Node{
+				Ref: roster.Ref{ID: fmt.Sprintf("n%02d", i), Inc: 1}, Leaving: i > 0 && rapid.Bool().Draw(t, "leaving"),
+			})
+		}
+		r := roster.Make(1, nodes, nil)
+		limit := rapid.IntRange(0, 1000).Draw(t, "limit")
+		sum := 0
+		for _, n := range nodes {
+			if !n.Leaving {
+				sum += ShareOf(r, n.Ref).Of(limit)
+			}
+		}
+		if sum != limit {
+			t.Fatalf("the shares of %d add up to %d", limit, sum)
+		}
+	})
+}
+
+func TestLimiterHoldsRunningAndRate(t *testing.T) {
+	now := time.UnixMilli(1_700_000_000_000)
+	e := catlg.Entry{Name: "plan", Limits: catlg.Limits{Running: 4, Rate: 6}}
+	var l Limiter
+	if got := l.Acquire(e, 5, now); got != OverRunning {
+		t.Errorf("got %q, want %q", got, OverRunning)
+	}
+	if got := l.Acquire(e, 4, now); got != "" {
+		t.Errorf("got %q for a job within the limits", got)
+	}
+	if got := l.Acquire(e, 1, now); got != OverRunning {
+		t.Errorf("got %q, want %q", got, OverRunning)
+	}
+	l.Release("plan", 4)
+	if got := l.Acquire(e, 4, now); got != OverRate {
+		t.Errorf("got %q, want %q", got, OverRate)
+	}
+	if got := l.Acquire(e, 4, now.Add(time.Second)); got != "" || l.Running("plan") != 4 {
+		t.Errorf("got %q and %d running a second later", got, l.Running("plan"))
+	}
+	l.SetShare(Share{Homes: 4, Rank: 3})
+	if got := l.Acquire(e, 1, now.Add(time.Minute)); got != OverRunning {
+		t.Errorf("got %q, want %q for a smaller share", got, OverRunning)
+	}
+}
--- /dev/null
+++ b/internal/core/place/place_test.go
@@ -0,0 +1,92 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/core/roster"
+	"github.com/gypsumlanding/gypsumlanding/internal/core/slots"
+)
+
+var now = time.UnixMilli(1_700_000_000_000)
+
+func node(id, domain string) roster.Node {
+	return roster.Node{Ref: roster.Ref{ID: id, Inc: 1}, Domain: domain, Service: "s", Slots: 2}
+}
+
+func newPicker(nodes ...roster.Node) *Picker {
+	p := &Picker{Domain: "near", Local: roster.Ref{ID: "a", Inc: 1}}
+	p.Update(roster.Make(1, nodes, nil))
+	return p
+}
+
+func pick(t *testing.T, p *Picker, want string, tried ...roster.Ref) roster.Node {
+	t.Helper()
+	n, ok := p.Pick("s", tried, now)
+	if !ok || n.ID != want {
+		t.Fatalf("got %q, %t, want %q", n.ID, ok, want)
+	}
+	return n
+}
+
+func TestOwnGateThenNearThenFar(t *testing.T) {
+	p := newPicker(node("c", "far"), node("b", "near"), node("a", "near"))
+	a := pick(t, p, "a")
+	b := pick(t, p, "b", a.Ref)
+	pick(t, p, "c", a.Ref, b.Ref)
+	if _, ok := p.Pick("other", nil, now); ok || p.Knows("other") {
+		t.Error("a service that nobody has was picked")
+	}
+}
+
+func TestBusySlowRefusingAndSilentGatesArePassedOver(t *testing.T) {
+	load := func(running int, mean time.Duration) slots.Load {
+		return slots.Load{Slots: 2, Running: running, Mean: mean}
+	}
+	for _, c := range []struct {
+		name    string
+		prepare func(p *Picker, a roster.Node)
+	}{
+		{"busy", func(p *Picker, a roster.Node) { p.Done(a.Ref, load(9, 50*time.Millisecond), now) }},
+		{"slow", func(p *Picker, a roster.Node) {
+			p.Done(a.Ref, load(0, time.Second), now)
+			p.Done(roster.Ref{ID: "b", Inc: 1}, load(0, time.Millisecond), now)
+		}},
+		{"refusing", func(p *Picker, a roster.Node) { p.Avoid(a.Ref, now) }},
+		{"silent", func(p *Picker, a roster.Node) { p.byRef[a.Ref].heard = now.Add(-time.Second) }},
+	} {
+		p := newPicker(node("a", "near"), node("b", "near"))
+		c.prepare(p, pick(t, p, "a"))
+		t.Run(c.name, func(t *testing.T) { pick(t, p, "b") })
+	}
+}
+
+func TestUnknownGateDoesNotDrawAllWork(t *testing.T) {
+	p := newPicker(node("a", "near"), node("b", "far"))
+	a := pick(t, p, "a")
+	p.Done(a.Ref, slots.Load{Slots: 2, Mean: 400 * time.Millisecond}, now)
+	pick(t, p, "a")
+}
+
+func TestRestartedNodeIsKnownBeforeItsTargetIsBack(t *testing.T) {
+	n := node("a", "near")
+	n.Slots = 0
+	p := newPicker(n)
+	if _, ok := p.Pick("s", nil, now); ok || !p.Knows("s") {
+		t.Error("a node without slots should be known and not picked")
+	}
+}
+
+func BenchmarkPickOf1160(b *testing.B) {
+	var nodes []roster.Node
+	for i := range 1160 {
+		nodes = append(nodes, node(fmt.Sprintf("n%04d", i), "near"))
+	}
+	p := newPicker(nodes...)
+	b.ReportAllocs()
+	for b.Loop() {
+		n, _ := p.Pick("s", nil, now)
+		p.Done(n.Ref, slots.Load{Slots: 2, Mean: time.Millisecond}, now)
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -92,6 +92,7 @@
 	if err != nil {
 		return err
 	}
+	counters.Gauge("wire.bytes", func() int64 { return pool.Traffic() + rpc.Traffic() })
 	daemon := life.Daemon{
 		Name: "gypentry", Log: log,
 		Servers: []transport.Server{srv, rpc},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -64,6 +64,7 @@
 	log    logs.Logger
 	stats  *stats.Set
 	view   *view.View
+	pool   *peer.Pool
 	gate   *gate.Gate
 	home   *home.Home
 	member *member.Member
@@ -84,6 +85,7 @@
 	if err != nil {
 		return err
 	}
+	n.stats.Gauge("wire.bytes", func() int64 { return n.pool.Traffic() + rpc.Traffic() })
 	daemon := life.Daemon{
 		Name: "gypnode", Log: n.log,
 		Servers: []transport.Server{srv, rpc},
@@ -101,8 +103,8 @@
 		cfg.Reach = cfg.Listen
 	}
 	clk := &clock.Clock{}
-	n := &Node{cfg: cfg, log: log, stats: &stats.Set{}, view: &view.View{Clock: clk}}
-	pool := &peer.Pool{}
+	n := &Node{cfg: cfg, log: log, stats: &stats.Set{}, view: &view.View{Clock: clk}, pool: &peer.Pool{}}
+	pool := n.pool
 	n.gate = &gate.Gate{Clock: clk, Stats: n.stats, Log: log, Slack: cfg.Slack}
 	n.home = &home.Home{
 		Clock: clk, View: n.view, Pool: pool, Stats: n.stats, Log: log, Domain: cfg.Domain,
--- /dev/null
+++ b/internal/plat/rows/rows_test.go
@@ -0,0 +1,83 @@
+package rows
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/core/catlg"
+	"github.com/gypsumlanding/gypsumlanding/internal/core/roster"
+)
+
+func exampleRoster() roster.Roster {
+	a := roster.Node{Ref: roster.Ref{ID: "a", Inc: 1 << 52}, Addr: "127.0.0.1:1", Domain: "d", Service: "s", Slots: 8}
+	b := roster.Node{Ref: roster.Ref{ID: "b", Inc: 7}, Addr: "127.0.0.1:2", Domain: "d", Leaving: true}
+	return roster.Make(9, []roster.Node{b, a}, []roster.Shard{
+		{Owner: a.Ref, Moved: 9, Prev: roster.Ref{ID: "gone", Inc: 3}}, {Owner: b.Ref, Moved: 2}, {},
+	})
+}
+
+func exampleEntry() catlg.Entry {
+	return catlg.Entry{
+		Name: "plan", Owner: "o", Class: catlg.Urgent, Service: "s", Version: 4,
+		Limits: catlg.Limits{Tasks: 3, Running: 4, Rate: 5, Timeout: time.Second},
+	}
+}
+
+func TestRowsKeepWhatTheyHold(t *testing.T) {
+	value, err := PutRoster(exampleRoster())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := GetRoster(value); err != nil || !reflect.DeepEqual(got, exampleRoster()) {
+		t.Errorf("got %+v, %v", got, err)
+	}
+	value, err = PutEntry(exampleEntry())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := GetEntry(value); err != nil || got != exampleEntry() {
+		t.Errorf("got %+v, %v", got, err)
+	}
+	edit := Edit{ID: "x", Time: time.UnixMilli(5), Entry: exampleEntry()}
+	value, err = PutEdit(edit)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := GetEdit(value); err != nil || got != edit {
+		t.Errorf("got %+v, %v", got, err)
+	}
+}
+
+func TestMalformedRostersAreRefused(t *testing.T) {
+	for _, text := range []string{
+		``, `[]`, `{}`, `{"epoch":1}`, `{"epoch":0,"shards":[[0,0,0]]}`,
+		`{"epoch":1,"shards":[[1,1,0]]}`, `{"epoch":1,"shards":[[0,2,0]]}`,
+		`{"epoch":1,"shards":[[0,0,0]],"nodes":[{"id":"A","inc":1}]}`,
+		`{"epoch":1,"shards":[[0,0,0]],"nodes":[{"id":"a","inc":0}]}`,
+		`{"epoch":1,"shards":[[0,0,0]],"nodes":[{"id":"a","inc":1},{"id":"a","inc":2}]}`,
+	} {
+		if _, err := GetRoster([]byte(text)); err == nil {
+			t.Errorf("%s was taken", text)
+		}
+	}
+}
+
+func FuzzRows(f *testing.F) {
+	value, err := PutRoster(exampleRoster())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(value)
+	f.Add([]byte(`{"name":"plan","owner":"o","class":"urgent","service":"s","limits":{"tasks":-1}}`))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		if r, err := GetRoster(value); err == nil {
+			r.With(roster.Change{Kind: roster.Join, Node: roster.Node{Ref: roster.Ref{ID: "z", Inc: 1}}})
+		}
+		if e, err := GetEntry(value); err == nil && e.Check() != nil {
+			t.Errorf("an invalid entry was taken: %+v", e)
+		}
+		_, _ = GetHead(value)
+		_, _ = GetEdit(value)
+	})
+}
--- a/internal/wire/peer/pool.go
+++ b/internal/wire/peer/pool.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -36,10 +37,15 @@
 	// Dial opens a connection; nil means TCP.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 
+	traffic atomic.Int64
+
 	mu    sync.Mutex
 	lines map[string]*line
 }
 
+// Traffic returns the bytes sent and received so far.
+func (p *Pool) Traffic() int64 { return p.traffic.Load() }
+
 // line is the connection to one address.
 type line struct {
 	mu     sync.Mutex
@@ -130,7 +136,7 @@
 	if err != nil {
 		return nil, false, merry.Append(ErrNotSent, err.Error())
 	}
-	l.client = rpc.NewClientWithCodec(codec.NewClient(boundedConn{conn}))
+	l.client = rpc.NewClientWithCodec(codec.NewClient(boundedConn{conn, &p.traffic}))
 	return l.client, true, nil
 }
 
@@ -142,15 +148,28 @@
 	return d.DialContext(ctx, "tcp", addr)
 }
 
-// boundedConn breaks a connection whose other end stops reading.
-type boundedConn struct{ net.Conn }
+// boundedConn breaks a connection whose other end stops reading, and counts the
+// bytes that pass.
+type boundedConn struct {
+	net.Conn
+	traffic *atomic.Int64
+}
+
+// Read reads into b.
+func (c boundedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.traffic.Add(int64(n))
+	return n, err
+}
 
 // Write writes b, or fails after writeTimeout.
 func (c boundedConn) Write(b []byte) (int, error) {
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	c.traffic.Add(int64(n))
+	return n, err
 }
 
 func (l *line) drop(client *rpc.Client) {
--- a/internal/wire/peer/server.go
+++ b/internal/wire/peer/server.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/codec"
 )
@@ -15,6 +16,8 @@
 	ln  net.Listener
 	rpc *rpc.Server
 
+	traffic atomic.Int64
+
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
 }
@@ -38,6 +41,9 @@
 // Addr returns the address that the server is bound to.
 func (s *Server) Addr() string { return s.ln.Addr().String() }
 
+// Traffic returns the bytes sent and received so far.
+func (s *Server) Traffic() int64 { return s.traffic.Load() }
+
 // Start accepts connections until Stop.
 func (s *Server) Start(context.Context) error {
 	for {
@@ -63,7 +69,7 @@
 }
 
 func (s *Server) serve(conn net.Conn) {
-	s.rpc.ServeCodec(codec.NewServer(boundedConn{conn}))
+	s.rpc.ServeCodec(codec.NewServer(boundedConn{conn, &s.traffic}))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, conn)
