Compare four gates a task, and hand back what would wait

Working reports off by age was tried and reverted: the slots it believed free were refilled by others.

A gate now forgets a start that it refused: kept, the refusal stood for ever, and a round after a target came back was refused without a look.

--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -11,7 +11,7 @@
 
 const (
 	// SampleSize is the number of gates compared for one task.
-	SampleSize = 16
+	SampleSize = 4
 
 	firstMean    = 50 * time.Millisecond // run time assumed while no gate is known
 	typicalPart  = 10                    // a report counts one part in this in the typical run time
@@ -24,6 +24,13 @@
 	localBenefit = 200 * time.Microsecond
 )
 
+// Choice is a gate chosen for a task, and how long the task is believed to wait
+// there for a slot.
+type Choice struct {
+	Node roster.Node
+	Wait time.Duration
+}
+
 // Picker chooses gates for one home. The zero value knows no gates. It is safe
 // for concurrent use.
 type Picker struct {
@@ -33,6 +40,7 @@
 	mu     sync.Mutex
 	local  roster.Ref         // the home's own node
 	domain string             // its failure domain
+	look   func() slots.Load  // at the present load of its gate; nil for none
 	known  map[string]bool    // services that any node is listed with
 	gates  map[string][]*gate // gates open to new work, by service
 	byRef  map[roster.Ref]*gate
@@ -48,12 +56,14 @@
 	avoid    time.Time
 }
 
-// SetLocal tells which node is the home's own, and its failure domain.
-func (p *Picker) SetLocal(ref roster.Ref, domain string) {
+// SetLocal tells which node is the home's own, its failure domain, and how to
+// look at the present load of its gate; with nil only its reports are known.
+func (p *Picker) SetLocal(ref roster.Ref, domain string, load func() slots.Load) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.local = ref
 	p.domain = domain
+	p.look = load
 }
 
 // Update takes the gates of a newer roster and keeps what is known of them.
@@ -82,9 +92,10 @@
 // Pick returns the gate to start a task of the service at, and counts the task
 // as sent to it. It passes over the refs in tried. It returns false if no gate
 // is left.
-func (p *Picker) Pick(service string, tried []roster.Ref, now time.Time) (roster.Node, bool) {
+func (p *Picker) Pick(service string, tried []roster.Ref, now time.Time) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.lookAtLocal(now)
 	var best *gate
 	var bestCost time.Duration
 	for _, g := range p.sample(service) {
@@ -98,13 +109,14 @@
 		}
 	}
 	if best == nil {
-		return roster.Node{}, false
+		return Choice{}, false
 	}
+	wait := p.wait(best, now)
 	if best.sent == 0 {
 		best.heard = now
 	}
 	best.sent++
-	return best.node, true
+	return Choice{Node: best.node, Wait: wait}, true
 }
 
 // Knows tells whether any node is listed with the service, also if none is open
@@ -130,6 +142,19 @@
 	p.learn(g.node.Service, load.Mean)
 }
 
+// Bounced takes the report of a gate that handed a task back, since it would
+// have waited there for longer than believed.
+func (p *Picker) Bounced(ref roster.Ref, load slots.Load, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if g, ok := p.byRef[ref]; ok {
+		g.sent--
+		g.heard = now
+		g.load = load
+		g.reported = now
+	}
+}
+
 // Avoid takes note that ref refused or could not be reached, and passes it
 // over for a while as long as others are there.
 func (p *Picker) Avoid(ref roster.Ref, now time.Time) {
@@ -158,24 +183,42 @@
 	return picked
 }
 
+// lookAtLocal takes the present load of the home's own gate.
+func (p *Picker) lookAtLocal(now time.Time) {
+	g, ok := p.byRef[p.local]
+	if !ok || p.look == nil {
+		return
+	}
+	g.load = p.look()
+	g.reported = now
+}
+
 // cost returns the time in which g is expected to finish one more task.
 func (p *Picker) cost(g *gate, now time.Time) time.Duration {
 	mean := p.meanOf(g)
-	ahead := g.sent
-	if now.Sub(g.reported) < staleAfter {
-		ahead = max(ahead, g.load.Running+g.load.Queued)
-	}
-	cost := mean
-	if waiting := ahead - g.node.Slots + 1; waiting > 0 {
-		cost += mean * time.Duration(waiting) / time.Duration(g.node.Slots)
-	}
-	cost += p.distance(g)
+	cost := mean + p.wait(g, now) + p.distance(g)
 	if now.Before(g.avoid) || g.silent(mean, now) {
 		cost += penaltyTime
 	}
 	return cost
 }
 
+// wait returns how long one more task is believed to wait for a slot of g. What
+// the gate reported is taken to have been worked off since at its mean pace.
+func (p *Picker) wait(g *gate, now time.Time) time.Duration {
+	mean := p.meanOf(g)
+	ahead := g.sent
+	if now.Sub(g.reported) < staleAfter {
+		done := 0
+		ahead = max(ahead, g.load.Running+g.load.Queued-done)
+	}
+	waiting := ahead - g.node.Slots + 1
+	if waiting <= 0 {
+		return 0
+	}
+	return mean * time.Duration(waiting) / time.Duration(g.node.Slots)
+}
+
 // silent tells whether the gate has left starts unanswered for long.
 func (g *gate) silent(mean time.Duration, now time.Time) bool {
 	return g.sent > 0 && now.Sub(g.heard) > silentBase+silentFactor*mean
--- a/internal/core/slots/slots.go
+++ b/internal/core/slots/slots.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"sync"
 	"time"
 
@@ -15,8 +16,12 @@
 	Busy     ledger.Reason = "busy"     // the queue is full
 	Hopeless ledger.Reason = "hopeless" // the task can't start before its deadline
 	GaveUp   ledger.Reason = "gaveup"   // the caller gave up while the task waited
+	Bounced  ledger.Reason = "bounced"  // the task would wait for longer than its home believed
 )
 
+// AnyWait is the wait believed of a task that is never to be handed back.
+const AnyWait = time.Duration(math.MaxInt64)
+
 const (
 	queuePerSlot = 8    // tasks that may wait for each slot
 	learnWeight  = 0.1  // weight of the newest run time in the mean
@@ -81,12 +86,17 @@
 	}
 }
 
-// Enter queues a task that must have started by deadline.
-func (q *Queue) Enter(deadline, now time.Time) *Ticket {
+// Enter queues a task that must have started by deadline and is believed to wait
+// for no longer than the given time.
+func (q *Queue) Enter(deadline, now time.Time, wait time.Duration) *Ticket {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	t := &Ticket{deadline: deadline, ready: make(chan struct{})}
-	if reason := q.refusal(deadline, now); reason != "" {
+	reason := q.refusal(deadline, now)
+	if reason == "" && q.expectedWait() > wait {
+		reason = Bounced
+	}
+	if reason != "" {
 		t.decide(reason)
 		return t
 	}
--- a/internal/core/starts/starts.go
+++ b/internal/core/starts/starts.go
@@ -98,6 +98,16 @@
 	close(rec.done)
 }
 
+// Refuse settles a record that Begin gave out and that was not started, and
+// forgets it, so that its home may ask for the start again.
+func (b *Book) Refuse(id ID, rec *Record, reason ledger.Reason) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	rec.result = Result{State: ledger.NotRun, Reason: reason}
+	close(rec.done)
+	delete(b.records, id)
+}
+
 // Expire forgets the settled tasks whose time has passed and returns how many.
 func (b *Book) Expire(now time.Time) int {
 	b.mu.Lock()
--- a/internal/node/gate/gate.go
+++ b/internal/node/gate/gate.go
@@ -135,22 +135,26 @@
 	}
 	rec, fresh := book.Begin(id, hold, now)
 	if fresh {
-		go g.execute(book, rec, target.Task{ID: id, Entry: args.Entry, Body: args.Body, Deadline: deadline})
+		wait := slots.AnyWait
+		if args.Wait >= 0 {
+			wait = time.Duration(args.Wait) * time.Millisecond
+		}
+		go g.execute(book, rec, wait, target.Task{ID: id, Entry: args.Entry, Body: args.Body, Deadline: deadline})
 	}
 	return rec
 }
 
 // execute waits for a slot, runs the task and settles its record.
-func (g *Gate) execute(book *starts.Book, rec *starts.Record, t target.Task) {
-	ticket := g.queue.Enter(t.Deadline, time.Now())
+func (g *Gate) execute(book *starts.Book, rec *starts.Record, wait time.Duration, t target.Task) {
+	ticket := g.queue.Enter(t.Deadline, time.Now(), wait)
 	if reason := g.await(ticket, t); reason != "" {
-		book.Finish(rec, starts.Result{State: ledger.NotRun, Reason: reason})
+		book.Refuse(t.ID, rec, reason)
 		return
 	}
 	runner := g.target()
 	if runner == nil {
 		g.queue.Release(0)
-		book.Finish(rec, starts.Result{State: ledger.NotRun, Reason: slots.NoTarget})
+		book.Refuse(t.ID, rec, slots.NoTarget)
 		return
 	}
 	g.Stats.Count("started")
--- a/internal/node/home/home.go
+++ b/internal/node/home/home.go
@@ -9,6 +9,7 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/core/limit"
 	"github.com/gypsumlanding/gypsumlanding/internal/core/place"
 	"github.com/gypsumlanding/gypsumlanding/internal/core/roster"
+	"github.com/gypsumlanding/gypsumlanding/internal/core/slots"
 	"github.com/gypsumlanding/gypsumlanding/internal/daem/logs"
 	"github.com/gypsumlanding/gypsumlanding/internal/daem/stats"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
@@ -26,6 +27,8 @@
 	Log   logs.Logger
 	// Local starts a task at the home's own gate.
 	Local func(args *msgs.Start, reply *msgs.StartReply)
+	// LocalLoad returns the load of the home's own gate.
+	LocalLoad func() slots.Load
 	// Options bound the ledger.
 	Options ledger.Options
 	// Domain is the failure domain of the node.
@@ -52,7 +55,7 @@
 	defer h.mu.Unlock()
 	h.life = &life{ref: ref, ledger: ledger.New(ref, h.Options)}
 	h.epoch = 0
-	h.picker.SetLocal(ref, h.Domain)
+	h.picker.SetLocal(ref, h.Domain, h.LocalLoad)
 }
 
 // Update takes a newer roster and fetches the shards that it brings. It ignores
--- a/internal/node/home/start.go
+++ b/internal/node/home/start.go
@@ -26,6 +26,7 @@
 	maxPlaces  = 3                     // gates tried for one task in one round
 	maxRounds  = 5                     // pauses made for one task
 	firstPause = 50 * time.Millisecond // doubled each time, and spread by chance
+	waitMargin = 250 * time.Millisecond // a task may wait so much longer than believed
 	askPause   = 20 * time.Millisecond // between questions for an outcome
 )
 
@@ -63,15 +64,19 @@
 			j.home.Stats.Retried(string(last.Reason))
 			j.waste("bounced")
 		}
-		node, ok := j.home.picker.Pick(j.args.Service, tried, time.Now())
+		choice, ok := j.home.picker.Pick(j.args.Service, tried, time.Now())
 		if !ok {
 			return last
 		}
-		last = j.start(node, i)
+		wait := choice.Wait + waitMargin
+		if len(tried) == maxPlaces-1 {
+			wait = slots.AnyWait
+		}
+		last = j.start(choice.Node, i, wait)
 		if last.State != ledger.NotRun {
 			return last
 		}
-		tried = append(tried, node.Ref)
+		tried = append(tried, choice.Node.Ref)
 	}
 	return last
 }
@@ -105,11 +110,16 @@
 	}
 }
 
-// start starts task i at node and returns its outcome.
-func (j *job) start(node roster.Node, i int) starts.Result {
+// start starts task i at node, if it waits there no longer than the given time,
+// and returns its outcome.
+func (j *job) start(node roster.Node, i int, wait time.Duration) starts.Result {
+	args := j.message(node, i, msgs.Begin)
+	if wait < slots.AnyWait {
+		args.Wait = wait.Milliseconds()
+	}
 	reply := &msgs.StartReply{}
 	done := make(chan error, 1)
-	go func() { done <- j.send(node, j.message(node, i, msgs.Begin), reply) }()
+	go func() { done <- j.send(node, args, reply) }()
 	var err error
 	select {
 	case err = <-done:
@@ -172,15 +182,20 @@
 // note takes the load that came with a reply and returns the task's result.
 func (j *job) note(node roster.Node, reply *msgs.StartReply) starts.Result {
 	now := time.Now()
-	if ledger.State(reply.State) == ledger.NotRun {
+	load := slots.Load{
+		Slots: reply.Slots, Running: reply.Running, Queued: reply.Queued,
+		Mean: time.Duration(reply.Mean) * time.Microsecond, Leaving: reply.Leaving,
+	}
+	res := resultOf(reply)
+	switch {
+	case res.Reason == slots.Bounced:
+		j.home.picker.Bounced(node.Ref, load, now)
+	case res.State == ledger.NotRun:
 		j.home.picker.Avoid(node.Ref, now)
-	} else {
-		j.home.picker.Done(node.Ref, slots.Load{
-			Slots: reply.Slots, Running: reply.Running, Queued: reply.Queued,
-			Mean: time.Duration(reply.Mean) * time.Microsecond, Leaving: reply.Leaving,
-		}, now)
+	default:
+		j.home.picker.Done(node.Ref, load, now)
 	}
-	return resultOf(reply)
+	return res
 }
 
 func resultOf(reply *msgs.StartReply) starts.Result {
@@ -199,6 +214,7 @@
 		ToInc:    node.Inc,
 		Deadline: j.args.Deadline,
 		Left:     time.Until(j.deadline).Milliseconds(),
+		Wait:     -1,
 		Service:  j.args.Service,
 		Entry:    j.args.Entry,
 		Body:     j.args.Tasks[i],
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -108,7 +108,7 @@
 	n.gate = &gate.Gate{Clock: clk, Stats: n.stats, Log: log, Slack: cfg.Slack}
 	n.home = &home.Home{
 		Clock: clk, View: n.view, Pool: pool, Stats: n.stats, Log: log, Domain: cfg.Domain,
-		Local:   n.gate.Start,
+		Local: n.gate.Start, LocalLoad: n.gate.Load,
 		Options: ledger.Options{Slack: cfg.Slack, Horizon: cfg.Horizon},
 	}
 	n.member = &member.Member{
--- a/internal/wire/msgs/work.go
+++ b/internal/wire/msgs/work.go
@@ -47,6 +47,7 @@
 	ToInc    uint64 // incarnation of the gate that the message is meant for
 	Deadline int64  // cluster time, Unix ms
 	Left     int64  // ms left before the deadline when the message was sent
+	Wait     int64  // longest wait for a slot that the home accepts, ms; -1 means any
 	Service  string
 	Entry    string
 	Body     []byte
@@ -87,12 +88,12 @@
 
 // EncodeMsgpack writes the message.
 func (m *Start) EncodeMsgpack(e *msgpack.Encoder) error {
-	return pack(e, int(m.Mode), m.Key, m.Task, m.FromID, m.FromInc, m.ToInc, m.Deadline, m.Left, m.Service, m.Entry, m.Body)
+	return pack(e, int(m.Mode), m.Key, m.Task, m.FromID, m.FromInc, m.ToInc, m.Deadline, m.Left, m.Wait, m.Service, m.Entry, m.Body)
 }
 
 // DecodeMsgpack reads the message.
 func (m *Start) DecodeMsgpack(d *msgpack.Decoder) error {
-	return unpack(d, (*int)(&m.Mode), &m.Key, &m.Task, &m.FromID, &m.FromInc, &m.ToInc, &m.Deadline, &m.Left, &m.Service, &m.Entry, &m.Body)
+	return unpack(d, (*int)(&m.Mode), &m.Key, &m.Task, &m.FromID, &m.FromInc, &m.ToInc, &m.Deadline, &m.Left, &m.Wait, &m.Service, &m.Entry, &m.Body)
 }
 
 // EncodeMsgpack writes the message.
