--- a/internal/node/home/start.go
+++ b/internal/node/home/start.go
@@ -23,11 +23,11 @@
 )
 
 const (
-	maxPlaces  = 3                     // gates tried for one task in one round
-	maxRounds  = 5                     // pauses made for one task
-	firstPause = 50 * time.Millisecond // doubled each time, and spread by chance
+	maxPlaces  = 3                      // gates tried for one task in one round
+	maxRounds  = 5                      // pauses made for one task
+	firstPause = 50 * time.Millisecond  // doubled each time, and spread by chance
 	waitMargin = 250 * time.Millisecond // a task may wait so much longer than believed
-	askPause   = 20 * time.Millisecond // between questions for an outcome
+	askPause   = 20 * time.Millisecond  // between questions for an outcome
 )
 
 // method is the net/rpc method of a gate.
