--- a/cmd/gypmeasure/main.go
+++ b/cmd/gypmeasure/main.go
@@ -32,6 +32,8 @@
 	{"idle", idle(today)},
 	{"idle50", idle(50)},
 	{"idle100", idle(100)},
+	{"spread", spread(today)},
+	{"spread100", spread(100)},
 	{"kill", failing(fleet.Options{}, killed)},
 	{"freeze", failing(fleet.Options{}, frozen)},
 	{"cut", failing(fleet.Options{Cables: true}, unreachable)},
--- a/internal/core/limit/limit_test.go
+++ b/internal/core/limit/limit_test.go
@@ -1,25 +1,17 @@
 package limit
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/core/catlg"
 	"github.com/gypsumlanding/gypsumlanding/internal/core/roster"
+	"github.com/gypsumlanding/gypsumlanding/internal/core/seed"
 	"pgregory.net/rapid"
 )
 
-func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seed.Main(m, seed.Size{}) }
 
 func TestSharesAddUpToTheLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/core/slots/slots_test.go
+++ b/internal/core/slots/slots_test.go
@@ -1,23 +1,15 @@
 package slots
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/core/ledger"
+	"github.com/gypsumlanding/gypsumlanding/internal/core/seed"
 	"pgregory.net/rapid"
 )
 
-func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "2000", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seed.Main(m, seed.Size{Checks: 2000}) }
 
 var now = time.UnixMilli(1_700_000_000_000)
 
--- a/internal/entry/edit/edit_test.go
+++ b/internal/entry/edit/edit_test.go
@@ -3,15 +3,15 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/gypsumlanding/gypsumlanding/internal/core/seed"
+
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/gypsumlanding/gypsumlanding/internal/core/catlg"
 	"github.com/gypsumlanding/gypsumlanding/internal/core/clock"
@@ -22,14 +22,7 @@
 	"pgregory.net/rapid"
 )
 
-func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "40", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seed.Main(m, seed.Size{Checks: 40}) }
 
 // newTable serves an empty stand-in whose replies to writes are cut as lose
 // tells, counting the writes.
--- a/internal/node/home/job_test.go
+++ b/internal/node/home/job_test.go
@@ -1,23 +1,15 @@
 package home
 
 import (
-	"flag"
-	"os"
 	"testing"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/core/ledger"
+	"github.com/gypsumlanding/gypsumlanding/internal/core/seed"
 	"github.com/gypsumlanding/gypsumlanding/internal/core/starts"
 	"pgregory.net/rapid"
 )
 
-func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "2000", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seed.Main(m, seed.Size{Checks: 2000}) }
 
 // TestOutcomeIsWholeOrAnHonestFailure gives a job's tasks any results in any
 // order. Those after a failed one may be missing, as gather does not wait.
--- a/internal/wire/view/view_test.go
+++ b/internal/wire/view/view_test.go
@@ -1,27 +1,19 @@
 package view
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/core/catlg"
 	"github.com/gypsumlanding/gypsumlanding/internal/core/clock"
 	"github.com/gypsumlanding/gypsumlanding/internal/core/roster"
+	"github.com/gypsumlanding/gypsumlanding/internal/core/seed"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 	"pgregory.net/rapid"
 )
 
-func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "2000", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seed.Main(m, seed.Size{Checks: 2000}) }
 
 // TestNothingGoesBack has processes learn of edits from the table and from each
 // other, in any order, late and again; what each shows only rises.
