Have entries probe homes that leave calls unanswered

Ruled out: the gates' side (passed over after 100 ms and two mean run times already). An entry now probes a home after 400 ms without a reply to calls in progress, and suspects one until it answers a probe or a call.

A table test of the gate catches it each time; the scenario stays.

--- a/cmd/gypmeasure/avail.go
+++ b/cmd/gypmeasure/avail.go
@@ -65,12 +65,15 @@
 	return time.Now(), f.Send(ctx, http.MethodPost, "store.http", "/fault", map[string]string{"mode": "down"}, nil)
 }
 
-func killedInOutage(ctx context.Context, f *fleet.Fleet) (time.Time, error) {
-	if _, err := tableDown(ctx, f); err != nil {
-		return time.Time{}, err
+// inOutage brings a failure about a moment after the table went down.
+func inOutage(fail failure) failure {
+	return func(ctx context.Context, f *fleet.Fleet) (time.Time, error) {
+		if _, err := tableDown(ctx, f); err != nil {
+			return time.Time{}, err
+		}
+		time.Sleep(outageLead)
+		return fail(ctx, f)
 	}
-	time.Sleep(outageLead)
-	return killed(ctx, f)
 }
 
 // availability runs a steady load of fresh jobs on a fleet of today's size and
--- a/cmd/gypmeasure/main.go
+++ b/cmd/gypmeasure/main.go
@@ -39,7 +39,9 @@
 	{"cut", failing(fleet.Options{Cables: true}, unreachable)},
 	{"stop", failing(fleet.Options{}, stopped)},
 	{"outage", failing(fleet.Options{}, tableDown)},
-	{"outagekill", failing(fleet.Options{}, killedInOutage)},
+	{"outagekill", failing(fleet.Options{}, inOutage(killed))},
+	{"outagefreeze", failing(fleet.Options{}, inOutage(frozen))},
+	{"outagecut", failing(fleet.Options{Cables: true}, inOutage(unreachable))},
 }
 
 // failing returns the measurement of what one failure costs.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -78,10 +78,8 @@
 	if err != nil {
 		return err
 	}
-	jobs := &web.Jobs{
-		Region: cfg.Region, Clock: clk, View: v, Stats: counters,
-		Relay: &relay.Relay{Region: cfg.Region, Domain: cfg.Domain, Clock: clk, View: v, Pool: pool, Stats: counters},
-	}
+	rel := &relay.Relay{Region: cfg.Region, Domain: cfg.Domain, Clock: clk, View: v, Pool: pool, Stats: counters}
+	jobs := &web.Jobs{Region: cfg.Region, Clock: clk, View: v, Stats: counters, Relay: rel}
 	jobs.Serve(srv)
 	oper := &web.Oper{
 		ID: cfg.ID, Region: cfg.Region, View: v, Roll: writer,
@@ -99,6 +97,7 @@
 		Started: func(ctx context.Context) {
 			go writer.Run(ctx)
 			go follower.Run(ctx)
+			go rel.Run(ctx)
 		},
 	}
 	return daemon.Run(ctx)
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/core/catlg"
@@ -27,7 +26,6 @@
 	keyTries    = 32                    // fresh keys drawn for a reachable home
 	nearTries   = 8                     // of these, drawn for a home in the same domain
 	retryPause  = 30 * time.Millisecond // before a key is sent again
-	suspectTime = time.Second           // how long an unreachable home is avoided
 	replyMargin = 100 * time.Millisecond
 	homeMethod  = "Home.Run"
 )
@@ -50,8 +48,7 @@
 	Pool   *peer.Pool
 	Stats  *stats.Set
 
-	mu       sync.Mutex
-	suspects map[string]time.Time // addresses not to be chosen until then
+	watch watch
 }
 
 // trip is the way of one job.
@@ -113,12 +110,12 @@
 	case errors.Is(err, peer.ErrLate):
 		return t.failure(ledger.Deadline), true
 	case errors.Is(err, peer.ErrNotSent) && t.ours():
-		t.failed(home, NoHome)
+		t.failed(NoHome)
 	case errors.Is(err, peer.ErrNotSent):
-		t.failed(home, NoHome)
+		t.failed(NoHome)
 		r.await(ctx, next)
 	case err != nil:
-		t.failed(home, ledger.Broken)
+		t.failed(ledger.Broken)
 		r.waste("resent")
 		r.await(ctx, next)
 	case reply.Moved:
@@ -150,17 +147,18 @@
 		Look:     t.job.Look,
 		Tasks:    t.job.Tasks,
 	}
+	t.relay.watch.calling(home.Addr, time.Now())
 	err := t.relay.Pool.Call(ctx, home.Addr, homeMethod, args, reply)
+	t.relay.watch.called(home.Addr, err == nil, time.Now())
 	if err != nil && !errors.Is(err, peer.ErrNotSent) || err == nil && !reply.Untaken {
 		t.taken = true
 	}
 	return reply, err
 }
 
-// failed takes note of a call to home that brought no reply.
-func (t *trip) failed(home roster.Node, reason ledger.Reason) {
+// failed takes note of a call that brought no reply.
+func (t *trip) failed(reason ledger.Reason) {
 	t.last = reason
-	t.relay.suspect(home.Addr)
 	t.relay.Stats.Retried(string(reason))
 }
 
@@ -187,7 +185,7 @@
 	for i := range keyTries {
 		key := jobkey.New(r.Region, newest.Epoch(), t.job.Deadline)
 		home, owned := newest.Owner(key.Shard(len(newest.Shards())))
-		if !owned || home.Leaving || r.suspected(home.Addr) {
+		if !owned || home.Leaving || r.watch.suspected(home.Addr) {
 			continue
 		}
 		if ok && home.Domain != r.Domain {
@@ -212,26 +210,6 @@
 
 func (r *Relay) waste(reason string) { r.Stats.Add("wasted."+reason, 1) }
 
-func (r *Relay) suspect(addr string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.suspects == nil {
-		r.suspects = map[string]time.Time{}
-	}
-	r.suspects[addr] = time.Now().Add(suspectTime)
-}
-
-func (r *Relay) suspected(addr string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	until, ok := r.suspects[addr]
-	if ok && time.Now().After(until) {
-		delete(r.suspects, addr)
-		return false
-	}
-	return ok
-}
-
 func outcomeOf(reply *msgs.RunReply) ledger.Outcome {
 	return ledger.Outcome{
 		State: ledger.State(reply.State), Reason: ledger.Reason(reply.Reason), Answers: reply.Answers,
--- a/internal/stand/fleet/fleet.go
+++ b/internal/stand/fleet/fleet.go
@@ -35,7 +35,7 @@
 	Speeds  []int    // percent, given to the targets in turn; none means 100
 	Shards  int      // 0 means 512
 	Extra   []string // further arguments of every node
-	Cables  bool     // put a cable before every node
+	Cables  bool     // put a cable before every node and entry
 }
 
 func (o Options) withDefaults() Options {
@@ -183,9 +183,19 @@
 func (f *Fleet) entries(but string) []string {
 	var addrs []string
 	for i := range f.opts.Entries {
-		if n := name("e", i); n != but {
-			addrs = append(addrs, f.Addr(n+".rpc"))
+		n := name("e", i)
+		if n == but {
+			continue
+		}
+		addr := f.Addr(n + ".rpc")
+		if f.opts.Cables {
+			c, err := f.Cable(n)
+			if err != nil {
+				panic(err)
+			}
+			addr = c.Addr()
 		}
+		addrs = append(addrs, addr)
 	}
 	return addrs
 }
@@ -219,7 +229,7 @@
 	return p, ok
 }
 
-// Cable returns the cable before a node.
+// Cable returns the cable before a node or entry.
 func (f *Fleet) Cable(name string) (*cable.Cable, error) {
 	addr := f.Addr(name + ".rpc")
 	f.mu.Lock()
--- a/test/mutant_test.go
+++ b/test/mutant_test.go
@@ -80,8 +80,9 @@
 		test: "internal/node/home TestOutcomeIsWholeOrAnHonestFailure"},
 	{rule: "S9 matched answers", file: "internal/node/home/job.go", old: "answers[r.task] = r.Answer", new: "answers[answered] = r.Answer", test: "scenario path"},
 	{
-		rule: "P6 leaving targets", file: "internal/node/gate/announce.go", test: "scenario leaving",
-		old: "g.queue.Leave(g.draining || a.Leaving)", new: "g.queue.Leave(g.draining)",
+		rule: "P6 leaving targets", file: "internal/node/gate/announce.go",
+		test: "internal/node/gate TestLeavingTargetEndsWhatRunsAndStartsNothing",
+		old:  "g.queue.Leave(g.draining || a.Leaving)", new: "g.queue.Leave(g.draining)",
 		more: []edit{{"internal/node/gate/announce.go", "if g.runner == nil || g.announce.Leaving {", "if g.runner == nil {"}},
 	},
 	{rule: "P7 drain before the end", file: "internal/node/node.go", old: "Drain: n.drain,", new: "", test: "scenario rolling"},
