Try every gate before a task is given up

Cause: the four gates compared were drawn without regard to those tried, and could be drawn twice, so a task could be refused although gates were left. Found by reading; TestEveryGateIsTriedBeforeGivingUp failed after 9 of 12 gates. Gates stand in a random order of each home's own now, and the window of four skips those tried.

--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,12 +14,12 @@
 	// SampleSize is the number of gates compared for one task.
 	SampleSize = 4
 
-	firstMean    = 50 * time.Millisecond // run time assumed while no gate is known
-	typicalPart  = 10                    // a report counts one part in this in the typical run time
-	silentBase   = 100 * time.Millisecond
-	silentFactor = 2               // a gate is silent after silentBase and this many mean run times
-	staleAfter   = 2 * time.Second // age at which a report no longer counts
-	penaltyTime  = 2 * time.Second // how long a gate that refused is avoided
+	firstMean    = 50 * time.Millisecond  // run time assumed while no gate is known
+	typicalPart  = 10                     // a report counts one part in this in the typical run time
+	silentBase   = 100 * time.Millisecond // a gate is silent after silentBase
+	silentFactor = 2                      // and this many mean run times
+	staleAfter   = 2 * time.Second        // age at which a report no longer counts
+	penaltyTime  = 2 * time.Second        // how long a gate that refused is avoided
 	hopNear      = 200 * time.Microsecond
 	hopFar       = 1200 * time.Microsecond
 	localBenefit = 200 * time.Microsecond
@@ -87,6 +88,9 @@
 		p.byRef[n.Ref] = g
 		p.gates[n.Service] = append(p.gates[n.Service], g)
 	}
+	for _, gates := range p.gates {
+		p.shuffle(gates)
+	}
 }
 
 // Pick returns the gate to start a task of the service at, and counts the task
@@ -98,10 +102,7 @@
 	p.lookAtLocal(now)
 	var best *gate
 	var bestCost time.Duration
-	for _, g := range p.sample(service) {
-		if contains(tried, g.node.Ref) {
-			continue
-		}
+	for _, g := range p.sample(service, tried) {
 		cost := p.cost(g, now)
 		if best == nil || cost < bestCost {
 			best = g
@@ -167,22 +168,40 @@
 	}
 }
 
-// sample returns the local gate and random others, SampleSize at most.
-func (p *Picker) sample(service string) []*gate {
+// sample returns the local gate and others by chance, SampleSize at most, none
+// of them tried.
+func (p *Picker) sample(service string, tried []roster.Ref) []*gate {
 	all := p.gates[service]
-	if len(all) <= SampleSize {
-		return all
+	if len(all) == 0 {
+		return nil
 	}
 	picked := make([]*gate, 0, SampleSize)
-	if g, ok := p.byRef[p.local]; ok && g.node.Service == service {
-		picked = append(picked, g)
+	local := p.byRef[p.local]
+	if local != nil && local.node.Service == service && !slices.Contains(tried, p.local) {
+		picked = append(picked, local)
 	}
-	for len(picked) < SampleSize {
-		picked = append(picked, all[p.random(len(all))])
+	start := p.random(len(all))
+	for i := range all {
+		g := all[(start+i)%len(all)]
+		if len(picked) == SampleSize {
+			break
+		}
+		if g != local && !slices.Contains(tried, g.node.Ref) {
+			picked = append(picked, g)
+		}
 	}
 	return picked
 }
 
+// shuffle puts gates in an order of this home's own, so that neighbours in the
+// order are not compared together by all homes.
+func (p *Picker) shuffle(gates []*gate) {
+	for i := len(gates) - 1; i > 0; i-- {
+		k := p.random(i + 1)
+		gates[i], gates[k] = gates[k], gates[i]
+	}
+}
+
 // lookAtLocal takes the present load of the home's own gate.
 func (p *Picker) lookAtLocal(now time.Time) {
 	g, ok := p.byRef[p.local]
@@ -267,12 +286,3 @@
 	}
 	return rand.IntN(n)
 }
-
-func contains(refs []roster.Ref, ref roster.Ref) bool {
-	for _, r := range refs {
-		if r == ref {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/core/place/place_test.go
+++ b/internal/core/place/place_test.go
@@ -92,3 +92,22 @@
 		p.Done(c.Node.Ref, slots.Load{Slots: 2, Mean: time.Millisecond}, now)
 	}
 }
+
+func TestEveryGateIsTriedBeforeGivingUp(t *testing.T) {
+	var nodes []roster.Node
+	for i := range 3 * SampleSize {
+		nodes = append(nodes, node(fmt.Sprintf("n%02d", i), "near"))
+	}
+	p := newPicker(nodes...)
+	var tried []roster.Ref
+	for range nodes {
+		c, ok := p.Pick("s", tried, now)
+		if !ok {
+			t.Fatalf("gave up after %d of %d gates", len(tried), len(nodes))
+		}
+		tried = append(tried, c.Node.Ref)
+	}
+	if c, ok := p.Pick("s", tried, now); ok {
+		t.Errorf("%s was picked again", c.Node.ID)
+	}
+}
