--- a/internal/node/gate/gate_test.go
+++ b/internal/node/gate/gate_test.go
@@ -61,6 +61,17 @@
 	return replies
 }
 
+// occupy starts task 0 and has task 1 wait for its slot.
+func (b *bench) occupy() (running, waiting <-chan *msgs.StartReply) {
+	running = b.later(msgs.Begin, 0)
+	<-b.begun
+	waiting = b.later(msgs.Begin, 1)
+	for b.gate.Load().Queued == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	return running, waiting
+}
+
 func want(t *testing.T, reply *msgs.StartReply, state ledger.State, reason ledger.Reason) {
 	t.Helper()
 	if reply.State != int(state) || reply.Reason != string(reason) {
@@ -100,12 +111,7 @@
 
 func TestLeavingTargetEndsWhatRunsAndStartsNothing(t *testing.T) {
 	b := newBench(t)
-	running := b.later(msgs.Begin, 0)
-	<-b.begun
-	waiting := b.later(msgs.Begin, 1)
-	for b.gate.Load().Queued == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	running, waiting := b.occupy()
 	b.announce.Leaving = true
 	if err := b.gate.Announce(b.announce); err != nil {
 		t.Fatal(err)
@@ -124,12 +130,7 @@
 
 func TestCancelTakesATaskOutOfTheQueueOnly(t *testing.T) {
 	b := newBench(t)
-	running := b.later(msgs.Begin, 0)
-	<-b.begun
-	waiting := b.later(msgs.Begin, 1)
-	for b.gate.Load().Queued == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	running, waiting := b.occupy()
 	cancelled := b.later(msgs.Cancel, 0)
 	b.send(msgs.Cancel, 1, 7)
 	want(t, <-waiting, ledger.NotRun, slots.GaveUp)
