--- a/internal/core/ledger/outcome.go
+++ b/internal/core/ledger/outcome.go
@@ -26,16 +26,6 @@
 	return stateNames[s]
 }
 
-// ParseState returns the state named s.
-func ParseState(s string) (State, bool) {
-	for i, name := range stateNames {
-		if name == s {
-			return State(i), true
-		}
-	}
-	return Unknown, false
-}
-
 // Reason says in one word why an outcome is not an answer.
 type Reason string
 
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -222,14 +222,13 @@
 	return cost
 }
 
-// wait returns how long one more task is believed to wait for a slot of g. What
-// the gate reported is taken to have been worked off since at its mean pace.
+// wait returns how long one more task is believed to wait for a slot of g, by
+// the larger of what the gate reported and the home's own unanswered starts.
 func (p *Picker) wait(g *gate, now time.Time) time.Duration {
 	mean := p.meanOf(g)
 	ahead := g.sent
 	if now.Sub(g.reported) < staleAfter {
-		done := 0
-		ahead = max(ahead, g.load.Running+g.load.Queued-done)
+		ahead = max(ahead, g.load.Running+g.load.Queued)
 	}
 	waiting := ahead - g.node.Slots + 1
 	if waiting <= 0 {
