--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := pkg internal/core internal/wire internal/plat internal/daem internal/node internal/entry internal/stand cmd test
+MODULES := pkg internal/core internal/wire internal/plat internal/daem internal/disp platform internal/node internal/entry internal/stand cmd test
 PROGRAMS := gypentry gypnode gypctl gypstore gyptarget gypload gypdemo gypmeasure gypprove
 LINT := bin/tools/golangci-lint
 LINT_VERSION := v2.15.0
--- /dev/null
+++ b/cmd/gypsumlanding/process.go
@@ -0,0 +1,207 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/go-kratos/kratos/v2/transport"
+	"github.com/gypsumlanding/gypsumlanding/internal/daem/life"
+	"github.com/gypsumlanding/gypsumlanding/internal/daem/logs"
+	"github.com/gypsumlanding/gypsumlanding/internal/daem/stats"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/coord"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/edge"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/gate"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/memb"
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/peer"
+	"github.com/gypsumlanding/gypsumlanding/platform"
+)
+
+const (
+	// configWait is how long a call to the store waits for a configuration; a
+	// connection that has gone silent is noticed a little later.
+	configWait = 1500 * time.Millisecond
+	// membersWait is the same for members, which other ways bring as well.
+	membersWait = 5 * time.Second
+	// drainMargin is what is left of the time to stop when the last requests are
+	// given up.
+	drainMargin = 300 * time.Millisecond
+	drainPoll   = 50 * time.Millisecond
+	// lameDuck is how long an entry that was told to stop goes on to take new
+	// connections, so that the balancer can turn to others.
+	lameDuck = 2500 * time.Millisecond
+)
+
+// process is one role with its settings.
+type process struct {
+	cfg      platform.Settings
+	path     string // of the settings
+	role     string
+	life     uint64
+	log      logs.Logger
+	counters *stats.Set
+}
+
+func (p process) serve(ctx context.Context) error {
+	go p.reload()
+	if p.role == roleEntry {
+		return p.entry(ctx)
+	}
+	return p.node(ctx)
+}
+
+// entry takes jobs until it is told to stop.
+func (p process) entry(ctx context.Context) error {
+	store := platform.NewStore(p.cfg.StoreAddr)
+	e := &edge.Entry{
+		Name: p.cfg.Name, Life: p.life, Addr: p.cfg.InternalAddr, Seeds: p.cfg.Seeds,
+		Decode: platform.DecodeConfig, Register: store.Register, Strike: store.Strike, Event: p.log.Event,
+	}
+	e.Coord = &coord.Coordinator{Links: e.Links, Event: p.log.Event, Count: p.counters.Count}
+	front := &platform.Front{
+		Config: &e.Config, Submit: e.Coord.Submit, State: e.State, Cancel: e.Cancel, Pending: e.Pending,
+		Count: p.counters.Count, Event: p.log.Event,
+	}
+	rpc, err := peer.Listen(p.cfg.InternalAddr, map[string]any{edge.EntryName: e.Service()})
+	if err != nil {
+		return err
+	}
+	callers, err := life.HTTP(p.cfg.CallerAddr, p.log, p.counters)
+	if err != nil {
+		return err
+	}
+	callers.HandlePrefix("/", front)
+	ready, err := life.HTTP(p.cfg.ReadyAddr, p.log, p.counters)
+	if err != nil {
+		return err
+	}
+	leaving := make(chan struct{})
+	ready.HandlePrefix("/", readiness(e, leaving))
+	return life.Daemon{
+		Name: "gypsumlanding-entry", Servers: []transport.Server{rpc, callers, ready}, Log: p.log,
+		Started: func(ctx context.Context) {
+			go e.Run(ctx)
+			go p.followConfig(ctx, store, e)
+			go p.followMembers(ctx, store, e)
+		},
+		Drain: func(context.Context) {
+			close(leaving)
+			front.Leave()
+			p.drain(e.Coord.Running)
+		},
+	}.Run(ctx)
+}
+
+// drain waits until no request is left, but not beyond the time to stop.
+func (p process) drain(running func() int) {
+	start := boot.Now()
+	limit := time.Duration(p.cfg.DrainSeconds)*time.Second - drainMargin
+	for boot.Now().Sub(start) < lameDuck || running() > 0 && boot.Now().Sub(start) < limit {
+		time.Sleep(drainPoll)
+	}
+	p.log.Event("drained", "left", running(), "after", boot.Now().Sub(start))
+}
+
+// node is the gate of a target until it is told to stop.
+func (p process) node(ctx context.Context) error {
+	store := platform.NewStore(p.cfg.StoreAddr)
+	target := platform.NewTarget()
+	g := &gate.Gate{
+		Process: p.life, Start: target.Start, Stop: target.Stop, Hold: target.Hold,
+		Event: p.log.Event, Count: p.counters.Count,
+	}
+	n := &edge.Node{Gate: g, Addr: p.cfg.InternalAddr, Seeds: p.cfg.Seeds, Register: store.Register, Event: p.log.Event}
+	rpc, err := peer.Listen(p.cfg.InternalAddr, map[string]any{edge.GateName: n.Service()})
+	if err != nil {
+		return err
+	}
+	beats, err := life.HTTP(p.cfg.ControlAddr, p.log, p.counters)
+	if err != nil {
+		return err
+	}
+	beats.HandlePrefix("/", &platform.Heartbeats{
+		Service: p.cfg.Service, Announced: g.Announced, Departed: g.Departed,
+		Refused: func(id string, err error) { p.log.Event("heartbeat_refused", "target", id, "err", err) },
+	})
+	return life.Daemon{
+		Name: "gypsumlanding-node", Servers: []transport.Server{rpc, beats}, Log: p.log,
+		Started: func(ctx context.Context) { go n.Run(ctx) },
+		Drain: func(ctx context.Context) {
+			limit := time.Duration(p.cfg.DrainSeconds)*time.Second - drainMargin
+			ctx, cancel := context.WithTimeout(ctx, limit)
+			defer cancel()
+			g.Leave(ctx)
+		},
+	}.Run(ctx)
+}
+
+func (p process) followConfig(ctx context.Context, store *platform.Store, e *edge.Entry) {
+	take := func(r platform.Row) {
+		if !platform.IsConfig(r) {
+			return
+		}
+		t, err := platform.DecodeConfig(r.Value)
+		if err != nil {
+			p.log.Event("config_invalid", "from", "store", "err", err)
+			return
+		}
+		e.Configure(t, "store")
+	}
+	store.Follow(ctx, platform.OperatorTable, configWait, take, p.storeFailed("config"))
+}
+
+func (p process) followMembers(ctx context.Context, store *platform.Store, e *edge.Entry) {
+	take := func(r platform.Row) {
+		m, ok := memb.Parse(r.Key)
+		switch {
+		case !ok:
+			p.log.Event("member_invalid", "key", r.Key)
+		case r.Dropped:
+			e.Gone(m)
+		default:
+			e.Known(m)
+		}
+	}
+	store.Follow(ctx, platform.MembersTable(), membersWait, take, p.storeFailed("members"))
+}
+
+// storeFailed counts each failure of the store.
+func (p process) storeFailed(what string) func(error) {
+	return func(err error) {
+		p.counters.Count("store.failed")
+		p.log.Event("store_failed", "reading", what, "err", err)
+	}
+}
+
+// reload reads the settings again at each SIGHUP and tells what is wrong.
+func (p process) reload() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	for range signals {
+		cfg, err := platform.ReadSettings(p.path, p.role)
+		if err != nil {
+			p.log.Event("settings_invalid", "err", err)
+			continue
+		}
+		p.log.Event("settings_read", "seeds", len(cfg.Seeds))
+	}
+}
+
+// readiness answers the balancer's question.
+func readiness(e *edge.Entry, leaving <-chan struct{}) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		select {
+		case <-leaving:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		default:
+		}
+		if !e.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
--- a/internal/daem/life/life.go
+++ b/internal/daem/life/life.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/url"
 	"syscall"
 	"time"
 
@@ -82,7 +83,10 @@
 		return nil, err
 	}
 	klog.SetLogger(log.Kratos())
-	srv := khttp.NewServer(khttp.Listener(ln), khttp.Timeout(0))
+	// The endpoint is given, since the library would look for it among the
+	// machine's interfaces, which can't always be listed.
+	endpoint := &url.URL{Scheme: "http", Host: ln.Addr().String()}
+	srv := khttp.NewServer(khttp.Listener(ln), khttp.Endpoint(endpoint), khttp.Timeout(0))
 	srv.ReadHeaderTimeout = headerTimeout
 	srv.ReadTimeout = bodyTimeout
 	srv.IdleTimeout = idleTimeout
--- /dev/null
+++ b/internal/disp/coord/admit.go
@@ -0,0 +1,99 @@
+package coord
+
+import (
+	"slices"
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/link"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/pick"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/room"
+)
+
+const (
+	// farFactor is how much longer a task runs away from its data.
+	farFactor = 1.5
+	// admitShare is the part of a job's slack, in percent, that the wait for room
+	// may be expected to take. The slack is what the allowance leaves beyond the
+	// run time.
+	admitShare = 100
+)
+
+// fleet is what the entry knows of the gates of one service.
+type fleet struct {
+	links []*link.Link
+	gates []pick.Gate
+	names []string // life of the target
+}
+
+// survey returns the gates that a step can use now.
+func (c *Coordinator) survey(service string, s Step) fleet {
+	now := c.now()
+	var f fleet
+	for _, l := range c.Links() {
+		v := l.View(now)
+		if !v.OK || v.Load.Service != service {
+			continue
+		}
+		if s.Label != "" && !slices.Contains(v.Load.Labels, s.Label) {
+			continue
+		}
+		far := 1.0
+		if s.Near != "" && !slices.Contains(v.Load.Labels, s.Near) {
+			far = farFactor
+		}
+		f.links = append(f.links, l)
+		f.names = append(f.names, v.Load.Target)
+		f.gates = append(f.gates, pick.Gate{
+			Capacity: room.Size{CPU: v.Load.CPU, Memory: v.Load.Memory, GPU: v.Load.GPU},
+			Used:     v.Used,
+			Queued:   v.Load.Queued,
+			Speed:    v.Load.Speed,
+			Aside:    v.Load.Aside != "",
+			Far:      far,
+		})
+	}
+	return f
+}
+
+// admit decides whether a job is taken: not if no target could ever run one of
+// its tasks, and not if the first steps would wait for room so long that the
+// answer would be late.
+func (c *Coordinator) admit(p *progress) Answer {
+	for _, s := range p.Steps {
+		f := c.survey(p.Route.Service, s)
+		if len(f.gates) == 0 {
+			return Answer{State: Refused, Reason: "nogates", RetryAfter: retryAfter}
+		}
+		wait, fits := f.wait(s, c.times.Expected(p.Route.Name, s.Declared))
+		if !fits {
+			return Answer{State: Refused, Reason: "size"}
+		}
+		expected := c.times.Expected(p.Route.Name, s.Declared)
+		slack := p.Route.Allowance(expected) - expected
+		if len(s.After) == 0 && wait > slack*admitShare/100 {
+			return Answer{State: Refused, Reason: "overload", RetryAfter: retryAfter}
+		}
+	}
+	return Answer{}
+}
+
+// wait returns the longest that a task of s is expected to wait for room if all
+// are placed now, and whether there are targets that can run one.
+func (f fleet) wait(s Step, expected time.Duration) (time.Duration, bool) {
+	gates := slices.Clone(f.gates)
+	var longest time.Duration
+	for range s.Count {
+		choice := pick.Best(gates, pick.Task{Size: s.Size, Expected: expected})
+		if choice.Gate < 0 {
+			return 0, false
+		}
+		longest = max(longest, choice.Wait)
+		g := &gates[choice.Gate]
+		if choice.Wait > 0 {
+			g.Queued += int64(s.Size.CPU) * expected.Milliseconds() / 1000
+			continue
+		}
+		g.Used = g.Used.Plus(s.Size)
+	}
+	return longest, true
+}
--- /dev/null
+++ b/internal/disp/coord/coord.go
@@ -0,0 +1,161 @@
+package coord
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/learn"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/link"
+)
+
+const (
+	// waitShare is the part of a job's allowance, in percent, that it may wait
+	// for room with nothing started before it is refused.
+	waitShare = 25
+	// retryAfter is when a refused caller may come back: about the time in which
+	// running tasks make room.
+	retryAfter = time.Second
+)
+
+// Coordinator runs the jobs of one entry. Set the exported fields before use.
+// It is safe for concurrent use.
+type Coordinator struct {
+	// Links returns the ways to all gates that are known.
+	Links func() []*link.Link
+	// Now reads the clock; nil means boot.Now.
+	Now func() boot.Time
+	// Event logs a decision; nil drops it.
+	Event func(event string, pairs ...any)
+	// Count counts by reason; nil drops it.
+	Count func(name string)
+
+	times  learn.Times
+	nextID atomic.Uint64
+
+	mu   sync.Mutex
+	jobs map[string]*progress
+}
+
+// Submit runs a job and returns how it ended. It returns early only if ctx
+// ends, which stops the job.
+func (c *Coordinator) Submit(ctx context.Context, j Job) Answer {
+	p := newProgress(ctx, j)
+	defer p.cancel()
+	if a := c.admit(p); a.State == Refused {
+		c.report(p, a)
+		return a
+	}
+	if !c.enter(p) {
+		c.count("jobs.twin")
+		return Answer{State: Abandoned, Reason: "twin"}
+	}
+	defer c.leave(p)
+	for i, s := range j.Steps {
+		go c.runStep(p, i, s)
+	}
+	<-p.ctx.Done()
+	p.end(Answer{State: Abandoned, Reason: "caller left"})
+	c.report(p, *p.answer)
+	return *p.answer
+}
+
+// Cancel stops the job with this ID and reports whether it was here.
+func (c *Coordinator) Cancel(id string) bool {
+	c.mu.Lock()
+	p := c.jobs[id]
+	c.mu.Unlock()
+	if p == nil {
+		return false
+	}
+	p.end(Answer{State: Abandoned, Reason: "cancelled"})
+	return true
+}
+
+// State tells where the job with this ID stands, and whether it is here.
+func (c *Coordinator) State(id string) (State, bool) {
+	c.mu.Lock()
+	p := c.jobs[id]
+	c.mu.Unlock()
+	if p == nil {
+		return 0, false
+	}
+	return p.state(), true
+}
+
+// Pending returns the number of jobs of each route that have not begun.
+func (c *Coordinator) Pending() map[string]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	counts := map[string]int{}
+	for _, p := range c.jobs {
+		if p.state() == Waiting {
+			counts[p.Route.Name]++
+		}
+	}
+	return counts
+}
+
+// Running returns the number of jobs that have not ended.
+func (c *Coordinator) Running() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.jobs)
+}
+
+func (c *Coordinator) enter(p *progress) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.jobs == nil {
+		c.jobs = map[string]*progress{}
+	}
+	if c.jobs[p.ID] != nil {
+		return false
+	}
+	c.jobs[p.ID] = p
+	return true
+}
+
+func (c *Coordinator) leave(p *progress) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.jobs, p.ID)
+}
+
+// report logs how a job ended.
+func (c *Coordinator) report(p *progress, a Answer) {
+	names := [...]string{"waiting", "working", "done", "failed", "refused", "abandoned"}
+	c.count("jobs." + names[a.State])
+	if a.State == Refused {
+		c.count("refused." + a.Reason)
+	}
+	if c.Event == nil {
+		return
+	}
+	p.mu.Lock()
+	retries := p.retries
+	p.mu.Unlock()
+	c.Event("job", "job", p.ID, "route", p.Route.Name, "state", names[a.State], "reason", a.Reason,
+		"ms", c.now().Sub(p.Arrived).Milliseconds(), "retries", retries)
+}
+
+func (c *Coordinator) now() boot.Time {
+	if c.Now != nil {
+		return c.Now()
+	}
+	return boot.Now()
+}
+
+func (c *Coordinator) event(event string, pairs ...any) {
+	if c.Event != nil {
+		c.Event(event, pairs...)
+	}
+}
+
+func (c *Coordinator) count(name string) {
+	if c.Count != nil {
+		c.Count(name)
+	}
+}
--- /dev/null
+++ b/internal/disp/coord/job.go
@@ -0,0 +1,163 @@
+package coord
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/room"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/route"
+)
+
+// Step is a number of like tasks.
+type Step struct {
+	Count     int
+	Size      room.Size // of each task
+	Declared  time.Duration
+	After     []int  // steps that must be done first
+	Label     string // that the target must have; empty for any
+	Near      string // label of the rack where the data is; empty for anywhere
+	PerTarget int    // most tasks of the step on one target; 0 for any number
+}
+
+// Job is what a caller asks for.
+type Job struct {
+	ID      string
+	Spec    string
+	Route   route.Route
+	Steps   []Step
+	Arrived boot.Time
+}
+
+// State tells where a job stands, or how it ended.
+type State int
+
+const (
+	// Waiting means that no task has started yet.
+	Waiting State = iota
+	// Working means that a task may have started.
+	Working
+	// Done means that all tasks have ended with success.
+	Done
+	// Failed means that a task has failed as often as the route allows.
+	Failed
+	// Refused means that no task has started, and none will.
+	Refused
+	// Abandoned means that the caller has left or cancelled the job.
+	Abandoned
+)
+
+// Answer is how a job ended.
+type Answer struct {
+	State      State
+	Reason     string
+	RetryAfter time.Duration // of a refusal
+}
+
+// progress is a job that is being run.
+type progress struct {
+	Job
+	ctx    context.Context // ends when the job does
+	cancel context.CancelFunc
+	steps  []chan struct{} // closed when the step is done
+
+	mu      sync.Mutex
+	flying  int  // tasks that are at a gate
+	started bool // a task has started, or may have
+	left    int  // tasks that are not done
+	answer  *Answer
+	retries int
+	perGate map[string]int // tasks at a gate, by step and gate
+}
+
+func newProgress(ctx context.Context, j Job) *progress {
+	p := &progress{Job: j, perGate: map[string]int{}}
+	p.ctx, p.cancel = context.WithCancel(ctx)
+	for _, s := range j.Steps {
+		p.left += s.Count
+		p.steps = append(p.steps, make(chan struct{}))
+	}
+	return p
+}
+
+// end ends the job with a unless it has ended.
+func (p *progress) end(a Answer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.answer == nil {
+		p.answer = &a
+		p.cancel()
+	}
+}
+
+// refuse ends the job with a refusal if nothing of it has started or may start.
+func (p *progress) refuse(a Answer) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.started || p.flying > 0 || p.answer != nil {
+		return false
+	}
+	p.answer = &a
+	p.cancel()
+	return true
+}
+
+// depart notes that a task is about to be sent. It reports false if the job
+// has ended.
+func (p *progress) depart() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.answer != nil || p.ctx.Err() != nil {
+		return false
+	}
+	p.flying++
+	return true
+}
+
+// landed notes that a task is at no gate any more, and whether it had started.
+func (p *progress) landed(started bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.flying--
+	p.started = p.started || started
+}
+
+// begun tells whether a task has started.
+func (p *progress) begun() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.started
+}
+
+// taskDone notes a task that is done and ends the job with the last one.
+func (p *progress) taskDone() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.left--
+	if p.left == 0 && p.answer == nil {
+		p.answer = &Answer{State: Done}
+		p.cancel()
+	}
+}
+
+// state tells where the job stands.
+func (p *progress) state() State {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case p.answer != nil:
+		return p.answer.State
+	case p.started || p.flying > 0:
+		return Working
+	}
+	return Waiting
+}
+
+// count adds n to the number of tasks of a step at a gate, and returns it.
+func (p *progress) count(key string, n int) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.perGate[key] += n
+	return p.perGate[key]
+}
--- /dev/null
+++ b/internal/disp/coord/task.go
@@ -0,0 +1,189 @@
+package coord
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/link"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/pick"
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
+)
+
+const (
+	// placePause is the pause before a task that found no room is placed again;
+	// up to as much is added by chance.
+	placePause = 8 * time.Millisecond
+	// begunPatience is how long a task of a job that has begun may wait in a
+	// gate's queue before it is placed anew.
+	begunPatience = 250 * time.Millisecond
+)
+
+// runStep runs the tasks of one step once the steps before it are done.
+func (c *Coordinator) runStep(p *progress, index int, s Step) {
+	for _, before := range s.After {
+		select {
+		case <-p.steps[before]:
+		case <-p.ctx.Done():
+			return
+		}
+	}
+	done := make(chan struct{}, s.Count)
+	for i := range s.Count {
+		go func() {
+			if c.runTask(p, s, index, i) {
+				p.taskDone()
+				done <- struct{}{}
+			}
+		}()
+	}
+	for range s.Count {
+		select {
+		case <-done:
+		case <-p.ctx.Done():
+			return
+		}
+	}
+	close(p.steps[index])
+}
+
+// attempt is what is known of one task between its placements.
+type attempt struct {
+	name     string
+	step     int
+	failures int
+	avoid    map[string]bool // lives of targets that it has come back from
+}
+
+// runTask places a task until it is done, and reports whether it is. It returns
+// false once the job has ended.
+func (c *Coordinator) runTask(p *progress, s Step, step, index int) bool {
+	a := &attempt{name: fmt.Sprintf("%s.0.%d.%d", p.ID, step, index), step: step, avoid: map[string]bool{}}
+	for p.ctx.Err() == nil {
+		l, target, m, ok := c.place(p, s, a)
+		if !ok {
+			if c.giveUp(p, "full") {
+				return false
+			}
+			pause(p, placePause)
+			continue
+		}
+		reply := c.send(p, stepKey(step, target), l, m)
+		c.retried(p, a, target, reply)
+		switch reply.Result {
+		case msgs.Done:
+			c.times.Note(p.Route.Name, time.Duration(reply.Ran)*time.Millisecond, reply.Load.Speed)
+			return true
+		case msgs.Failed:
+			a.failures++
+			if a.failures >= max(1, p.Route.Attempts) {
+				p.end(Answer{State: Failed, Reason: "attempts"})
+				return false
+			}
+		case msgs.Refused:
+			if c.giveUp(p, reply.Reason) {
+				return false
+			}
+			pause(p, placePause)
+		}
+	}
+	return false
+}
+
+// place chooses a gate for a task and makes the message.
+func (c *Coordinator) place(p *progress, s Step, a *attempt) (*link.Link, string, msgs.Task, bool) {
+	f := c.survey(p.Route.Service, s)
+	for i := range f.gates {
+		f.gates[i].Avoid = a.avoid[f.names[i]]
+		if s.PerTarget > 0 && p.count(stepKey(a.step, f.names[i]), 0) >= s.PerTarget {
+			f.gates[i].Capacity.CPU = -1
+		}
+	}
+	expected := c.times.Expected(p.Route.Name, s.Declared)
+	choice := pick.Best(f.gates, pick.Task{Size: s.Size, Expected: expected})
+	if choice.Gate < 0 {
+		return nil, "", msgs.Task{}, false
+	}
+	allowance := p.Route.Allowance(expected)
+	return f.links[choice.Gate], f.names[choice.Gate], msgs.Task{
+		ID: c.nextID.Add(1), Name: a.name, Job: p.ID, Service: p.Route.Service, Spec: p.Spec,
+		CPU: s.Size.CPU, Memory: s.Size.Memory, GPU: s.Size.GPU,
+		Expected: expected.Milliseconds(),
+		Patience: c.patience(p, allowance).Milliseconds(),
+		Urgency:  p.Arrived.Add(allowance - expected).Milli(),
+		Failures: a.failures,
+	}, true
+}
+
+// patience returns how long a task may wait in a gate's queue.
+func (c *Coordinator) patience(p *progress, allowance time.Duration) time.Duration {
+	if p.begun() {
+		return begunPatience
+	}
+	return max(0, allowance*waitShare/100-c.now().Sub(p.Arrived))
+}
+
+// send has a gate run a task. A job that ends meanwhile has the task stopped.
+func (c *Coordinator) send(p *progress, key string, l *link.Link, m msgs.Task) msgs.TaskReply {
+	if !p.depart() {
+		return msgs.TaskReply{Result: msgs.Refused, Reason: "ended"}
+	}
+	p.count(key, 1)
+	defer p.count(key, -1)
+	replies := make(chan msgs.TaskReply, 1)
+	go func() { replies <- l.Do(context.Background(), m) }()
+	select {
+	case reply := <-replies:
+		p.landed(reply.Result != msgs.Refused)
+		return reply
+	case <-p.ctx.Done():
+		l.Cancel(m.ID)
+		p.landed(true)
+		return msgs.TaskReply{Result: msgs.Lost, Reason: "ended"}
+	}
+}
+
+// retried notes why a task is placed again.
+func (c *Coordinator) retried(p *progress, a *attempt, target string, reply msgs.TaskReply) {
+	if reply.Result == msgs.Done || p.ctx.Err() != nil {
+		return
+	}
+	reason := reply.Reason
+	if reason == "" {
+		reason = reply.Result.String()
+	}
+	a.avoid[target] = reason != "full"
+	c.count("retried." + reason)
+	p.mu.Lock()
+	p.retries++
+	p.mu.Unlock()
+	if reply.Result != msgs.Refused {
+		c.event("task_retried", "job", p.ID, "task", a.name, "target", target, "result", reply.Result, "reason", reason)
+	}
+}
+
+// giveUp refuses the job if it has waited too long with nothing started.
+func (c *Coordinator) giveUp(p *progress, reason string) bool {
+	expected := time.Duration(0)
+	for _, s := range p.Steps {
+		expected = max(expected, c.times.Expected(p.Route.Name, s.Declared))
+	}
+	if c.now().Sub(p.Arrived) < p.Route.Allowance(expected)*waitShare/100 {
+		return false
+	}
+	return p.refuse(Answer{State: Refused, Reason: reason, RetryAfter: retryAfter})
+}
+
+func stepKey(step int, target string) string { return strconv.Itoa(step) + "/" + target }
+
+// pause waits for d and up to as much again, or until the job ends.
+func pause(p *progress, d time.Duration) {
+	t := time.NewTimer(d + rand.N(d))
+	defer t.Stop()
+	select {
+	case <-p.ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/disp/edge/node.go
@@ -0,0 +1,93 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/gate"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/memb"
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/peer"
+)
+
+const (
+	helloEvery   = 500 * time.Millisecond // while no entry calls
+	helloTimeout = 400 * time.Millisecond
+	// unheard is how long a node may go without a call from an entry before it
+	// announces itself again.
+	unheard = 1500 * time.Millisecond
+)
+
+// Node is the process beside one target. Set the exported fields before Run.
+type Node struct {
+	Gate  *gate.Gate
+	Addr  string   // that entries call this node at
+	Seeds []string // addresses of entries; may be stale
+	// Register notes this node in the platform's table; nil does nothing.
+	Register func(context.Context, memb.Member) error
+	Event    func(event string, pairs ...any)
+
+	service GateService
+	pool    peer.Pool
+}
+
+// Service returns the methods that entries call.
+func (n *Node) Service() *GateService {
+	n.service.gate = n.Gate
+	return &n.service
+}
+
+// Run serves the target and announces the node until ctx ends.
+func (n *Node) Run(ctx context.Context) {
+	go n.Gate.Run(ctx)
+	go register(ctx, n.Register, memb.Member{Role: memb.Gate, Addr: n.Addr}, n.Event)
+	for ctx.Err() == nil {
+		if n.service.quietFor() > unheard {
+			n.announce(ctx)
+		}
+		sleep(ctx, helloEvery)
+	}
+}
+
+// announce tells the seeds of this node.
+func (n *Node) announce(ctx context.Context) {
+	for _, seed := range n.Seeds {
+		go func() {
+			call, cancel := context.WithTimeout(ctx, helloTimeout)
+			defer cancel()
+			if err := n.pool.Call(call, seed, helloMethod, &msgs.Hello{Addr: n.Addr}, &msgs.Empty{}); err != nil {
+				n.pool.Drop(seed)
+			}
+		}()
+	}
+}
+
+// register writes the member's row, again and again until it is there.
+func register(ctx context.Context, write func(context.Context, memb.Member) error, m memb.Member, event func(string, ...any)) {
+	if write == nil {
+		return
+	}
+	for pause := registerFirst; ctx.Err() == nil; pause = min(2*pause, registerSlowest) {
+		err := write(ctx, m)
+		if err == nil {
+			event("registered", "member", m)
+			return
+		}
+		event("register_failed", "member", m, "err", err)
+		sleep(ctx, pause)
+	}
+}
+
+const (
+	registerFirst   = 200 * time.Millisecond
+	registerSlowest = 2 * time.Second
+)
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/disp/gate/gate.go
@@ -0,0 +1,350 @@
+package gate
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/room"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/trust"
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
+)
+
+// Gate is the way to one target. Set the exported fields before Run. It is safe
+// for concurrent use.
+type Gate struct {
+	// Process is the ID of this process's life.
+	Process uint64
+	// Start, Stop and Hold call the target. A nil error means that it answered
+	// with success; Start and Stop return its clock in ms.
+	Start func(context.Context, Life, Order) (int64, error)
+	Stop  func(context.Context, Life, Order) (int64, error)
+	Hold  func(context.Context, Life, Renewal) (Listing, error)
+	// Now reads the clock; nil means boot.Now.
+	Now func() boot.Time
+	// Event logs a change of state; nil drops it.
+	Event func(event string, pairs ...any)
+	// Count counts by reason; nil drops it.
+	Count func(name string)
+
+	mu       sync.Mutex
+	life     Life
+	known    bool // life is set
+	stopping bool // this process is stopping
+	clean    bool // nothing unknown runs at the target
+	fence    int64
+	clock    targetClock
+	seen     int64 // number of the newest end that was taken in
+	acked    int64 // number of the newest end that the target was told of
+	silent   bool  // the last call left without an answer
+	leaseEnd boot.Time
+	runs     map[string]*run // by task: all that may run at the target
+	tasks    map[taskID]*run // by sender's ID, with results that are kept a while
+	queue    []*run
+	senders  map[string]*sender
+	trust    trust.Record
+	speed    speed
+	wake     chan struct{}
+}
+
+// taskID names a task as its sender does.
+type taskID struct {
+	entry string
+	life  uint64
+	id    uint64
+}
+
+// phase is how far a run has come.
+type phase int
+
+const (
+	queued  phase = iota
+	ordered       // the start is on its way or has no answer yet
+	running
+	over
+)
+
+// run is one task at this gate.
+type run struct {
+	id      taskID
+	msg     msgs.Task
+	size    room.Size
+	number  int
+	phase   phase
+	settle  bool // the start had no answer; its fate is being found out
+	cancel  bool // to be stopped
+	because string
+	barred  int64 // target's clock when a stop was answered, ms; 0 before
+	latest  int64 // deadline of the newest start, target's clock, ms
+	since   int64 // target's clock when the start was answered, ms
+
+	leave    boot.Time // when to leave the queue
+	begun    boot.Time // when the start was answered or listed
+	stopAt   boot.Time // when to send the next stop
+	percent  int
+	moved    boot.Time // when percent last rose
+	ended    boot.Time
+	result   msgs.Result
+	reason   string
+	ran      time.Duration
+	finished chan struct{}
+}
+
+// Run calls the target until ctx ends.
+func (g *Gate) Run(ctx context.Context) {
+	go g.tick(ctx)
+	g.holdLoop(ctx)
+}
+
+// Take runs the task that m asks for, or goes on waiting for it, and returns
+// what became of it. It returns early, with Lost, only when ctx ends.
+func (g *Gate) Take(ctx context.Context, m msgs.Task) msgs.TaskReply {
+	r, reply := g.admit(m)
+	if r == nil {
+		return reply
+	}
+	select {
+	case <-r.finished:
+	case <-ctx.Done():
+		return msgs.TaskReply{Result: msgs.Lost, Reason: "gate is stopping"}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return msgs.TaskReply{Result: r.result, Reason: r.reason, Ran: r.ran.Milliseconds(), Load: g.load()}
+}
+
+// Sync renews the sender's lease, stops what it cancels, and returns the load.
+func (g *Gate) Sync(m msgs.Sync) msgs.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if m.GateLife == g.Process {
+		g.renew(m.Sender)
+		for _, id := range m.Cancel {
+			if r := g.tasks[taskID{m.Entry, m.Life, id}]; r != nil {
+				g.abandon(r, "cancelled")
+			}
+		}
+	}
+	return g.load()
+}
+
+// Leave makes the gate take no further tasks, and waits for those that run
+// until ctx ends.
+func (g *Gate) Leave(ctx context.Context) {
+	g.mu.Lock()
+	g.stopping = true
+	for _, r := range g.queue {
+		g.finish(r, msgs.Refused, "stopping")
+	}
+	g.queue = nil
+	g.mu.Unlock()
+	for ctx.Err() == nil && g.busy() {
+		sleep(ctx, tickEvery)
+	}
+}
+
+// busy tells whether something runs or waits here.
+func (g *Gate) busy() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.runs) > 0 || len(g.queue) > 0
+}
+
+// admit returns the run for m, or the reply if there is to be none.
+func (g *Gate) admit(m msgs.Task) (*run, msgs.TaskReply) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if m.GateLife != g.Process {
+		return nil, msgs.TaskReply{Result: msgs.Stranger, Reason: "other life", Load: g.load()}
+	}
+	g.renew(m.Sender)
+	id := taskID{m.Entry, m.Life, m.ID}
+	if r := g.tasks[id]; r != nil {
+		return r, msgs.TaskReply{}
+	}
+	size := room.Size{CPU: m.CPU, Memory: m.Memory, GPU: m.GPU}
+	if reason := g.objection(m, size); reason != "" {
+		g.count("refused." + reason)
+		return nil, msgs.TaskReply{Result: msgs.Refused, Reason: reason, Load: g.load()}
+	}
+	r := &run{
+		id: id, msg: m, size: size, number: 1, finished: make(chan struct{}),
+		leave: g.now().Add(time.Duration(m.Patience) * time.Millisecond),
+	}
+	g.remember(r)
+	g.queue = append(g.queue, r)
+	sort.SliceStable(g.queue, func(i, j int) bool { return g.queue[i].msg.Urgency < g.queue[j].msg.Urgency })
+	g.startQueued()
+	if r.phase == queued && m.Patience <= 0 {
+		g.dequeue(r)
+		g.finish(r, msgs.Refused, "full")
+	}
+	return r, msgs.TaskReply{}
+}
+
+// objection returns the reason why a task can't be taken now, or nothing.
+func (g *Gate) objection(m msgs.Task, size room.Size) string {
+	switch {
+	case g.stopping:
+		return "stopping"
+	case !g.known:
+		return "notarget"
+	case g.life.Leaving:
+		return "leaving"
+	case m.Service != g.life.Service:
+		return "service"
+	case !size.Valid() || !size.Within(g.life.Capacity):
+		return "size"
+	case !g.lives(m.Sender):
+		return "expired"
+	case g.runs[m.Name] != nil:
+		return "twin"
+	case g.trust.Aside(g.now()) != "":
+		return "aside"
+	}
+	return ""
+}
+
+// startQueued starts what waits and has room, most urgent first. A task that
+// has no room lets no later one pass, so that wide tasks get their turn.
+func (g *Gate) startQueued() {
+	now := g.now()
+	for len(g.queue) > 0 && g.usable(now) {
+		r := g.queue[0]
+		if g.runs[r.msg.Name] != nil {
+			g.queue = g.queue[1:]
+			g.finish(r, msgs.Refused, "twin")
+			continue
+		}
+		if !g.used().Plus(r.size).Within(g.life.Capacity) {
+			return
+		}
+		g.queue = g.queue[1:]
+		g.trust.Trial(now)
+		r.phase = ordered
+		g.runs[r.msg.Name] = r
+		g.nudge()
+		go g.order(r)
+	}
+}
+
+// usable tells whether starts may be ordered at now.
+func (g *Gate) usable(now boot.Time) bool {
+	return g.known && g.clean && !g.silent && !g.life.Leaving && g.clock.set && g.trust.Aside(now) == ""
+}
+
+// used returns the room that is taken.
+func (g *Gate) used() room.Size {
+	var sum room.Size
+	for _, r := range g.runs {
+		sum = sum.Plus(r.size)
+	}
+	return sum
+}
+
+func (g *Gate) dequeue(r *run) {
+	for i, q := range g.queue {
+		if q == r {
+			g.queue = append(g.queue[:i:i], g.queue[i+1:]...)
+			return
+		}
+	}
+}
+
+// finish notes the result of r and frees its room.
+func (g *Gate) finish(r *run, result msgs.Result, reason string) {
+	if r.phase == over {
+		return
+	}
+	r.phase = over
+	r.ended = g.now()
+	r.result = result
+	r.reason = reason
+	if g.runs[r.msg.Name] == r {
+		delete(g.runs, r.msg.Name)
+	}
+	if result == msgs.Refused {
+		g.count("refused." + reason)
+	} else {
+		g.count("ended." + result.String())
+	}
+	close(r.finished)
+	g.nudge()
+}
+
+// load returns what the target has to give.
+func (g *Gate) load() msgs.Load {
+	now := g.now()
+	l := msgs.Load{Life: g.Process, Stamp: int64(now), Speed: g.speed.value(), Leaving: g.stopping || g.life.Leaving}
+	if !g.known {
+		l.Aside = "notarget"
+		return l
+	}
+	used := g.used()
+	l.Service, l.Target, l.Labels = g.life.Service, g.life.ID, g.life.Labels
+	l.CPU, l.Memory, l.GPU = g.life.Capacity.CPU, g.life.Capacity.Memory, g.life.Capacity.GPU
+	l.UsedCPU, l.UsedMem, l.UsedGPU = used.CPU, used.Memory, used.GPU
+	for _, r := range g.queue {
+		l.Queued += int64(r.size.CPU) * r.msg.Expected / 1000
+	}
+	l.Aside = g.trust.Aside(now)
+	if g.silent || !g.clean {
+		l.Aside = "silent"
+	}
+	return l
+}
+
+func (g *Gate) remember(r *run) {
+	if g.tasks == nil {
+		g.tasks = map[taskID]*run{}
+	}
+	if g.runs == nil {
+		g.runs = map[string]*run{}
+	}
+	g.tasks[r.id] = r
+}
+
+func (g *Gate) now() boot.Time {
+	if g.Now != nil {
+		return g.Now()
+	}
+	return boot.Now()
+}
+
+func (g *Gate) event(event string, pairs ...any) {
+	if g.Event != nil {
+		g.Event(event, pairs...)
+	}
+}
+
+func (g *Gate) count(name string) {
+	if g.Count != nil {
+		g.Count(name)
+	}
+}
+
+// nudge makes the hold loop look at the state again.
+func (g *Gate) nudge() {
+	select {
+	case g.waker() <- struct{}{}:
+	default:
+	}
+}
+
+func (g *Gate) waker() chan struct{} {
+	if g.wake == nil {
+		g.wake = make(chan struct{}, 1)
+	}
+	return g.wake
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/disp/gate/hold.go
@@ -0,0 +1,235 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
+)
+
+const (
+	holdWait    = 150 * time.Millisecond // how long a hold waits for an end
+	holdTimeout = 150 * time.Millisecond // longest wait for the answer beyond that
+	holdIdle    = time.Second            // between holds while nothing runs
+	holdPause   = 10 * time.Millisecond  // after a hold that failed or did not wait
+	tickEvery   = 25 * time.Millisecond
+	tickIdle    = 100 * time.Millisecond // while there are no tasks
+	keepResults = 5 * time.Second        // how long results are kept for a sender that asks again
+)
+
+// Announced takes in what the target said of itself. It reports whether the
+// life is the newest.
+func (g *Gate) Announced(l Life) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.known && l.Born < g.life.Born {
+		return false
+	}
+	if g.known && l.same(g.life) {
+		if l.Leaving && !g.life.Leaving {
+			g.event("target_leaving", "target", l.ID)
+		}
+		leaving := g.life.Leaving || l.Leaving
+		g.life = l
+		g.life.Leaving = leaving
+		g.shed()
+		return true
+	}
+	g.gone("reborn")
+	g.life, g.known = l, true
+	g.clean, g.silent = false, false
+	g.clock, g.seen, g.acked = targetClock{}, 0, 0
+	g.trust, g.speed = trustFresh, speed{}
+	if g.fence == 0 {
+		g.fence = time.Now().UnixMilli()
+	}
+	g.event("target", "target", l.ID, "service", l.Service, "cpu", l.Capacity.CPU, "memory", l.Capacity.Memory)
+	g.nudge()
+	return true
+}
+
+// Departed takes in that the target with this ID has ended.
+func (g *Gate) Departed(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.known && g.life.ID == id {
+		g.gone("departed")
+	}
+}
+
+// shed hands back what waits for a target that takes no more.
+func (g *Gate) shed() {
+	if !g.life.Leaving {
+		return
+	}
+	for _, r := range g.queue {
+		g.finish(r, msgs.Refused, "leaving")
+	}
+	g.queue = nil
+}
+
+// gone notes that the life of the target has ended, and all that ran with it.
+func (g *Gate) gone(reason string) {
+	if !g.known {
+		return
+	}
+	g.event("target_gone", "target", g.life.ID, "reason", reason, "running", len(g.runs))
+	for _, r := range g.runs {
+		g.finish(r, msgs.Lost, reason)
+	}
+	for _, r := range g.queue {
+		g.finish(r, msgs.Refused, reason)
+	}
+	g.queue = nil
+	g.known, g.clean = false, false
+}
+
+// holdLoop renews the target's lease and takes in its lists until ctx ends.
+func (g *Gate) holdLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		life, renewal, pause := g.plan()
+		if pause > 0 {
+			g.await(ctx, pause)
+			continue
+		}
+		wait := time.Duration(renewal.Wait)*time.Millisecond + holdTimeout
+		call, cancel := context.WithTimeout(ctx, wait)
+		l, err := g.Hold(call, life, renewal)
+		cancel()
+		if !g.held(life, renewal, l, err) || renewal.Wait == 0 {
+			sleep(ctx, holdPause)
+		}
+	}
+}
+
+// plan returns the next hold, or how long to wait for something to do.
+func (g *Gate) plan() (Life, Renewal, time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	if !g.known {
+		return Life{}, Renewal{}, holdIdle
+	}
+	idle := len(g.runs) == 0 && g.acked == g.seen && g.clean && !g.silent
+	if idle && g.clock.set && now.Sub(g.clock.after) < holdIdle {
+		return Life{}, Renewal{}, holdIdle - now.Sub(g.clock.after)
+	}
+	renewal := Renewal{Fence: g.fence, Seen: g.seen}
+	if g.clock.set && !g.silent && len(g.runs) > 0 {
+		renewal.Deadline = g.deadline(now)
+	}
+	if len(g.runs) > 0 && !g.unsettled() && !g.silent && g.clean {
+		renewal.Wait = holdWait.Milliseconds()
+	}
+	return g.life, renewal, 0
+}
+
+// unsettled tells whether the next list is wanted at once.
+func (g *Gate) unsettled() bool {
+	for _, r := range g.runs {
+		if r.settle || r.barred > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *Gate) await(ctx context.Context, d time.Duration) {
+	g.mu.Lock()
+	wake := g.waker()
+	g.mu.Unlock()
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-wake:
+	case <-t.C:
+	}
+}
+
+// held takes in the answer to a hold and reports whether there was one.
+func (g *Gate) held(life Life, renewal Renewal, l Listing, err error) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.known || !life.same(g.life) {
+		return true
+	}
+	now := g.now()
+	switch {
+	case err == nil:
+		if g.silent {
+			g.event("target_answers", "target", life.ID)
+		}
+		g.silent = false
+		g.acked = max(g.acked, renewal.Seen)
+		g.apply(l, now)
+		g.startQueued()
+		return true
+	case errors.Is(err, ErrFenced):
+		g.raiseFence()
+	case errors.Is(err, ErrReborn):
+		g.gone("reborn")
+	default:
+		if !g.silent {
+			g.event("target_silent", "target", life.ID, "err", err)
+		}
+		g.silent = true
+		g.lapse(now)
+	}
+	return false
+}
+
+// lapse gives up what ran at a silent target once its lease has run out there.
+func (g *Gate) lapse(now boot.Time) {
+	if now < g.leaseEnd.Add(stopSlack) {
+		return
+	}
+	for _, r := range g.runs {
+		g.bad(r, "silent", now)
+		g.finish(r, msgs.Lost, "silent")
+	}
+}
+
+// tick does what is due by time until ctx ends.
+func (g *Gate) tick(ctx context.Context) {
+	pause := tickEvery
+	for ctx.Err() == nil {
+		sleep(ctx, pause)
+		g.mu.Lock()
+		pause = tickIdle
+		if len(g.runs) > 0 || len(g.queue) > 0 {
+			pause = tickEvery
+		}
+		now := g.now()
+		g.expire()
+		g.leaveQueue(now)
+		g.forget(now)
+		g.watch(now)
+		g.startQueued()
+		g.mu.Unlock()
+	}
+}
+
+// leaveQueue hands back what has waited for as long as its sender lets it.
+func (g *Gate) leaveQueue(now boot.Time) {
+	kept := g.queue[:0:0]
+	for _, r := range g.queue {
+		if now >= r.leave {
+			g.finish(r, msgs.Refused, "full")
+			continue
+		}
+		kept = append(kept, r)
+	}
+	g.queue = kept
+}
+
+// forget drops results that no sender will ask for again.
+func (g *Gate) forget(now boot.Time) {
+	for id, r := range g.tasks {
+		if r.phase == over && now.Sub(r.ended) > keepResults {
+			delete(g.tasks, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/disp/gate/order.go
@@ -0,0 +1,155 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
+)
+
+const (
+	callTimeout = 150 * time.Millisecond // longest wait for the answer to a start or stop
+	stopEvery   = 60 * time.Millisecond  // between two attempts to stop a run
+	maxOrders   = 8                      // starts of a run that the target refuses for its number, token or deadline
+	runStep     = 4                      // raise of a run's number that the target finds old
+)
+
+// order starts r at the target. It holds no lock while it calls.
+func (g *Gate) order(r *run) {
+	for range maxOrders {
+		life, o, ok := g.prepare(r)
+		if !ok {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		clock, err := g.Start(ctx, life, o)
+		cancel()
+		if g.started(r, life, clock, err) {
+			return
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.refuse(r, "orders")
+}
+
+// prepare makes the order to start r, or gives r up if it must not start now.
+func (g *Gate) prepare(r *run) (Life, Order, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	switch {
+	case r.phase != ordered:
+		return Life{}, Order{}, false
+	case r.cancel:
+		g.refuse(r, r.because)
+		return Life{}, Order{}, false
+	case !g.lives(r.msg.Sender):
+		g.refuse(r, "expired")
+		return Life{}, Order{}, false
+	case !g.usable(now):
+		g.refuse(r, "silent")
+		return Life{}, Order{}, false
+	}
+	r.latest = g.deadline(now)
+	return g.life, Order{Task: r.msg.Name, Run: r.number, Spec: r.msg.Spec, Deadline: r.latest, Fence: g.fence}, true
+}
+
+// started takes in the answer to a start. It reports false if the start should
+// be ordered again.
+func (g *Gate) started(r *run, life Life, clock int64, err error) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	if !life.same(g.life) || r.phase != ordered {
+		return true
+	}
+	if clock > 0 {
+		g.clock.note(clock, now)
+	}
+	switch {
+	case err == nil:
+		r.phase = running
+		r.since = clock
+		r.begun, r.moved = now, now
+		if r.cancel {
+			g.stopNow(r, now)
+		}
+	case errors.Is(err, ErrOldRun):
+		r.number += runStep
+		return false
+	case errors.Is(err, ErrFenced):
+		g.raiseFence()
+		return false
+	case errors.Is(err, ErrLate):
+		return false
+	case errors.Is(err, ErrUnanswered):
+		g.count("target.unanswered")
+		r.settle = true
+		g.nudge()
+	case errors.Is(err, ErrReborn):
+		g.gone("reborn")
+	case errors.Is(err, ErrUnhealthy):
+		g.bad(r, "unhealthy", now)
+		g.refuse(r, "unhealthy")
+	case errors.Is(err, ErrUnreachable):
+		g.silent = true
+		g.refuse(r, "unreachable")
+	default:
+		g.event("start_refused", "job", r.msg.Job, "task", r.msg.Name, "err", err)
+		g.refuse(r, "rejected")
+	}
+	return true
+}
+
+// refuse gives up a run that has never started.
+func (g *Gate) refuse(r *run, reason string) { g.finish(r, msgs.Refused, reason) }
+
+// bad notes that r went wrong by the target's fault, or may have.
+func (g *Gate) bad(r *run, reason string, now boot.Time) {
+	if r.msg.Failures > 0 {
+		return
+	}
+	if g.trust.Bad(r.msg.Job, reason, now) {
+		g.event("target_aside", "target", g.life.ID, "reason", reason, "job", r.msg.Job)
+		g.count("aside." + reason)
+	}
+}
+
+// stopNow orders the target to stop r, now and again until its end is listed.
+func (g *Gate) stopNow(r *run, now boot.Time) {
+	r.stopAt = now.Add(stopEvery)
+	life := g.life
+	o := Order{Task: r.msg.Name, Run: r.number, Fence: g.fence}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
+		clock, err := g.Stop(ctx, life, o)
+		g.stopped(r, life, clock, err)
+	}()
+}
+
+// stopped takes in the answer to a stop.
+func (g *Gate) stopped(r *run, life Life, clock int64, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !life.same(g.life) || r.phase == over {
+		return
+	}
+	switch {
+	case err == nil:
+		r.barred = clock
+		g.clock.note(clock, g.now())
+		g.nudge()
+	case errors.Is(err, ErrFenced):
+		g.raiseFence()
+	case errors.Is(err, ErrReborn):
+		g.gone("reborn")
+	}
+}
+
+// raiseFence takes a higher fencing token. Nobody else calls this target, so a
+// higher one can only stem from a former process here.
+func (g *Gate) raiseFence() { g.fence += int64(time.Hour / time.Millisecond) }
--- a/internal/wire/peer/pool.go
+++ b/internal/wire/peer/pool.go
@@ -73,17 +73,15 @@
 	}
 }
 
-// Close closes all connections. Calls in progress fail with ErrBroken.
-func (p *Pool) Close() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, l := range p.lines {
-		l.mu.Lock()
-		client := l.client
-		l.mu.Unlock()
-		l.drop(client)
-	}
-	p.lines = nil
+// Drop closes the connection to addr, so that the next call opens another. A
+// connection may have gone silent for good while new ones work. Calls in
+// progress on it fail with ErrBroken.
+func (p *Pool) Drop(addr string) {
+	l := p.line(addr)
+	l.mu.Lock()
+	client := l.client
+	l.mu.Unlock()
+	l.drop(client)
 }
 
 func call(ctx context.Context, client *rpc.Client, method string, args, reply any) error {
