Wait for room while an answer is still of use

Ruled out: want of room in all (66% load). Now a gate that is full against expectation hands back at once with its load, and an admitted job waits for up to twice its allowance.

--- a/internal/disp/coord/coord.go
+++ b/internal/disp/coord/coord.go
@@ -12,9 +12,10 @@
 )
 
 const (
-	// waitShare is the part of a job's allowance, in percent, that it may wait
-	// for room with nothing started before it is refused.
-	waitShare = 25
+	// mostWait is how long a job that was admitted waits for room with nothing
+	// started before it is refused, in percent of its allowance. An answer that
+	// late is of little use to its caller.
+	mostWait = 200
 	// retryAfter is when a refused caller may come back: about the time in which
 	// running tasks make room.
 	retryAfter = time.Second
--- a/internal/disp/coord/task.go
+++ b/internal/disp/coord/task.go
@@ -16,9 +16,9 @@
 	// placePause is the pause before a task that found no room is placed again;
 	// up to as much is added by chance.
 	placePause = 8 * time.Millisecond
-	// begunPatience is how long a task of a job that has begun may wait in a
-	// gate's queue before it is placed anew.
-	begunPatience = 250 * time.Millisecond
+	// queuePatience is how long a task may wait in the queue of a full gate
+	// before it is placed anew, since room may have come up elsewhere.
+	queuePatience = 60 * time.Millisecond
 )
 
 // runStep runs the tasks of one step once the steps before it are done.
@@ -111,18 +111,19 @@
 		ID: c.nextID.Add(1), Name: a.name, Job: p.ID, Service: p.Route.Service, Spec: p.Spec,
 		CPU: s.Size.CPU, Memory: s.Size.Memory, GPU: s.Size.GPU,
 		Expected: expected.Milliseconds(),
-		Patience: c.patience(p, allowance).Milliseconds(),
+		Patience: patience(choice).Milliseconds(),
 		Urgency:  p.Arrived.Add(allowance - expected).Milli(),
 		Failures: a.failures,
 	}, true
 }
 
-// patience returns how long a task may wait in a gate's queue.
-func (c *Coordinator) patience(p *progress, allowance time.Duration) time.Duration {
-	if p.begun() {
-		return begunPatience
+// patience returns how long a task may wait in the queue of the gate chosen. A
+// gate that is full against expectation hands it back at once with its load.
+func patience(choice pick.Choice) time.Duration {
+	if choice.Wait == 0 {
+		return 0
 	}
-	return max(0, allowance*waitShare/100-c.now().Sub(p.Arrived))
+	return queuePatience
 }
 
 // send has a gate run a task. A job that ends meanwhile has the task stopped.
@@ -170,7 +171,7 @@
 	for _, s := range p.Steps {
 		expected = max(expected, c.times.Expected(p.Route.Name, s.Declared))
 	}
-	if c.now().Sub(p.Arrived) < p.Route.Allowance(expected)*waitShare/100 {
+	if c.now().Sub(p.Arrived) < p.Route.Allowance(expected)*mostWait/100 {
 		return false
 	}
 	return p.refuse(Answer{State: Refused, Reason: reason, RetryAfter: retryAfter})
