Place a task that a full gate hands back anew at once

Cause: a hand-back brings the gate's load up to date, but the task then paused for 8 to 16 ms; with three entries it comes back often. Ruled out: gates that are all full, where it queues.

--- a/internal/disp/coord/task.go
+++ b/internal/disp/coord/task.go
@@ -16,6 +16,10 @@
 	// placePause is the pause before a task that found no room is placed again;
 	// up to as much is added by chance.
 	placePause = 8 * time.Millisecond
+	// freeBounces is how often a task that full gates hand back is placed anew
+	// before it pauses. Each hand-back brings that gate's load up to date.
+	freeBounces = 3
+	reasonFull  = "full" // a gate's reason for handing a task back
 	// queuePatience is how long a task may wait in the queue of a full gate
 	// before it is placed anew, since room may have come up elsewhere.
 	queuePatience = 60 * time.Millisecond
@@ -54,6 +58,7 @@
 	name     string
 	step     int
 	failures int
+	bounces  int             // how often a gate did not take it
 	avoid    map[string]bool // lives of targets that it has come back from
 }
 
@@ -64,7 +69,7 @@
 	for p.ctx.Err() == nil {
 		l, target, m, ok := c.place(p, s, a)
 		if !ok {
-			if c.giveUp(p, "full") {
+			if c.giveUp(p, reasonFull) {
 				return false
 			}
 			pause(p, placePause)
@@ -86,7 +91,10 @@
 			if c.giveUp(p, reply.Reason) {
 				return false
 			}
-			pause(p, placePause)
+			a.bounces++
+			if a.bounces%freeBounces == 0 || reply.Reason != reasonFull {
+				pause(p, placePause)
+			}
 		}
 	}
 	return false
@@ -155,7 +163,7 @@
 	if reason == "" {
 		reason = reply.Result.String()
 	}
-	a.avoid[target] = reason != "full"
+	a.avoid[target] = reason != reasonFull
 	c.count("retried." + reason)
 	p.mu.Lock()
 	p.retries++
