Refuse jobs that a stopping entry can't end

Cause: an entry that got SIGTERM took jobs on open connections up to its last moment, and the end of its grace cut them. Ruled out: work that was sent early and ran long. Now it takes none from 2.9 s after the signal on and says when to come back.

--- a/cmd/gypsumlanding/process.go
+++ b/cmd/gypsumlanding/process.go
@@ -34,6 +34,8 @@
 	// lameDuck is how long an entry that was told to stop goes on to take new
 	// connections, so that the balancer can turn to others.
 	lameDuck = 2500 * time.Millisecond
+	// takeJobs is how long it goes on to take jobs on connections that are open.
+	takeJobs = 2900 * time.Millisecond
 )
 
 // process is one role with its settings.
@@ -90,7 +92,7 @@
 		},
 		Drain: func(context.Context) {
 			close(leaving)
-			front.Leave()
+			front.Leave(boot.Now().Add(takeJobs))
 			p.drain(e.Coord.Running)
 		},
 	}.Run(ctx)
