Settle an order without an answer at once, and hold nothing against its target

Ruled out: want of capacity (128 jobs/s, as at 14 s when all were served). Now only what a target did to tasks counts against it, it takes two holds without an answer to call it silent, and a start without an answer is listed, barred and listed again within some 70 ms.

--- a/internal/disp/gate/apply.go
+++ b/internal/disp/gate/apply.go
@@ -42,7 +42,7 @@
 	g.clean = strangers == 0
 	for _, r := range g.runs {
 		if !listed[r.msg.Name] {
-			g.missing(r, l.Clock, now)
+			g.missing(r, l.Clock)
 		}
 	}
 }
@@ -98,16 +98,11 @@
 }
 
 // missing settles a run that a list at the target's time clock lacks.
-func (g *Gate) missing(r *run, clock int64, now boot.Time) {
+func (g *Gate) missing(r *run, clock int64) {
 	switch {
 	case r.phase == ordered && !r.settle:
 	case r.phase == ordered && (r.barred > 0 && clock > r.barred || clock > r.latest):
-		g.bad(r, "unanswered", now)
 		g.refuse(r, "unanswered")
-	case r.phase == ordered:
-		if now >= r.stopAt {
-			g.stopNow(r, now)
-		}
 	case r.phase == running && clock > r.since && (r.since > 0 || clock > r.latest):
 		g.count("target.vanished")
 		g.finish(r, msgs.Lost, "vanished")
--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -38,7 +38,8 @@
 	clock    targetClock
 	seen     int64 // number of the newest end that was taken in
 	acked    int64 // number of the newest end that the target was told of
-	silent   bool  // the last call left without an answer
+	misses   int   // holds without an answer, one after the other
+	silent   bool  // too many of them
 	leaseEnd boot.Time
 	runs     map[string]*run // by task: all that may run at the target
 	tasks    map[taskID]*run // by sender's ID, with results that are kept a while
--- a/internal/disp/gate/hold.go
+++ b/internal/disp/gate/hold.go
@@ -11,7 +11,8 @@
 
 const (
 	holdWait    = 150 * time.Millisecond // how long a hold waits for an end
-	holdTimeout = 150 * time.Millisecond // longest wait for the answer beyond that
+	holdTimeout = 100 * time.Millisecond // longest wait for the answer beyond that
+	mostMisses  = 2                      // holds without an answer, one after the other, that make a target silent
 	holdIdle    = time.Second            // between holds while nothing runs
 	holdPause   = 10 * time.Millisecond  // after a hold that failed or did not wait
 	tickEvery   = 25 * time.Millisecond
@@ -39,7 +40,7 @@
 	}
 	g.gone("reborn")
 	g.life, g.known = l, true
-	g.clean, g.silent = false, false
+	g.clean, g.silent, g.misses = false, false, 0
 	g.clock, g.seen, g.acked = targetClock{}, 0, 0
 	g.trust, g.speed = trustFresh, speed{}
 	if g.fence == 0 {
@@ -120,16 +121,16 @@
 	if g.clock.set && !g.silent && len(g.runs) > 0 {
 		renewal.Deadline = g.deadline(now)
 	}
-	if len(g.runs) > 0 && !g.unsettled() && !g.silent && g.clean {
+	if len(g.runs) > 0 && !g.stoppingRun() && g.misses == 0 && g.clean {
 		renewal.Wait = holdWait.Milliseconds()
 	}
 	return g.life, renewal, 0
 }
 
-// unsettled tells whether the next list is wanted at once.
-func (g *Gate) unsettled() bool {
+// stoppingRun tells whether the end of a run that was stopped is awaited.
+func (g *Gate) stoppingRun() bool {
 	for _, r := range g.runs {
-		if r.settle || r.barred > 0 {
+		if r.barred > 0 {
 			return true
 		}
 	}
@@ -162,7 +163,7 @@
 		if g.silent {
 			g.event("target_answers", "target", life.ID)
 		}
-		g.silent = false
+		g.silent, g.misses = false, 0
 		g.acked = max(g.acked, renewal.Seen)
 		g.apply(l, now)
 		g.startQueued()
@@ -172,6 +173,11 @@
 	case errors.Is(err, ErrReborn):
 		g.gone("reborn")
 	default:
+		g.misses++
+		g.count("target.missed")
+		if g.misses < mostMisses {
+			return false
+		}
 		if !g.silent {
 			g.event("target_silent", "target", life.ID, "err", err)
 		}
--- a/internal/disp/gate/order.go
+++ b/internal/disp/gate/order.go
@@ -10,10 +10,12 @@
 )
 
 const (
-	callTimeout = 150 * time.Millisecond // longest wait for the answer to a start or stop
-	stopEvery   = 60 * time.Millisecond  // between two attempts to stop a run
-	maxOrders   = 8                      // starts of a run that the target refuses for its number, token or deadline
-	runStep     = 4                      // raise of a run's number that the target finds old
+	callTimeout = 60 * time.Millisecond // longest wait for the answer to a start or stop
+	stopEvery   = 60 * time.Millisecond // between two attempts to stop a run
+	maxOrders   = 8                     // starts of a run that the target refuses for its number, token or deadline
+	runStep     = 4                     // raise of a run's number that the target finds old
+	settleTries = 8                     // to find out what became of a start without an answer
+	settlePause = 5 * time.Millisecond  // between them
 )
 
 // order starts r at the target. It holds no lock while it calls.
@@ -27,6 +29,9 @@
 		clock, err := g.Start(ctx, life, o)
 		cancel()
 		if g.started(r, life, clock, err) {
+			if errors.Is(err, ErrUnanswered) {
+				g.settle(r)
+			}
 			return
 		}
 	}
@@ -88,7 +93,6 @@
 	case errors.Is(err, ErrUnanswered):
 		g.count("target.unanswered")
 		r.settle = true
-		g.nudge()
 	case errors.Is(err, ErrReborn):
 		g.gone("reborn")
 	case errors.Is(err, ErrUnhealthy):
@@ -104,6 +108,36 @@
 	return true
 }
 
+// settle finds out what became of a start without an answer: the run is listed,
+// or it is barred by a stop and then not listed. Should neither be told in time,
+// the run is settled once its deadline has passed on the target's clock.
+func (g *Gate) settle(r *run) {
+	for range settleTries {
+		if g.look(r) {
+			return
+		}
+		g.stop(r)
+		sleep(context.Background(), settlePause)
+	}
+}
+
+// look has the target list its runs at once, and reports whether r is settled.
+func (g *Gate) look(r *run) bool {
+	g.mu.Lock()
+	life, renewal := g.life, Renewal{Fence: g.fence, Seen: g.seen}
+	g.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	l, err := g.Hold(ctx, life, renewal)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err == nil && g.known && life.same(g.life) {
+		g.apply(l, g.now())
+		g.startQueued()
+	}
+	return !r.settle || r.phase != ordered
+}
+
 // refuse gives up a run that has never started.
 func (g *Gate) refuse(r *run, reason string) { g.finish(r, msgs.Refused, reason) }
 
@@ -121,14 +155,18 @@
 // stopNow orders the target to stop r, now and again until its end is listed.
 func (g *Gate) stopNow(r *run, now boot.Time) {
 	r.stopAt = now.Add(stopEvery)
-	life := g.life
-	o := Order{Task: r.msg.Name, Run: r.number, Fence: g.fence}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-		defer cancel()
-		clock, err := g.Stop(ctx, life, o)
-		g.stopped(r, life, clock, err)
-	}()
+	go g.stop(r)
+}
+
+// stop orders the target to stop r once.
+func (g *Gate) stop(r *run) {
+	g.mu.Lock()
+	life, o := g.life, Order{Task: r.msg.Name, Run: r.number, Fence: g.fence}
+	g.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	clock, err := g.Stop(ctx, life, o)
+	g.stopped(r, life, clock, err)
 }
 
 // stopped takes in the answer to a stop.
