Keep a second hold open while answers get lost

Ruled out: want of room (61% of the fleet's cores asked for) and targets set aside (2). For 3 s after a miss two holds are open and wait for 60 ms at most.

--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -29,25 +29,26 @@
 	// Count counts by reason; nil drops it.
 	Count func(name string)
 
-	mu       sync.Mutex
-	life     Life
-	known    bool // life is set
-	stopping bool // this process is stopping
-	clean    bool // nothing unknown runs at the target
-	fence    int64
-	clock    targetClock
-	seen     int64 // number of the newest end that was taken in
-	acked    int64 // number of the newest end that the target was told of
-	misses   int   // holds without an answer, one after the other
-	silent   bool  // too many of them
-	leaseEnd boot.Time
-	runs     map[string]*run // by task: all that may run at the target
-	tasks    map[taskID]*run // by sender's ID, with results that are kept a while
-	queue    []*run
-	senders  map[string]*sender
-	trust    trust.Record
-	speed    speed
-	wake     chan struct{}
+	mu         sync.Mutex
+	life       Life
+	known      bool // life is set
+	stopping   bool // this process is stopping
+	clean      bool // nothing unknown runs at the target
+	fence      int64
+	clock      targetClock
+	seen       int64     // number of the newest end that was taken in
+	acked      int64     // number of the newest end that the target was told of
+	misses     int       // holds without an answer, one after the other
+	silent     bool      // too many of them
+	hedgeUntil boot.Time // until when a second hold is kept open
+	leaseEnd   boot.Time
+	runs       map[string]*run // by task: all that may run at the target
+	tasks      map[taskID]*run // by sender's ID, with results that are kept a while
+	queue      []*run
+	senders    map[string]*sender
+	trust      trust.Record
+	speed      speed
+	wake       chan struct{}
 }
 
 // taskID names a task as its sender does.
@@ -96,6 +97,7 @@
 // Run calls the target until ctx ends.
 func (g *Gate) Run(ctx context.Context) {
 	go g.tick(ctx)
+	go g.hedgeLoop(ctx)
 	g.holdLoop(ctx)
 }
 
--- a/internal/disp/gate/hold.go
+++ b/internal/disp/gate/hold.go
@@ -12,6 +12,9 @@
 const (
 	holdWait    = 150 * time.Millisecond // how long a hold waits for an end
 	holdTimeout = 100 * time.Millisecond // longest wait for the answer beyond that
+	hedgeFor    = 3 * time.Second        // how long a second hold is kept open after one had no answer
+	hedgeWait   = 60 * time.Millisecond  // how long holds wait meanwhile
+	hedgePause  = 100 * time.Millisecond // between looks at whether a second hold is wanted
 	mostMisses  = 2                      // holds without an answer, one after the other, that make a target silent
 	holdIdle    = time.Second            // between holds while nothing runs
 	holdPause   = 10 * time.Millisecond  // after a hold that failed or did not wait
@@ -87,24 +90,47 @@
 	g.known, g.clean = false, false
 }
 
-// holdLoop renews the target's lease and takes in its lists until ctx ends.
-func (g *Gate) holdLoop(ctx context.Context) {
+// hedgeLoop keeps a second hold open while answers get lost, so that the ends of
+// runs are known in time.
+func (g *Gate) hedgeLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		life, renewal, pause := g.plan()
-		if pause > 0 {
-			g.await(ctx, pause)
+		if !g.hedging() {
+			sleep(ctx, hedgePause)
 			continue
 		}
-		wait := time.Duration(renewal.Wait)*time.Millisecond + holdTimeout
-		call, cancel := context.WithTimeout(ctx, wait)
-		l, err := g.Hold(call, life, renewal)
-		cancel()
-		if !g.held(life, renewal, l, err) || renewal.Wait == 0 {
-			sleep(ctx, holdPause)
-		}
+		g.holdOnce(ctx)
+	}
+}
+
+// holdLoop renews the target's lease and takes in its lists until ctx ends.
+func (g *Gate) holdLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		g.holdOnce(ctx)
 	}
 }
 
+// holdOnce makes the next hold, or waits for something to do.
+func (g *Gate) holdOnce(ctx context.Context) {
+	life, renewal, pause := g.plan()
+	if pause > 0 {
+		g.await(ctx, pause)
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, time.Duration(renewal.Wait)*time.Millisecond+holdTimeout)
+	l, err := g.Hold(call, life, renewal)
+	cancel()
+	if !g.held(life, renewal, l, err) || renewal.Wait == 0 {
+		sleep(ctx, holdPause)
+	}
+}
+
+// hedging tells whether a second hold is wanted.
+func (g *Gate) hedging() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.runs) > 0 && g.now() < g.hedgeUntil
+}
+
 // plan returns the next hold, or how long to wait for something to do.
 func (g *Gate) plan() (Life, Renewal, time.Duration) {
 	g.mu.Lock()
@@ -123,6 +149,9 @@
 	}
 	if len(g.runs) > 0 && !g.stoppingRun() && g.misses == 0 && g.clean {
 		renewal.Wait = holdWait.Milliseconds()
+		if now < g.hedgeUntil {
+			renewal.Wait = hedgeWait.Milliseconds()
+		}
 	}
 	return g.life, renewal, 0
 }
@@ -174,6 +203,7 @@
 		g.gone("reborn")
 	default:
 		g.misses++
+		g.hedgeUntil = now.Add(hedgeFor)
 		g.count("target.missed")
 		if g.misses < mostMisses {
 			return false
--- a/internal/disp/gate/order.go
+++ b/internal/disp/gate/order.go
@@ -92,6 +92,7 @@
 		return false
 	case errors.Is(err, ErrUnanswered):
 		g.count("target.unanswered")
+		g.hedgeUntil = now.Add(hedgeFor)
 		r.settle = true
 	case errors.Is(err, ErrReborn):
 		g.gone("reborn")
