Make the last room of a target cost

Cause: every task went to the fastest target with room, so at 60 to 80% load short tasks held fast targets while long ones waited or ran late on targets of speed 0.55, where the short ones would have been in time. Ruled out: want of room. The cost of a target now rises with the third power of what is used, to 80 ms, more than a short task gains by speed and less than a long one does.

--- a/internal/disp/pick/pick.go
+++ b/internal/disp/pick/pick.go
@@ -9,9 +9,10 @@
 const (
 	// turnover is how long a running task takes on average to make room.
 	turnover = 200 * time.Millisecond
-	// crowding is what a wholly used target costs against an empty one, so that
-	// equal targets are filled evenly.
-	crowding = 4 * time.Millisecond
+	// crowding is what the last room of a target costs. The cost rises with the
+	// third power of what is used, so equal targets are filled evenly, and short
+	// tasks leave the last room of fast targets to long ones, which gain more.
+	crowding = 80 * time.Millisecond
 	// slowest is the least speed that is reckoned with.
 	slowest = 0.02
 	// mostAside is the share of gates, in percent, that may be set aside before
@@ -80,7 +81,8 @@
 }
 
 func (g Gate) crowded() time.Duration {
-	return time.Duration(float64(crowding) * float64(g.Used.CPU) / float64(max(g.Capacity.CPU, 1)))
+	used := float64(g.Used.CPU) / float64(max(g.Capacity.CPU, 1))
+	return time.Duration(float64(crowding) * used * used * used)
 }
 
 // rank orders gates before their costs are compared.
