--- a/internal/disp/coord/admit.go
+++ b/internal/disp/coord/admit.go
@@ -57,12 +57,13 @@
 
 // admit decides whether a job is taken: not if no target could ever run one of
 // its tasks, and not if the first steps would wait for room so long that the
-// answer would be late.
+// answer would be late. An entry that has no gates yet takes it, since they
+// answer within moments of its start.
 func (c *Coordinator) admit(p *progress) Answer {
 	for _, s := range p.Steps {
 		f := c.survey(p.Route.Service, s)
 		if len(f.gates) == 0 {
-			return Answer{State: Refused, Reason: "nogates", RetryAfter: retryAfter}
+			continue
 		}
 		wait, fits := f.wait(s, c.times.Expected(p.Route.Name, s.Declared))
 		if !fits {
--- a/internal/disp/coord/task.go
+++ b/internal/disp/coord/task.go
@@ -69,7 +69,7 @@
 	for p.ctx.Err() == nil {
 		l, target, m, ok := c.place(p, s, a)
 		if !ok {
-			if c.giveUp(p, reasonFull) {
+			if c.giveUp(p, "nogates") {
 				return false
 			}
 			pause(p, placePause)
