--- a/cmd/gypsumlanding/main.go
+++ b/cmd/gypsumlanding/main.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -17,8 +18,6 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/daem/stats"
 	"github.com/gypsumlanding/gypsumlanding/platform"
 	"github.com/peterbourgon/ff/v3"
-
-	"flag"
 )
 
 const (
@@ -27,6 +26,10 @@
 	// heapShare is the part of a process's memory, in percent, that the garbage
 	// collector keeps the heap under.
 	heapShare = 60
+	// heapGrowth is the growth of the heap, in percent, at which garbage is
+	// collected. Heaps are a few MB, and memory costs more than the processor
+	// time of collecting it.
+	heapGrowth = 40
 )
 
 const usage = `usage: gypsumlanding entry|node [-settings FILE] [-check]
@@ -57,6 +60,7 @@
 		_, _ = fmt.Fprintln(out, "settings are valid")
 		return life.ExitOK
 	}
+	debug.SetGCPercent(heapGrowth)
 	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * heapShare / 100)
 	p := process{cfg: cfg, path: *path, role: role, life: rand.Uint64(), log: logs.New(out, "gypsumlanding", cfg.Name), counters: &stats.Set{}}
 	return life.Exit(p.serve(context.Background()), errOut)
