Try a target again that was set aside

Cause: letting a task through as a trial moved the time of the next trial ahead, and the order of that same task then found the target set aside and was refused; no target ever came back. Ruled out: leaked room (used was 0) and lists that lag (no misses). Now only the start of further tasks asks for trust, an order under way does not, and silence, which ends by itself, is no evidence. TestGateTriesTargetAgain fails without it. Gates log their load each 5 s, which is what told. Tests of the gate with a target that judges it are new.

--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -48,6 +48,7 @@
 	senders    map[string]*sender
 	trust      trust.Record
 	speed      speed
+	reportAt   boot.Time // when to log the load next
 	wake       chan struct{}
 }
 
@@ -233,9 +234,14 @@
 	}
 }
 
-// usable tells whether starts may be ordered at now.
+// usable tells whether further tasks may be started at now.
 func (g *Gate) usable(now boot.Time) bool {
-	return g.known && g.clean && !g.silent && !g.life.Leaving && g.clock.set && g.trust.Aside(now) == ""
+	return g.reachable() && g.trust.Aside(now) == ""
+}
+
+// reachable tells whether orders can be given to the target.
+func (g *Gate) reachable() bool {
+	return g.known && g.clean && !g.silent && !g.life.Leaving && g.clock.set
 }
 
 // used returns the room that is taken.
--- /dev/null
+++ b/internal/disp/gate/gate_test.go
@@ -0,0 +1,278 @@
+package gate
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
+)
+
+func TestGateRunsTask(t *testing.T) {
+	o := open(t, newFake(1000))
+	if reply := o.take(o.task("a", 500)); reply.Result != msgs.Done {
+		t.Errorf("got %v %q", reply.Result, reply.Reason)
+	}
+	o.target.check(t)
+}
+
+func TestGateKeepsRoom(t *testing.T) {
+	o := open(t, newFake(1000))
+	var wg sync.WaitGroup
+	for i := range 40 {
+		m := o.task(fmt.Sprintf("t%d", i), 300)
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if reply := o.take(m); reply.Result != msgs.Done {
+				t.Errorf("got %v %q", reply.Result, reply.Reason)
+			}
+		}()
+	}
+	wg.Wait()
+	o.target.check(t)
+}
+
+func TestGateRefusesWhatItCantRun(t *testing.T) {
+	o := open(t, newFake(1000))
+	full := o.task("full", 1000)
+	full.Patience = 0
+	o.target.set(func(f *fakeTarget) { f.stuck = true })
+	go o.take(o.task("busy", 900))
+	o.until("a task runs", func() bool { return o.sync().UsedCPU == 900 })
+	other := o.task("other", 10)
+	other.Service = "else"
+	late := o.task("late", 10)
+	late.Sender.Entry, late.Echo = "late", 1
+	for want, m := range map[string]msgs.Task{
+		"size": o.task("wide", 1001), "full": full, "service": other, "twin": o.task("busy", 10), "expired": late,
+	} {
+		if reply := o.take(m); reply.Result != msgs.Refused || reply.Reason != want {
+			t.Errorf("got %v %q, want refused %q", reply.Result, reply.Reason, want)
+		}
+	}
+	o.sync(1, 2, 3, 4, 5, 6, 7)
+}
+
+func TestGateRefusesOtherLife(t *testing.T) {
+	o := open(t, newFake(1000))
+	m := o.task("a", 10)
+	m.GateLife = 8
+	if reply := o.take(m); reply.Result != msgs.Stranger {
+		t.Errorf("got %v", reply.Result)
+	}
+}
+
+func TestGateAnswersRepeatedTaskOnce(t *testing.T) {
+	o := open(t, newFake(1000))
+	m := o.task("a", 10)
+	first, again := o.take(m), o.take(m)
+	if first.Result != msgs.Done || again.Result != msgs.Done {
+		t.Errorf("got %v, %v", first.Result, again.Result)
+	}
+	o.target.set(func(f *fakeTarget) {
+		if f.startCalls != 1 {
+			t.Errorf("%d starts", f.startCalls)
+		}
+	})
+}
+
+func TestGateSettlesStartWhoseAnswerIsLost(t *testing.T) {
+	f := newFake(1000)
+	f.loseStarts = 1
+	o := open(t, f)
+	if reply := o.take(o.task("a", 10)); reply.Result != msgs.Done {
+		t.Errorf("got %v %q", reply.Result, reply.Reason)
+	}
+	f.check(t)
+}
+
+// A start that is carried out seconds late must do nothing.
+func TestGateBarsStartThatComesLate(t *testing.T) {
+	f := newFake(1000)
+	f.skipStarts = 1
+	o := open(t, f)
+	if reply := o.take(o.task("a", 10)); reply.Result != msgs.Refused || reply.Reason != "unanswered" {
+		t.Fatalf("got %v %q", reply.Result, reply.Reason)
+	}
+	f.carryOutLate()
+	f.set(func(f *fakeTarget) {
+		if len(f.runs) != 0 {
+			t.Error("a barred start was carried out")
+		}
+	})
+	if o.sync().Aside != "" {
+		t.Error("one order without an answer set the target aside")
+	}
+}
+
+func TestGateStopsWhatIsCancelled(t *testing.T) {
+	f := newFake(1000)
+	f.stuck = true
+	o := open(t, f)
+	m := o.task("a", 10)
+	replies := make(chan msgs.TaskReply, 1)
+	go func() { replies <- o.Take(context.Background(), m) }()
+	o.until("it runs", func() bool { return o.sync().UsedCPU == 10 })
+	o.until("it is stopped", func() bool { return o.sync(m.ID).UsedCPU == 0 })
+	if reply := <-replies; reply.Result == msgs.Done || reply.Reason != "cancelled" {
+		t.Errorf("got %v %q", reply.Result, reply.Reason)
+	}
+}
+
+// An entry that falls silent loses its tasks within Authority and a little.
+func TestGateStopsTasksOfSilentEntry(t *testing.T) {
+	f := newFake(1000)
+	f.stuck = true
+	o := open(t, f)
+	m := o.task("a", 10)
+	begin := time.Now()
+	reply := o.Take(context.Background(), m)
+	if reply.Result != msgs.Lost || reply.Reason != "expired" {
+		t.Errorf("got %v %q", reply.Result, reply.Reason)
+	}
+	if took := time.Since(begin); took < Authority {
+		t.Errorf("gave it up after %v", took)
+	}
+}
+
+func TestGateEndsTasksOfEntryThatStartedAgain(t *testing.T) {
+	f := newFake(1000)
+	f.stuck = true
+	o := open(t, f)
+	replies := make(chan msgs.TaskReply, 1)
+	m := o.task("a", 10)
+	go func() { replies <- o.Take(context.Background(), m) }()
+	o.until("it runs", func() bool { return o.sync().UsedCPU == 10 })
+	o.Sync(msgs.Sync{Sender: msgs.Sender{Entry: "e", Life: 2, GateLife: 7, Echo: o.sync().Stamp}})
+	if reply := <-replies; reply.Result != msgs.Lost || reply.Reason != "expired" {
+		t.Errorf("got %v %q", reply.Result, reply.Reason)
+	}
+}
+
+// A target that was set aside was never tried again, since the trial itself made
+// it look set aside to its order.
+func TestGateTriesTargetAgain(t *testing.T) {
+	f := newFake(1000)
+	f.fail = true
+	o := open(t, f)
+	for i := range 2 {
+		if reply := o.take(o.task(fmt.Sprintf("bad%d", i), 10)); reply.Result != msgs.Failed {
+			t.Fatalf("got %v %q", reply.Result, reply.Reason)
+		}
+	}
+	if reply := o.take(o.task("kept off", 10)); reply.Result != msgs.Refused || reply.Reason != "aside" {
+		t.Fatalf("got %v %q", reply.Result, reply.Reason)
+	}
+	f.set(func(f *fakeTarget) { f.fail = false })
+	i := 0
+	o.until("it runs tasks again", func() bool {
+		i++
+		return o.take(o.task(fmt.Sprintf("try%d", i), 10)).Result == msgs.Done
+	})
+	if aside := o.sync().Aside; aside != "" {
+		t.Errorf("set aside as %q after a success", aside)
+	}
+}
+
+func TestGateGivesUpTasksOfSilentTarget(t *testing.T) {
+	f := newFake(1000)
+	f.stuck = true
+	o := open(t, f)
+	replies := make(chan msgs.TaskReply, 1)
+	m := o.task("a", 10)
+	go func() { replies <- o.take(m) }()
+	o.until("it runs", func() bool { return o.sync().UsedCPU == 10 })
+	f.set(func(f *fakeTarget) { f.mute = true })
+	if reply := <-replies; reply.Result != msgs.Lost || reply.Reason != "silent" {
+		t.Errorf("got %v %q", reply.Result, reply.Reason)
+	}
+	f.set(func(f *fakeTarget) {
+		f.mute, f.stuck = false, false
+		if f.clock() <= f.until {
+			t.Error("given up before its lease had run out")
+		}
+	})
+	o.until("the target is used again", func() bool { return o.sync().Aside == "" })
+	if reply := o.take(o.task("b", 10)); reply.Result != msgs.Done {
+		t.Errorf("got %v %q", reply.Result, reply.Reason)
+	}
+}
+
+func TestGateMovesToNewLife(t *testing.T) {
+	f := newFake(1000)
+	f.stuck = true
+	o := open(t, f)
+	replies := make(chan msgs.TaskReply, 1)
+	m := o.task("a", 10)
+	go func() { replies <- o.take(m) }()
+	o.until("it runs", func() bool { return o.sync().UsedCPU == 10 })
+	old := f.life
+	f.set(func(f *fakeTarget) {
+		f.life.ID, f.life.Born = "i-2", 2
+		f.runs, f.last, f.ended, f.fence, f.until, f.stuck = map[string]fakeRun{}, map[string]int{}, nil, 0, 0, false
+	})
+	o.Announced(f.life)
+	if reply := <-replies; reply.Result != msgs.Lost || reply.Reason != "reborn" {
+		t.Errorf("got %v %q", reply.Result, reply.Reason)
+	}
+	if o.Announced(old) {
+		t.Error("a late heartbeat brought a former life back")
+	}
+	o.until("the new life is used", func() bool { return o.sync().Aside == "" })
+	if reply := o.take(o.task("b", 10)); reply.Result != msgs.Done {
+		t.Errorf("got %v %q", reply.Result, reply.Reason)
+	}
+}
+
+// What a former process started is stopped before anything else starts.
+func TestGateStopsStrangersFirst(t *testing.T) {
+	f := newFake(1000)
+	f.runs["old"] = fakeRun{number: 3, ends: time.Now().Add(time.Hour)}
+	f.fence = time.Now().Add(time.Hour).UnixMilli() // its clock was ahead
+	o := open(t, f)
+	f.set(func(f *fakeTarget) {
+		if len(f.runs) != 0 {
+			t.Error("a stranger runs on")
+		}
+	})
+	if reply := o.take(o.task("a", 10)); reply.Result != msgs.Done {
+		t.Errorf("got %v %q", reply.Result, reply.Reason)
+	}
+}
+
+func TestGateLeavesWithItsTarget(t *testing.T) {
+	o := open(t, newFake(1000))
+	leaving := o.target.life
+	leaving.Leaving = true
+	o.Announced(leaving)
+	if reply := o.take(o.task("a", 10)); reply.Result != msgs.Refused || reply.Reason != "leaving" {
+		t.Errorf("got %v %q", reply.Result, reply.Reason)
+	}
+	o.Announced(o.target.life)
+	if !o.sync().Leaving {
+		t.Error("a late heartbeat took the leaving back")
+	}
+}
+
+func TestGateRaisesRunOfTaskSeenBefore(t *testing.T) {
+	f := newFake(1000)
+	f.last["a"] = 6
+	o := open(t, f)
+	if reply := o.take(o.task("a", 10)); reply.Result != msgs.Done {
+		t.Errorf("got %v %q", reply.Result, reply.Reason)
+	}
+}
+
+func TestGateStopsTaskThatStandsStill(t *testing.T) {
+	f := newFake(1000)
+	f.stuck = true
+	o := open(t, f)
+	m := o.task("a", 10)
+	m.Expected = 20
+	if reply := o.take(m); reply.Result != msgs.Lost || reply.Reason != "stuck" {
+		t.Errorf("got %v %q", reply.Result, reply.Reason)
+	}
+}
--- a/internal/disp/gate/hold.go
+++ b/internal/disp/gate/hold.go
@@ -21,6 +21,7 @@
 	tickEvery   = 25 * time.Millisecond
 	tickIdle    = 100 * time.Millisecond // while there are no tasks
 	keepResults = 5 * time.Second        // how long results are kept for a sender that asks again
+	reportEvery = 5 * time.Second        // between lines that tell the load
 )
 
 // Announced takes in what the target said of itself. It reports whether the
@@ -223,7 +224,6 @@
 		return
 	}
 	for _, r := range g.runs {
-		g.bad(r, "silent", now)
 		g.finish(r, msgs.Lost, "silent")
 	}
 }
@@ -244,10 +244,22 @@
 		g.forget(now)
 		g.watch(now)
 		g.startQueued()
+		g.report(now)
 		g.mu.Unlock()
 	}
 }
 
+// report logs the load now and then.
+func (g *Gate) report(now boot.Time) {
+	if now < g.reportAt || !g.known {
+		return
+	}
+	g.reportAt = now.Add(reportEvery)
+	l := g.load()
+	g.event("load", "target", l.Target, "cpu", l.CPU, "used", l.UsedCPU, "running", len(g.runs),
+		"queued", len(g.queue), "speed", int(100*l.Speed), "aside", l.Aside, "clean", g.clean, "misses", g.misses)
+}
+
 // leaveQueue hands back what has waited for as long as its sender lets it.
 func (g *Gate) leaveQueue(now boot.Time) {
 	kept := g.queue[:0:0]
--- a/internal/disp/gate/order.go
+++ b/internal/disp/gate/order.go
@@ -54,7 +54,7 @@
 	case !g.lives(r.msg.Sender):
 		g.refuse(r, "expired")
 		return Life{}, Order{}, false
-	case !g.usable(now):
+	case !g.reachable():
 		g.refuse(r, "silent")
 		return Life{}, Order{}, false
 	}
