Test the decisions and the adapter of the platform path

Found while writing them: two tasks of a step could be placed on one target at the same moment beyond its most per target; the place is now reserved before a task is sent.

--- a/internal/disp/coord/job.go
+++ b/internal/disp/coord/job.go
@@ -62,17 +62,17 @@
 	cancel context.CancelFunc
 	steps  []chan struct{} // closed when the step is done
 
-	mu      sync.Mutex
-	flying  int  // tasks that are at a gate
-	started bool // a task has started, or may have
-	left    int  // tasks that are not done
-	answer  *Answer
-	retries int
-	perGate map[string]int // tasks at a gate, by step and gate
+	mu        sync.Mutex
+	flying    int  // tasks that are at a gate
+	started   bool // a task has started, or may have
+	left      int  // tasks that are not done
+	answer    *Answer
+	retries   int
+	perTarget map[string]int // tasks at a target, by step and target
 }
 
 func newProgress(ctx context.Context, j Job) *progress {
-	p := &progress{Job: j, perGate: map[string]int{}}
+	p := &progress{Job: j, perTarget: map[string]int{}}
 	p.ctx, p.cancel = context.WithCancel(ctx)
 	for _, s := range j.Steps {
 		p.left += s.Count
@@ -154,10 +154,28 @@
 	return Waiting
 }
 
-// count adds n to the number of tasks of a step at a gate, and returns it.
-func (p *progress) count(key string, n int) int {
+// mayAdd tells whether a step has fewer than most tasks at a target; 0 stands
+// for any number.
+func (p *progress) mayAdd(key string, most int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.perGate[key] += n
-	return p.perGate[key]
+	return most == 0 || p.perTarget[key] < most
+}
+
+// reserve counts a task of a step at a target unless there are most already.
+func (p *progress) reserve(key string, most int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if most > 0 && p.perTarget[key] >= most {
+		return false
+	}
+	p.perTarget[key]++
+	return true
+}
+
+// release takes back what reserve counted.
+func (p *progress) release(key string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.perTarget[key]--
 }
--- a/internal/disp/coord/task.go
+++ b/internal/disp/coord/task.go
@@ -75,7 +75,11 @@
 			pause(p, placePause)
 			continue
 		}
-		reply := c.send(p, stepKey(step, target), l, m)
+		if !p.reserve(stepKey(step, target), s.PerTarget) {
+			continue
+		}
+		reply := c.send(p, l, m)
+		p.release(stepKey(step, target))
 		c.retried(p, a, target, reply)
 		switch reply.Result {
 		case msgs.Done:
@@ -105,7 +109,7 @@
 	f := c.survey(p.Route.Service, s)
 	for i := range f.gates {
 		f.gates[i].Avoid = a.avoid[f.names[i]]
-		if s.PerTarget > 0 && p.count(stepKey(a.step, f.names[i]), 0) >= s.PerTarget {
+		if !p.mayAdd(stepKey(a.step, f.names[i]), s.PerTarget) {
 			f.gates[i].Capacity.CPU = -1
 		}
 	}
@@ -135,12 +139,10 @@
 }
 
 // send has a gate run a task. A job that ends meanwhile has the task stopped.
-func (c *Coordinator) send(p *progress, key string, l *link.Link, m msgs.Task) msgs.TaskReply {
+func (c *Coordinator) send(p *progress, l *link.Link, m msgs.Task) msgs.TaskReply {
 	if !p.depart() {
 		return msgs.TaskReply{Result: msgs.Refused, Reason: "ended"}
 	}
-	p.count(key, 1)
-	defer p.count(key, -1)
 	replies := make(chan msgs.TaskReply, 1)
 	go func() { replies <- l.Do(context.Background(), m) }()
 	select {
--- a/internal/disp/gate/gate_test.go
+++ b/internal/disp/gate/gate_test.go
@@ -45,7 +45,7 @@
 	other := o.task("other", 10)
 	other.Service = "else"
 	late := o.task("late", 10)
-	late.Sender.Entry, late.Echo = "late", 1
+	late.Entry, late.Echo = "late", 1
 	for want, m := range map[string]msgs.Task{
 		"size": o.task("wide", 1001), "full": full, "service": other, "twin": o.task("busy", 10), "expired": late,
 	} {
--- a/internal/wire/msgs/msgs_test.go
+++ b/internal/wire/msgs/msgs_test.go
@@ -24,6 +24,10 @@
 		Key: key, Hold: time.UnixMilli(1_700_000_010_000),
 		Outcome: ledger.Outcome{State: ledger.Answered, Answers: [][]byte{[]byte("a"), []byte("b")}},
 	}
+	load := Load{
+		Life: 1, Stamp: 2, Service: "s", Target: "t", Labels: []string{"l"}, CPU: 3, Memory: 4, GPU: 5,
+		UsedCPU: 6, UsedMem: 7, UsedGPU: 8, Queued: 9, Speed: 1.5, Aside: "a", Leaving: true,
+	}
 	return []any{
 		&Run{Key: "k", Entry: "e", Service: "s", Epoch: 1, Catalog: 2, Deadline: 3, Left: 4, Look: true, Tasks: [][]byte{[]byte("x")}},
 		&RunReply{State: 1, Reason: "r", Moved: true, Untaken: true, Epoch: 2, Answers: [][]byte{[]byte("x")}},
@@ -43,6 +47,18 @@
 		}},
 		&Settle{Epoch: 1, Key: "k", Hold: 2, State: 3, Reason: "r", Answers: [][]byte{[]byte("x")}},
 		&Empty{},
+		&Task{
+			Sender: Sender{Entry: "e", Life: 1, GateLife: 2, Echo: 3}, ID: 4, Name: "n", Job: "j", Service: "s", Spec: "x",
+			CPU: 5, Memory: 6, GPU: 7, Expected: 8, Patience: 9, Urgency: 10, Failures: 11,
+		},
+		&TaskReply{Result: Failed, Reason: "r", Ran: 1, Load: load},
+		&Sync{Sender: Sender{Entry: "e", Life: 1, GateLife: 2, Echo: 3}, Cancel: []uint64{4, 5}},
+		&load,
+		&Hello{Addr: "a"},
+		&Gossip{Entry: "e", Members: []string{"m"}, Version: 1},
+		&GossipReply{Members: []string{"m"}, Version: 1, Config: []byte("c"), Pending: []string{"r"}, Counts: []int64{2}},
+		&Lookup{Job: "j", Cancel: true},
+		&LookupReply{State: "s"},
 	}
 }
 
