Play the platform path against stand-ins of our own

A table store, targets that judge what they are told, an operator and callers that ask again, each process at a loopback address of its own: eight scenarios with kills, freezes, lost orders, failing, crashing and leaving targets, a roll of processes and a store that is down, and the same path in make demo.

--- a/cmd/gypdemo/main.go
+++ b/cmd/gypdemo/main.go
@@ -1,6 +1,7 @@
 // Command gypdemo runs the whole path on loopback: stand-ins, entries and nodes
-// as processes, and a load of jobs through all entries. Its last line is one
-// JSON object with what callers got and targets saw.
+// as processes, and a load of jobs through all entries. It prints a JSON object
+// of what callers got and targets saw on the users' platform, and in its last
+// line one of the same through the product's own interface.
 package main
 
 import (
@@ -33,6 +34,9 @@
 	logs := flag.String("logs", "", "`folder` to keep the logs in; none keeps none")
 	flag.Parse()
 	os.Exit(life.Exit(inFolder(*logs, func(dir string) error {
+		if err := runPlatform(dir); err != nil {
+			return err
+		}
 		return run(context.Background(), dir, *rate, *seed)
 	}), os.Stderr))
 }
--- a/internal/stand/fleet/fleet.go
+++ b/internal/stand/fleet/fleet.go
@@ -111,7 +111,7 @@
 	if err != nil {
 		return err
 	}
-	p, err := startProc(f.dir, name, filepath.Join(f.bin, program), args...)
+	p, err := StartProc(f.dir, name, filepath.Join(f.bin, program), args...)
 	if err != nil {
 		return err
 	}
--- a/internal/stand/fleet/port.go
+++ b/internal/stand/fleet/port.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net"
 	"os"
+	"strconv"
+	"strings"
 	"sync/atomic"
 )
 
@@ -33,3 +35,13 @@
 	}
 	panic("fleet: no free port")
 }
+
+// FreePort returns a port of the loopback address that nothing listens on.
+func FreePort() int {
+	_, text, _ := strings.Cut(freeAddr(), ":")
+	port, err := strconv.Atoi(text)
+	if err != nil {
+		panic(err)
+	}
+	return port
+}
--- a/internal/stand/fleet/proc.go
+++ b/internal/stand/fleet/proc.go
@@ -17,8 +17,8 @@
 	err  error
 }
 
-// startProc runs a program with its output in dir.
-func startProc(dir, name, program string, args ...string) (*Proc, error) {
+// StartProc runs a program with its output in dir.
+func StartProc(dir, name, program string, args ...string) (*Proc, error) {
 	log, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/stand/yard/yard.go
@@ -0,0 +1,321 @@
+package yard
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/stand/fleet"
+)
+
+const (
+	serviceName = "plan"
+	routeHost   = "jobs.example"
+	routePrefix = "/plan/"
+	graceTime   = 6    // seconds between the signal to stop and the kill
+	taskRoom    = 4000 // thousandths of a core at each target
+	resendAfter = 1300 * time.Millisecond
+	callTimeout = 10 * time.Second
+)
+
+// Options describe a yard. Zero fields mean the defaults.
+type Options struct {
+	Entries int // 0 means 2
+	Nodes   int // 0 means 4
+}
+
+// Yard is a small platform with the dispatcher on it. Make one with New.
+type Yard struct {
+	Client http.Client
+
+	dir     string
+	program string
+	ports   ports
+	table   table
+	judge   judge
+	workers []*worker
+	ctx     context.Context
+	stop    context.CancelFunc
+	servers []*http.Server
+
+	mu    sync.Mutex
+	procs map[string]*fleet.Proc
+	args  map[string][]string
+}
+
+// ports are those that all processes have alike, each at its own address.
+type ports struct{ front, ready, control, internal, app, store int }
+
+// New starts the platform's parts and all processes of the program, whose files
+// go to dir.
+func New(dir, program string, o Options) (*Yard, error) {
+	if o.Entries == 0 {
+		o.Entries = 2
+	}
+	if o.Nodes == 0 {
+		o.Nodes = 4
+	}
+	y := &Yard{dir: dir, program: program, procs: map[string]*fleet.Proc{}, args: map[string][]string{}}
+	y.ctx, y.stop = context.WithCancel(context.Background())
+	y.ports = ports{
+		front: fleet.FreePort(), ready: fleet.FreePort(), control: fleet.FreePort(),
+		internal: fleet.FreePort(), app: fleet.FreePort(), store: fleet.FreePort(),
+	}
+	if err := y.serve(fmt.Sprintf("127.0.0.1:%d", y.ports.store), &y.table); err != nil {
+		return nil, err
+	}
+	y.Configure(1)
+	for i := range o.Entries {
+		if err := y.prepare(fmt.Sprintf("e%d", i+1), "entry", i+1); err != nil {
+			return nil, err
+		}
+	}
+	for i := range o.Nodes {
+		if err := y.prepare(fmt.Sprintf("n%d", i+1), "node", i+101); err != nil {
+			return nil, err
+		}
+		if err := y.addWorker(i + 101); err != nil {
+			return nil, err
+		}
+	}
+	return y, nil
+}
+
+func address(host, port int) string { return fmt.Sprintf("127.0.1.%d:%d", host, port) }
+
+// prepare writes a process's settings and starts it.
+func (y *Yard) prepare(name, role string, host int) error {
+	text := fmt.Sprintf(`node-name = %q
+ip = "127.0.1.%d"
+zone = "z"
+internal-ports = [%d, %d]
+seeds = [%q]
+app = %q
+service = %q
+[listen]
+front = %q
+ready = %q
+control = %q
+[limits]
+memory-mb = 200
+[bounds]
+grace-s = %d
+[platform]
+address = "127.0.0.1:%d"
+`, name, host, y.ports.internal, y.ports.internal, address(1, y.ports.control), address(host, y.ports.app), serviceName,
+		address(host, y.ports.front), address(host, y.ports.ready), address(host, y.ports.control), graceTime, y.ports.store)
+	path := filepath.Join(y.dir, name+".toml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		return err
+	}
+	y.args[name] = []string{role, "-settings", path}
+	return y.Launch(name)
+}
+
+// Launch starts a process that is not running.
+func (y *Yard) Launch(name string) error {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	p, err := fleet.StartProc(y.dir, name, y.program, y.args[name]...)
+	if err != nil {
+		return err
+	}
+	y.procs[name] = p
+	return nil
+}
+
+// Kill kills a process.
+func (y *Yard) Kill(name string) { y.proc(name).Kill() }
+
+// Signal sends a signal to a process.
+func (y *Yard) Signal(name string, sig syscall.Signal) error { return y.proc(name).Signal(sig) }
+
+// Stop tells a process to stop and waits for its end.
+func (y *Yard) Stop(name string) error { return y.proc(name).Stop() }
+
+func (y *Yard) proc(name string) *fleet.Proc {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	return y.procs[name]
+}
+
+// Close ends all processes and servers.
+func (y *Yard) Close() {
+	y.stop()
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	for _, p := range y.procs {
+		_ = p.Signal(syscall.SIGCONT)
+		p.Kill()
+	}
+	for _, srv := range y.servers {
+		_ = srv.Close()
+	}
+}
+
+func (y *Yard) serve(addr string, h http.Handler) error {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	srv := &http.Server{Handler: h}
+	y.servers = append(y.servers, srv)
+	go func() { _ = srv.Serve(ln) }()
+	return nil
+}
+
+func (y *Yard) addWorker(host int) error {
+	w := &worker{addr: address(host, y.ports.app), control: address(host, y.ports.control), room: taskRoom, judge: &y.judge}
+	w.reborn()
+	y.workers = append(y.workers, w)
+	if err := y.serve(w.addr, w); err != nil {
+		return err
+	}
+	go w.run(y.ctx)
+	go func() {
+		client := &http.Client{Timeout: beatEvery}
+		for y.ctx.Err() == nil {
+			w.beat(client)
+			time.Sleep(beatEvery)
+		}
+	}()
+	return nil
+}
+
+// Configure writes a version of the operator's configuration. Odd versions have
+// a second route.
+func (y *Yard) Configure(version int) {
+	routes := []map[string]any{route("plan", routePrefix)}
+	if version%2 == 1 {
+		routes = append(routes, route("extra", "/extra/"))
+	}
+	value, err := json.Marshal(map[string]any{"version": version, "routes": routes, "limits": map[string]int{"max-body-bytes": 65536}})
+	if err != nil {
+		panic(err)
+	}
+	y.table.put(row{Table: "op", Key: "config", Value: value})
+}
+
+func route(name, prefix string) map[string]any {
+	return map[string]any{
+		"name": name, "host": routeHost, "prefix": prefix, "service": serviceName,
+		"attempts": 2, "stretch": 1.6, "slo-ms": 60,
+	}
+}
+
+// Table takes the table store down or up.
+func (y *Yard) Table(down bool) { y.table.setDown(down) }
+
+// Worker changes how a target behaves: the share of orders that it leaves
+// without an answer, whether all fails, and whether it leaves.
+func (y *Yard) Worker(i int, lose float64, fail, leaving bool) {
+	w := y.workers[i-1]
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lose, w.fail, w.leaving = lose, fail, leaving
+}
+
+// Crash has a target lose all that it runs and start a new life.
+func (y *Yard) Crash(i int) { y.workers[i-1].reborn() }
+
+// Status returns the status of a request to an entry, or 0 without an answer.
+func (y *Yard) Status(entry int, path string) int {
+	code, _ := y.ask(entry, http.MethodGet, path, nil)
+	return code
+}
+
+// Ready tells whether an entry says that it is ready.
+func (y *Yard) Ready(entry int) bool {
+	resp, err := y.Client.Get("http://" + address(entry, y.ports.ready) + "/-/ready")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Job submits a job as callers do, again after a broken try, and judges the
+// answer.
+func (y *Yard) Job(id string, entries, tasks, ms, cpu int) string {
+	text, err := json.Marshal(spec{MS: ms, CPU: cpu})
+	if err != nil {
+		panic(err)
+	}
+	body, err := json.Marshal(map[string]any{
+		"spec": string(text), "best-effort": true,
+		"steps": []map[string]any{{"count": tasks, "cpu": cpu, "mem-mb": 1, "estimate-ms": ms}},
+	})
+	if err != nil {
+		panic(err)
+	}
+	state := "unknown"
+	for try := 0; try < 4 && state == "unknown"; try++ {
+		if try > 0 {
+			time.Sleep(resendAfter)
+		}
+		entry := 1 + (int(id[len(id)-1])+try)%entries
+		code, answer := y.ask(entry, http.MethodPost, routePrefix+id, body)
+		state = outcome(code, answer)
+	}
+	y.judge.answered(id, state, tasks)
+	return state
+}
+
+func outcome(code int, answer []byte) string {
+	var a struct {
+		State string `json:"state"`
+	}
+	switch {
+	case code == http.StatusOK && json.Unmarshal(answer, &a) == nil:
+		return a.State
+	case code == http.StatusServiceUnavailable || code == http.StatusTooManyRequests:
+		return "refused"
+	}
+	return "unknown"
+}
+
+func (y *Yard) ask(entry int, method, path string, body []byte) (int, []byte) {
+	ctx, cancel := context.WithTimeout(y.ctx, callTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+address(entry, y.ports.front)+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil
+	}
+	r.Host = routeHost
+	resp, err := y.Client.Do(r)
+	if err != nil {
+		return 0, nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return resp.StatusCode, text
+}
+
+// Verdict is what callers got and what must not be.
+type Verdict struct {
+	Done    int      `json:"done"`
+	Failed  int      `json:"failed"`
+	Refused int      `json:"refused"`
+	Unknown int      `json:"unknown"`
+	Faults  []string `json:"faults"`
+}
+
+// Verdict returns what was seen so far.
+func (y *Yard) Verdict() Verdict {
+	j := &y.judge
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return Verdict{Done: j.done, Failed: j.failed, Refused: j.refused, Unknown: j.unknown, Faults: append([]string{}, j.faults...)}
+}
