Bound what an entry spends on its nodes

Cause: an entry called every node 6.7 times a second whatever passed between them, and used every node it knew: at 1,160 nodes a region some 7,700 calls a second. Tasks carry the echo and their ends the load, so a link calls only when 150 ms have passed without (200 ms idle); an entry draws 64 nodes by a hash. Ruled out: gossip and the store's feed (2 calls a second).

--- a/internal/disp/edge/entry.go
+++ b/internal/disp/edge/entry.go
@@ -1,11 +1,14 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/coord"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/link"
@@ -22,6 +25,10 @@
 	gossipPeers   = 2
 	lookupTimeout = 500 * time.Millisecond
 	forgetEvery   = 10 * time.Second
+	// mostLinks is the number of nodes that an entry uses. Each entry draws its
+	// own, so every node serves several, and an entry's calls, connections and
+	// memory stay bounded whatever the size of the fleet.
+	mostLinks = 64
 )
 
 // Entry is the process that takes jobs. Set the exported fields before Run. It
@@ -66,9 +73,7 @@
 	e.mu.Lock()
 	e.ctx = ctx
 	e.mu.Unlock()
-	for _, addr := range e.members.All(memb.Gate) {
-		e.connect(addr)
-	}
+	e.choose()
 	for _, seed := range e.Seeds {
 		e.Known(memb.Member{Role: memb.Entry, Addr: seed})
 	}
@@ -77,6 +82,7 @@
 	for ctx.Err() == nil {
 		e.gossip(ctx)
 		e.hearGates()
+		e.choose()
 		if now := boot.Now(); now >= forget {
 			forget = now.Add(forgetEvery)
 			e.forget(ctx, now)
@@ -122,10 +128,37 @@
 		return
 	}
 	if e.members.Add(m, boot.Now()) && m.Role == memb.Gate {
-		e.connect(m.Addr)
+		e.choose()
 	}
 }
 
+// choose connects to the nodes that this entry draws from those known, and
+// gives up links to others once no task is there.
+func (e *Entry) choose() {
+	wanted := draw(e.Addr, e.members.All(memb.Gate), mostLinks)
+	for _, addr := range wanted {
+		e.connect(addr)
+	}
+	for _, l := range e.Links() {
+		if !slices.Contains(wanted, l.Addr) && !l.Busy() {
+			e.disconnect(l.Addr)
+		}
+	}
+}
+
+// draw returns the n of all that rank first by a hash of them and self, so that
+// entries draw differently, and draw nearly the same again when some come or go.
+func draw(self string, all []string, n int) []string {
+	if len(all) <= n {
+		return all
+	}
+	drawn := slices.Clone(all)
+	slices.SortFunc(drawn, func(a, b string) int { return cmp.Compare(weight(self, a), weight(self, b)) })
+	return drawn[:n]
+}
+
+func weight(self, addr string) uint64 { return xxhash.Sum64String(self + " " + addr) }
+
 // Gone notes that a member's row was dropped.
 func (e *Entry) Gone(m memb.Member) {
 	e.members.Remove(m)
--- a/internal/disp/link/link.go
+++ b/internal/disp/link/link.go
@@ -14,7 +14,13 @@
 )
 
 const (
-	syncEvery   = 150 * time.Millisecond
+	// syncEvery is the longest time without an echo, and the greatest age of the
+	// load, while tasks are at the gate. Tasks and their ends bring both, so a
+	// busy link needs few calls of its own.
+	syncEvery = 150 * time.Millisecond
+	// syncIdle is the same while no task is there.
+	syncIdle    = 200 * time.Millisecond
+	syncLeast   = 10 * time.Millisecond // between two calls
 	syncTimeout = 300 * time.Millisecond
 	// syncSlowest is the pause between calls to a gate that does not answer.
 	syncSlowest = time.Second
@@ -50,11 +56,14 @@
 	load     msgs.Load
 	received boot.Time // when load.Stamp was received; 0 before the first
 	echoed   boot.Time // when the newest stamp that was echoed had been received
+	told     boot.Time // when a stamp was echoed last
+	tried    boot.Time // when the last call of sync ended
 	former   boot.Time // when everything at former lives of the gate has ended
 	answered boot.Time // last answer
 	failures int       // calls in a row without an answer
 	cancels  map[uint64]struct{}
 	sent     []sentTask
+	flying   int // tasks at the gate
 	wake     chan struct{}
 }
 
@@ -76,7 +85,17 @@
 func (l *Link) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		l.sync(ctx)
-		l.await(ctx, l.pause())
+		l.rest(ctx)
+	}
+}
+
+// rest waits until the next call is due or wanted.
+func (l *Link) rest(ctx context.Context) {
+	for ctx.Err() == nil {
+		due := l.due()
+		if due <= 0 || l.await(ctx, due) {
+			return
+		}
 	}
 }
 
@@ -115,6 +134,8 @@
 		return msgs.TaskReply{Result: msgs.Refused, Reason: "unreachable"}
 	}
 	life := sender.GateLife
+	l.fly(1)
+	defer l.fly(-1)
 	l.note(m)
 	sent := false
 	for {
@@ -167,7 +188,7 @@
 	if l.received == 0 || life != 0 && life != l.load.Life {
 		return msgs.Sender{}, false
 	}
-	l.echoed = l.received
+	l.echoed, l.told = l.received, l.now()
 	return msgs.Sender{Entry: l.Entry, Life: l.Life, GateLife: l.load.Life, Echo: l.load.Stamp}, true
 }
 
@@ -197,7 +218,11 @@
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	reply := &msgs.Load{}
-	if err := l.Call(ctx, l.Addr, SyncMethod, &msgs.Sync{Sender: sender, Cancel: cancels}, reply); err != nil {
+	err := l.Call(ctx, l.Addr, SyncMethod, &msgs.Sync{Sender: sender, Cancel: cancels}, reply)
+	l.mu.Lock()
+	l.tried = l.now()
+	l.mu.Unlock()
+	if err != nil {
 		l.failed(err)
 		return
 	}
@@ -272,16 +297,37 @@
 	}
 }
 
-func (l *Link) pause() time.Duration {
+// due returns how long the next call can wait.
+func (l *Link) due() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.failures == 0 {
-		return syncEvery
+	now := l.now()
+	if l.failures > 0 {
+		return l.tried.Add(min(time.Duration(l.failures)*syncEvery/2, syncSlowest)).Sub(now)
+	}
+	every := syncIdle
+	if l.flying > 0 {
+		every = syncEvery
 	}
-	return min(time.Duration(l.failures)*syncEvery/2, syncSlowest)
+	return max(min(l.told, l.received).Add(every), l.tried.Add(syncLeast)).Sub(now)
+}
+
+// Busy tells whether tasks of this entry are at the gate.
+func (l *Link) Busy() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.flying > 0
+}
+
+// fly counts tasks that are at the gate.
+func (l *Link) fly(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.flying += n
 }
 
-func (l *Link) await(ctx context.Context, d time.Duration) {
+// await waits for d, and reports whether it was woken before.
+func (l *Link) await(ctx context.Context, d time.Duration) bool {
 	l.mu.Lock()
 	wake := l.waker()
 	l.mu.Unlock()
@@ -290,8 +336,10 @@
 	select {
 	case <-ctx.Done():
 	case <-wake:
+		return true
 	case <-t.C:
 	}
+	return false
 }
 
 func (l *Link) waker() chan struct{} {
