--- a/internal/disp/gate/gate_test.go
+++ b/internal/disp/gate/gate_test.go
@@ -146,7 +146,7 @@
 	m := o.task("a", 10)
 	go func() { replies <- o.Take(context.Background(), m) }()
 	o.until("it runs", func() bool { return o.sync().UsedCPU == 10 })
-	again := msgs.Sender{Entry: "e", Life: 2, GateLife: 7}
+	again := msgs.Sender{Entry: "e", Life: 2, GateLife: 7, Echo: o.sync().Stamp}
 	for range 3 * Authority / (50 * time.Millisecond) {
 		again.Echo = o.Sync(msgs.Sync{Sender: again}).Stamp
 		select {
