--- a/internal/disp/boot/boot.go
+++ b/internal/disp/boot/boot.go
@@ -1,6 +1,7 @@
 package boot
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -27,3 +28,20 @@
 
 // Milli returns t in whole milliseconds.
 func (t Time) Milli() int64 { return int64(t) / int64(time.Millisecond) }
+
+// Sleep waits for d, or until ctx ends.
+func Sleep(ctx context.Context, d time.Duration) { Await(ctx, nil, d) }
+
+// Await waits for d, until ctx ends or until something comes through wake, and
+// reports whether it did.
+func Await(ctx context.Context, wake <-chan struct{}, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-wake:
+		return true
+	case <-ctx.Done():
+	case <-t.C:
+	}
+	return false
+}
--- a/internal/disp/coord/task.go
+++ b/internal/disp/coord/task.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/link"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/pick"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
@@ -191,10 +192,5 @@
 
 // pause waits for d and up to as much again, or until the job ends.
 func pause(p *progress, d time.Duration) {
-	t := time.NewTimer(d + rand.N(d))
-	defer t.Stop()
-	select {
-	case <-p.ctx.Done():
-	case <-t.C:
-	}
+	boot.Sleep(p.ctx, d+rand.N(d))
 }
--- a/internal/disp/edge/entry.go
+++ b/internal/disp/edge/entry.go
@@ -87,7 +87,7 @@
 			forget = now.Add(forgetEvery)
 			e.forget(ctx, now)
 		}
-		sleep(ctx, gossipEvery)
+		boot.Sleep(ctx, gossipEvery)
 	}
 }
 
--- a/internal/disp/edge/node.go
+++ b/internal/disp/edge/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/gate"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/memb"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
@@ -45,7 +46,7 @@
 		if n.service.quietFor() > unheard {
 			n.announce(ctx)
 		}
-		sleep(ctx, helloEvery)
+		boot.Sleep(ctx, helloEvery)
 	}
 }
 
@@ -74,7 +75,7 @@
 			return
 		}
 		event("register_failed", "member", m, "err", err)
-		sleep(ctx, pause)
+		boot.Sleep(ctx, pause)
 	}
 }
 
@@ -82,12 +83,3 @@
 	registerFirst   = 200 * time.Millisecond
 	registerSlowest = 2 * time.Second
 )
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/disp/gate/apply.go
+++ b/internal/disp/gate/apply.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
-	"github.com/gypsumlanding/gypsumlanding/internal/disp/trust"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
@@ -15,8 +14,6 @@
 	standstillShare = 0.25
 )
 
-var trustFresh trust.Record
-
 // apply takes in a list of the target.
 func (g *Gate) apply(l Listing, now boot.Time) {
 	stale := g.clock.set && l.Clock < g.clock.read
--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -145,7 +145,7 @@
 	g.queue = nil
 	g.mu.Unlock()
 	for ctx.Err() == nil && g.busy() {
-		sleep(ctx, tickEvery)
+		boot.Sleep(ctx, tickEvery)
 	}
 }
 
@@ -348,12 +348,3 @@
 	}
 	return g.wake
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/disp/gate/hold.go
+++ b/internal/disp/gate/hold.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/trust"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
@@ -46,7 +47,7 @@
 	g.life, g.known = l, true
 	g.clean, g.silent, g.misses = false, false, 0
 	g.clock, g.seen, g.acked = targetClock{}, 0, 0
-	g.trust, g.speed = trustFresh, speed{}
+	g.trust, g.speed = trust.Record{}, speed{}
 	if g.fence == 0 {
 		g.fence = time.Now().UnixMilli()
 	}
@@ -96,7 +97,7 @@
 func (g *Gate) hedgeLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !g.hedging() {
-			sleep(ctx, hedgePause)
+			boot.Sleep(ctx, hedgePause)
 			continue
 		}
 		g.holdOnce(ctx)
@@ -121,7 +122,7 @@
 	l, err := g.Hold(call, life, renewal)
 	cancel()
 	if !g.held(life, renewal, l, err) || renewal.Wait == 0 {
-		sleep(ctx, holdPause)
+		boot.Sleep(ctx, holdPause)
 	}
 }
 
@@ -167,17 +168,12 @@
 	return false
 }
 
+// await waits for something to do, for d at most.
 func (g *Gate) await(ctx context.Context, d time.Duration) {
 	g.mu.Lock()
 	wake := g.waker()
 	g.mu.Unlock()
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-wake:
-	case <-t.C:
-	}
+	boot.Await(ctx, wake, d)
 }
 
 // held takes in the answer to a hold and reports whether there was one.
@@ -232,7 +228,7 @@
 func (g *Gate) tick(ctx context.Context) {
 	pause := tickEvery
 	for ctx.Err() == nil {
-		sleep(ctx, pause)
+		boot.Sleep(ctx, pause)
 		g.mu.Lock()
 		pause = tickIdle
 		if len(g.runs) > 0 || len(g.queue) > 0 {
--- a/internal/disp/gate/order.go
+++ b/internal/disp/gate/order.go
@@ -118,7 +118,7 @@
 			return
 		}
 		g.stop(r)
-		sleep(context.Background(), settlePause)
+		boot.Sleep(context.Background(), settlePause)
 	}
 }
 
--- a/internal/disp/link/link.go
+++ b/internal/disp/link/link.go
@@ -331,15 +331,7 @@
 	l.mu.Lock()
 	wake := l.waker()
 	l.mu.Unlock()
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-wake:
-		return true
-	case <-t.C:
-	}
-	return false
+	return boot.Await(ctx, wake, d)
 }
 
 func (l *Link) waker() chan struct{} {
