Take over seeds from settings that are read again

Cause: SIGHUP read the settings and only logged them; a node whose seeds were stale at its start had nobody to announce itself to while the store was down. TestNewSeedsAreUsed fails without it.

--- a/cmd/gypsumlanding/process.go
+++ b/cmd/gypsumlanding/process.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -49,7 +50,6 @@
 }
 
 func (p process) serve(ctx context.Context) error {
-	go p.reload()
 	if p.role == roleEntry {
 		return p.entry(ctx)
 	}
@@ -60,9 +60,11 @@
 func (p process) entry(ctx context.Context) error {
 	store := platform.NewStore(p.cfg.StoreAddr)
 	e := &edge.Entry{
-		Name: p.cfg.Name, Life: p.life, Addr: p.cfg.InternalAddr, Seeds: p.cfg.Seeds,
+		Name: p.cfg.Name, Life: p.life, Addr: p.cfg.InternalAddr,
 		Decode: platform.DecodeConfig, Register: store.Register, Strike: store.Strike, Event: p.log.Event,
 	}
+	e.SetSeeds(p.cfg.Seeds)
+	go p.reload(e.SetSeeds)
 	e.Coord = &coord.Coordinator{Links: e.Links, Event: p.log.Event, Count: p.counters.Count}
 	front := &platform.Front{
 		Config: &e.Config, Submit: e.Coord.Submit, State: e.State, Cancel: e.Cancel, Pending: e.Pending,
@@ -116,7 +118,9 @@
 		Process: p.life, Start: target.Start, Stop: target.Stop, Hold: target.Hold,
 		Event: p.log.Event, Count: p.counters.Count,
 	}
-	n := &edge.Node{Gate: g, Addr: p.cfg.InternalAddr, Seeds: p.cfg.Seeds, Register: store.Register, Event: p.log.Event}
+	n := &edge.Node{Gate: g, Addr: p.cfg.InternalAddr, Register: store.Register, Event: p.log.Event}
+	n.SetSeeds(p.cfg.Seeds)
+	go p.reload(n.SetSeeds)
 	rpc, err := peer.Listen(p.cfg.InternalAddr, map[string]any{edge.GateName: n.Service()})
 	if err != nil {
 		return err
@@ -179,8 +183,9 @@
 	}
 }
 
-// reload reads the settings again at each SIGHUP and tells what is wrong.
-func (p process) reload() {
+// reload reads the settings again at each SIGHUP, takes over the seeds, and tells
+// what is wrong. Addresses and limits of a process don't change in its life.
+func (p process) reload(setSeeds func([]string)) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
 	for range signals {
@@ -189,7 +194,8 @@
 			p.log.Event("settings_invalid", "err", err)
 			continue
 		}
-		p.log.Event("settings_read", "seeds", len(cfg.Seeds))
+		setSeeds(cfg.Seeds)
+		p.log.Event("settings_read", "seeds", strings.Join(cfg.Seeds, " "))
 	}
 }
 
--- a/internal/disp/edge/entry.go
+++ b/internal/disp/edge/entry.go
@@ -37,8 +37,7 @@
 	Coord *coord.Coordinator
 	Name  string
 	Life  uint64
-	Addr  string   // that other processes call this entry at
-	Seeds []string // addresses of entries; may be stale
+	Addr  string // that other processes call this entry at
 	// Decode reads a configuration that another entry passed on.
 	Decode func(raw []byte) (*route.Table, error)
 	// Register notes this entry in the platform's table; nil does nothing.
@@ -74,9 +73,6 @@
 	e.ctx = ctx
 	e.mu.Unlock()
 	e.choose()
-	for _, seed := range e.Seeds {
-		e.Known(memb.Member{Role: memb.Entry, Addr: seed})
-	}
 	go register(ctx, e.Register, memb.Member{Role: memb.Entry, Addr: e.Addr}, e.Event)
 	forget := boot.Now().Add(forgetEvery)
 	for ctx.Err() == nil {
@@ -91,6 +87,13 @@
 	}
 }
 
+// SetSeeds gives the entry addresses of other entries, which may be stale.
+func (e *Entry) SetSeeds(addrs []string) {
+	for _, seed := range addrs {
+		e.Known(memb.Member{Role: memb.Entry, Addr: seed})
+	}
+}
+
 // Ready tells whether jobs can be served: there is a configuration, and a node
 // that takes tasks.
 func (e *Entry) Ready() bool {
--- a/internal/disp/edge/node.go
+++ b/internal/disp/edge/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
@@ -21,17 +22,21 @@
 
 // Node is the process beside one target. Set the exported fields before Run.
 type Node struct {
-	Gate  *gate.Gate
-	Addr  string   // that entries call this node at
-	Seeds []string // addresses of entries; may be stale
+	Gate *gate.Gate
+	Addr string // that entries call this node at
 	// Register notes this node in the platform's table; nil does nothing.
 	Register func(context.Context, memb.Member) error
 	Event    func(event string, pairs ...any)
 
 	service GateService
 	pool    peer.Pool
+	seeds   atomic.Pointer[[]string]
 }
 
+// SetSeeds gives the node addresses of entries to announce itself to, which may
+// be stale, in place of those it had.
+func (n *Node) SetSeeds(addrs []string) { n.seeds.Store(&addrs) }
+
 // Service returns the methods that entries call.
 func (n *Node) Service() *GateService {
 	n.service.gate = n.Gate
@@ -52,7 +57,11 @@
 
 // announce tells the seeds of this node.
 func (n *Node) announce(ctx context.Context) {
-	for _, seed := range n.Seeds {
+	seeds := n.seeds.Load()
+	if seeds == nil {
+		return
+	}
+	for _, seed := range *seeds {
 		go func() {
 			call, cancel := context.WithTimeout(ctx, helloTimeout)
 			defer cancel()
