--- a/cmd/gypctl/main.go
+++ b/cmd/gypctl/main.go
@@ -1,5 +1,6 @@
 // Command gypctl lets operators edit the catalogue, drain nodes and see the
-// state of a region.
+// state of a region. On the users' platform it shows what each process believes,
+// and explains a request from log lines.
 //
 // It exits with 0 when done, 1 when it failed, 2 when called wrongly, 3 when
 // somebody else changed the entry first, 4 when there is no such thing, and 5
@@ -78,6 +79,8 @@
 			t.catalogue(),
 			t.status(),
 			t.drain(),
+			t.fleet(),
+			t.explain(),
 		},
 		Exec: help,
 	}
--- a/cmd/gypsumlanding/main.go
+++ b/cmd/gypsumlanding/main.go
@@ -11,11 +11,14 @@
 	"math/rand/v2"
 	"os"
 	"runtime/debug"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/gypsumlanding/gypsumlanding/internal/daem/life"
 	"github.com/gypsumlanding/gypsumlanding/internal/daem/logs"
 	"github.com/gypsumlanding/gypsumlanding/internal/daem/stats"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/report"
 	"github.com/gypsumlanding/gypsumlanding/platform"
 	"github.com/peterbourgon/ff/v3"
 )
@@ -23,6 +26,10 @@
 const (
 	roleEntry = "entry"
 	roleNode  = "node"
+	// defaultMetrics is the port that deploy/system.toml names.
+	defaultMetrics = 9190
+	// flushLimit is how long the last log lines may take to be written.
+	flushLimit = 200 * time.Millisecond
 	// heapShare is the part of a process's memory, in percent, that the garbage
 	// collector keeps the heap under.
 	heapShare = 60
@@ -32,7 +39,7 @@
 	heapGrowth = 40
 )
 
-const usage = `usage: gypsumlanding entry|node [-settings FILE] [-check]
+const usage = `usage: gypsumlanding entry|node [-settings FILE] [-metrics PORT] [-check]
 `
 
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
@@ -47,6 +54,7 @@
 	set := flag.NewFlagSet("gypsumlanding "+role, flag.ContinueOnError)
 	set.SetOutput(errOut)
 	path := set.String("settings", os.Getenv(platform.SettingsVariable), "the platform's settings `file`")
+	metrics := set.Int("metrics", defaultMetrics, "`port` of "+stats.TextPath+" and "+report.Path+"; 0 for none")
 	check := set.Bool("check", false, "read the settings, tell what is wrong, and end")
 	if err := ff.Parse(set, args[1:]); err != nil {
 		return life.ExitUsage
@@ -62,6 +70,11 @@
 	}
 	debug.SetGCPercent(heapGrowth)
 	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * heapShare / 100)
-	p := process{cfg: cfg, path: *path, role: role, life: rand.Uint64(), log: logs.New(out, "gypsumlanding", cfg.Name), counters: &stats.Set{}}
-	return life.Exit(p.serve(context.Background()), errOut)
+	p := process{
+		cfg: cfg, path: *path, role: role, metrics: *metrics, life: rand.Uint64(), started: boot.Now(),
+		log: logs.New(out, "gypsumlanding", cfg.Name), counters: &stats.Set{},
+	}
+	err = p.serve(context.Background())
+	p.log.Flush(flushLimit)
+	return life.Exit(err, errOut)
 }
--- a/cmd/gypsumlanding/process.go
+++ b/cmd/gypsumlanding/process.go
@@ -3,10 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"os"
-	"os/signal"
-	"strings"
-	"syscall"
 	"time"
 
 	"github.com/go-kratos/kratos/v2/transport"
@@ -14,10 +10,12 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/daem/logs"
 	"github.com/gypsumlanding/gypsumlanding/internal/daem/stats"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/coord"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/edge"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/gate"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/memb"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/report"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/peer"
 	"github.com/gypsumlanding/gypsumlanding/platform"
 )
@@ -44,7 +42,9 @@
 	cfg      platform.Settings
 	path     string // of the settings
 	role     string
+	metrics  int // port; 0 for none
 	life     uint64
+	started  boot.Time
 	log      logs.Logger
 	counters *stats.Set
 }
@@ -65,10 +65,14 @@
 	}
 	e.SetSeeds(p.cfg.Seeds)
 	go p.reload(e.SetSeeds)
-	e.Coord = &coord.Coordinator{Links: e.Links, Event: p.log.Event, Count: p.counters.Count}
+	e.Coord = &coord.Coordinator{Links: e.Links, Trace: p.log.Trace, Count: p.counters.Count, Time: p.counters.Time}
+	p.counters.Show(cause.EntryCounters())
+	p.counters.Gauge("jobs.running", func() int64 { return int64(e.Coord.Running()) })
+	p.counters.Gauge("config.version", e.Config.Version)
+	p.counters.Gauge("gates", func() int64 { return int64(len(e.Links())) })
 	front := &platform.Front{
 		Config: &e.Config, Submit: e.Coord.Submit, State: e.State, Cancel: e.Cancel, Pending: e.Pending,
-		Count: p.counters.Count, Event: p.log.Event,
+		Count: p.counters.Count, Trace: p.log.Trace,
 	}
 	rpc, err := peer.Listen(p.cfg.InternalAddr, map[string]any{edge.EntryName: e.Service()})
 	if err != nil {
@@ -85,8 +89,9 @@
 	}
 	leaving := make(chan struct{})
 	ready.HandlePrefix("/", readiness(e, leaving))
+	servers := p.observe([]transport.Server{rpc, callers, ready}, report.Process{Entry: e})
 	return life.Daemon{
-		Name: "gypsumlanding-entry", Servers: []transport.Server{rpc, callers, ready}, Log: p.log,
+		Name: "gypsumlanding-entry", Servers: servers, Log: p.log,
 		Started: func(ctx context.Context) {
 			go e.Run(ctx)
 			go p.followConfig(ctx, store, e)
@@ -116,8 +121,11 @@
 	target := platform.NewTarget()
 	g := &gate.Gate{
 		Process: p.life, Start: target.Start, Stop: target.Stop, Hold: target.Hold,
-		Event: p.log.Event, Count: p.counters.Count,
+		Event: p.log.Event, Trace: p.log.Trace, Count: p.counters.Count, Time: p.counters.Time,
 	}
+	p.counters.Show(cause.NodeCounters())
+	p.counters.Gauge("tasks.running", func() int64 { return int64(g.State().Running) })
+	p.counters.Gauge("tasks.queued", func() int64 { return int64(g.State().Queued) })
 	n := &edge.Node{Gate: g, Addr: p.cfg.InternalAddr, Register: store.Register, Event: p.log.Event}
 	n.SetSeeds(p.cfg.Seeds)
 	go p.reload(n.SetSeeds)
@@ -133,8 +141,9 @@
 		Service: p.cfg.Service, Announced: g.Announced, Departed: g.Departed,
 		Refused: func(id string, err error) { p.log.Event("heartbeat_refused", "target", id, "err", err) },
 	})
+	servers := p.observe([]transport.Server{rpc, beats}, report.Process{Gate: g})
 	return life.Daemon{
-		Name: "gypsumlanding-node", Servers: []transport.Server{rpc, beats}, Log: p.log,
+		Name: "gypsumlanding-node", Servers: servers, Log: p.log,
 		Started: func(ctx context.Context) { go n.Run(ctx) },
 		Drain: func(ctx context.Context) {
 			limit := time.Duration(p.cfg.DrainSeconds)*time.Second - drainMargin
@@ -157,7 +166,7 @@
 		}
 		e.Configure(t, "store")
 	}
-	store.Follow(ctx, platform.OperatorTable, configWait, take, p.storeFailed("config"))
+	store.Follow(ctx, platform.OperatorTable, configWait, take, p.storeHeard("config"))
 }
 
 func (p process) followMembers(ctx context.Context, store *platform.Store, e *edge.Entry) {
@@ -172,30 +181,28 @@
 			e.Known(m)
 		}
 	}
-	store.Follow(ctx, platform.MembersTable(), membersWait, take, p.storeFailed("members"))
+	store.Follow(ctx, platform.MembersTable(), membersWait, take, p.storeHeard("members"))
 }
 
-// storeFailed counts each failure of the store.
-func (p process) storeFailed(what string) func(error) {
+// storeHeard counts each failure of the store, and logs the first and the end of
+// a row of them.
+func (p process) storeHeard(what string) func(error) {
+	failures := 0
+	var since boot.Time
 	return func(err error) {
-		p.counters.Count("store.failed")
-		p.log.Event("store_failed", "reading", what, "err", err)
-	}
-}
-
-// reload reads the settings again at each SIGHUP, takes over the seeds, and tells
-// what is wrong. Addresses and limits of a process don't change in its life.
-func (p process) reload(setSeeds func([]string)) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	for range signals {
-		cfg, err := platform.ReadSettings(p.path, p.role)
-		if err != nil {
-			p.log.Event("settings_invalid", "err", err)
-			continue
+		switch {
+		case err != nil && failures == 0:
+			since = boot.Now()
+			p.log.Event("store_failed", "reading", what, "err", err)
+		case err == nil && failures > 0:
+			p.log.Event("store_answers", "reading", what, "failures", failures, "after", boot.Now().Sub(since))
+		}
+		if err == nil {
+			failures = 0
+			return
 		}
-		setSeeds(cfg.Seeds)
-		p.log.Event("settings_read", "seeds", strings.Join(cfg.Seeds, " "))
+		failures++
+		p.counters.Count("store.failed")
 	}
 }
 
--- a/internal/core/seed/seed.go
+++ b/internal/core/seed/seed.go
@@ -7,6 +7,9 @@
 	"testing"
 )
 
+// shrinkTime is how long a schedule that fails is made smaller.
+const shrinkTime = "5s"
+
 // Size is the extent of a package's properties. A zero field keeps the default
 // of the rapid library.
 type Size struct {
@@ -19,6 +22,7 @@
 func Main(m *testing.M, size Size) {
 	set("rapid.seed", "1")
 	set("rapid.nofailfile", "true")
+	set("rapid.shrinktime", shrinkTime)
 	if size.Checks > 0 {
 		set("rapid.checks", strconv.Itoa(size.Checks))
 	}
--- a/internal/daem/logs/doc.go
+++ b/internal/daem/logs/doc.go
@@ -1,4 +1,7 @@
-// Package logs writes structured log lines, one a change of state.
+// Package logs writes structured log lines: one a change of state, and one a
+// decision about a request.
 //
-// What happens often is counted by package stats instead.
+// Lines are formatted and written on a goroutine of their own, some at a time, and
+// their number a second is bounded. What is dropped is counted by event and said
+// in a line "log_dropped". What needs no line is counted by package stats.
 package logs
--- a/internal/disp/coord/admit.go
+++ b/internal/disp/coord/admit.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/link"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/pick"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/room"
@@ -21,8 +22,8 @@
 // fleet is what the entry knows of the gates of one service.
 type fleet struct {
 	links []*link.Link
+	views []link.View
 	gates []pick.Gate
-	names []string // life of the target
 }
 
 // survey returns the gates that a step can use now.
@@ -42,7 +43,7 @@
 			far = farFactor
 		}
 		f.links = append(f.links, l)
-		f.names = append(f.names, v.Load.Target)
+		f.views = append(f.views, v)
 		f.gates = append(f.gates, pick.Gate{
 			Capacity: room.Size{CPU: v.Load.CPU, Memory: v.Load.Memory, GPU: v.Load.GPU},
 			Used:     v.Used,
@@ -60,19 +61,26 @@
 // answer would be late. An entry that has no gates yet takes it, since they
 // answer within moments of its start.
 func (c *Coordinator) admit(p *progress) Answer {
-	for _, s := range p.Steps {
-		f := c.survey(p.Route.Service, s)
-		if len(f.gates) == 0 {
-			continue
-		}
-		wait, fits := f.wait(s, c.times.Expected(p.Route.Name, s.Declared))
-		if !fits {
-			return Answer{State: Refused, Reason: "size"}
-		}
+	for i, s := range p.Steps {
 		expected := c.times.Expected(p.Route.Name, s.Declared)
 		slack := p.Route.Allowance(expected) - expected
-		if len(s.After) == 0 && wait > slack*admitShare/100 {
-			return Answer{State: Refused, Reason: "overload", RetryAfter: retryAfter}
+		f := c.survey(p.Route.Service, s)
+		wait, fits := f.wait(s, expected)
+		reason := ""
+		switch {
+		case len(f.gates) == 0:
+		case !fits:
+			reason = cause.Size
+		case len(s.After) == 0 && wait > slack*admitShare/100:
+			reason = cause.Overload
+		}
+		c.trace("step_admitted", "job", p.ID, "route", p.Route.Name, "config", p.Config, "step", i, "tasks", s.Count,
+			"cpu", s.Size.CPU, "expected", expected, "slack", slack, "gates", len(f.gates), "wait", wait, "refused", reason)
+		switch reason {
+		case cause.Size:
+			return Answer{State: Refused, Reason: reason}
+		case cause.Overload:
+			return Answer{State: Refused, Reason: reason, RetryAfter: retryAfter}
 		}
 	}
 	return Answer{}
--- a/internal/disp/coord/coord.go
+++ b/internal/disp/coord/coord.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/learn"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/link"
 )
@@ -28,10 +29,12 @@
 	Links func() []*link.Link
 	// Now reads the clock; nil means boot.Now.
 	Now func() boot.Time
-	// Event logs a decision; nil drops it.
-	Event func(event string, pairs ...any)
+	// Trace logs a decision about a job; nil drops it.
+	Trace func(event string, pairs ...any)
 	// Count counts by reason; nil drops it.
 	Count func(name string)
+	// Time notes how long something took; nil drops it.
+	Time func(name string, d time.Duration)
 
 	times  learn.Times
 	nextID atomic.Uint64
@@ -51,14 +54,15 @@
 	}
 	if !c.enter(p) {
 		c.count("jobs.twin")
-		return Answer{State: Abandoned, Reason: "twin"}
+		c.trace("job_twin", "job", p.ID, "route", p.Route.Name)
+		return Answer{State: Abandoned, Reason: cause.Twin}
 	}
 	defer c.leave(p)
 	for i, s := range j.Steps {
 		go c.runStep(p, i, s)
 	}
 	<-p.ctx.Done()
-	p.end(Answer{State: Abandoned, Reason: "caller left"})
+	p.end(Answer{State: Abandoned, Reason: cause.CallerLeft})
 	c.report(p, *p.answer)
 	return *p.answer
 }
@@ -71,7 +75,7 @@
 	if p == nil {
 		return false
 	}
-	p.end(Answer{State: Abandoned, Reason: "cancelled"})
+	p.end(Answer{State: Abandoned, Reason: cause.Cancelled})
 	return true
 }
 
@@ -130,16 +134,17 @@
 	names := [...]string{"waiting", "working", "done", "failed", "refused", "abandoned"}
 	c.count("jobs." + names[a.State])
 	if a.State == Refused {
-		c.count("refused." + a.Reason)
+		c.count(cause.Refused + a.Reason)
 	}
-	if c.Event == nil {
-		return
+	took := c.now().Sub(p.Arrived)
+	if c.Time != nil {
+		c.Time("job."+names[a.State]+".ms", took)
 	}
 	p.mu.Lock()
 	retries := p.retries
 	p.mu.Unlock()
-	c.Event("job", "job", p.ID, "route", p.Route.Name, "state", names[a.State], "reason", a.Reason,
-		"ms", c.now().Sub(p.Arrived).Milliseconds(), "retries", retries)
+	c.trace("job", "job", p.ID, "route", p.Route.Name, "state", names[a.State], "reason", a.Reason,
+		"ms", took.Milliseconds(), "retries", retries)
 }
 
 func (c *Coordinator) now() boot.Time {
@@ -149,9 +154,9 @@
 	return boot.Now()
 }
 
-func (c *Coordinator) event(event string, pairs ...any) {
-	if c.Event != nil {
-		c.Event(event, pairs...)
+func (c *Coordinator) trace(event string, pairs ...any) {
+	if c.Trace != nil {
+		c.Trace(event, pairs...)
 	}
 }
 
--- a/internal/disp/coord/job.go
+++ b/internal/disp/coord/job.go
@@ -26,6 +26,7 @@
 	ID      string
 	Spec    string
 	Route   route.Route
+	Config  int64 // version of the configuration that has the route
 	Steps   []Step
 	Arrived boot.Time
 }
--- a/internal/disp/coord/task.go
+++ b/internal/disp/coord/task.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/link"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/pick"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
@@ -20,7 +21,6 @@
 	// freeBounces is how often a task that full gates hand back is placed anew
 	// before it pauses. Each hand-back brings that gate's load up to date.
 	freeBounces = 3
-	reasonFull  = "full" // a gate's reason for handing a task back
 	// queuePatience is how long a task may wait in the queue of a full gate
 	// before it is placed anew, since room may have come up elsewhere.
 	queuePatience = 60 * time.Millisecond
@@ -70,7 +70,7 @@
 	for p.ctx.Err() == nil {
 		l, target, m, ok := c.place(p, s, a)
 		if !ok {
-			if c.giveUp(p, "nogates") {
+			if c.giveUp(p, cause.NoGates) {
 				return false
 			}
 			pause(p, placePause)
@@ -79,9 +79,10 @@
 		if !p.reserve(stepKey(step, target), s.PerTarget) {
 			continue
 		}
+		sent := c.now()
 		reply := c.send(p, l, m)
 		p.release(stepKey(step, target))
-		c.retried(p, a, target, reply)
+		c.retried(p, a, target, reply, c.now().Sub(sent))
 		switch reply.Result {
 		case msgs.Done:
 			c.times.Note(p.Route.Name, time.Duration(reply.Ran)*time.Millisecond, reply.Load.Speed)
@@ -89,7 +90,7 @@
 		case msgs.Failed:
 			a.failures++
 			if a.failures >= max(1, p.Route.Attempts) {
-				p.end(Answer{State: Failed, Reason: "attempts"})
+				p.end(Answer{State: Failed, Reason: cause.Attempts})
 				return false
 			}
 		case msgs.Refused:
@@ -97,7 +98,7 @@
 				return false
 			}
 			a.bounces++
-			if a.bounces%freeBounces == 0 || reply.Reason != reasonFull {
+			if a.bounces%freeBounces == 0 || reply.Reason != cause.Full {
 				pause(p, placePause)
 			}
 		}
@@ -109,8 +110,8 @@
 func (c *Coordinator) place(p *progress, s Step, a *attempt) (*link.Link, string, msgs.Task, bool) {
 	f := c.survey(p.Route.Service, s)
 	for i := range f.gates {
-		f.gates[i].Avoid = a.avoid[f.names[i]]
-		if !p.mayAdd(stepKey(a.step, f.names[i]), s.PerTarget) {
+		f.gates[i].Avoid = a.avoid[f.views[i].Load.Target]
+		if !p.mayAdd(stepKey(a.step, f.views[i].Load.Target), s.PerTarget) {
 			f.gates[i].Capacity.CPU = -1
 		}
 	}
@@ -119,8 +120,12 @@
 	if choice.Gate < 0 {
 		return nil, "", msgs.Task{}, false
 	}
+	way, view := f.links[choice.Gate], f.views[choice.Gate]
+	c.trace("task_placed", "job", p.ID, "task", a.name, "gate", way.Addr, "target", view.Load.Target,
+		"used", view.Used.CPU, "of", view.Load.CPU, "speed", int(100*view.Load.Speed), "age", c.now().Sub(view.Heard),
+		"wait", choice.Wait, "finish", choice.Finish, "gates", len(f.gates), "failures", a.failures)
 	allowance := p.Route.Allowance(expected)
-	return f.links[choice.Gate], f.names[choice.Gate], msgs.Task{
+	return way, view.Load.Target, msgs.Task{
 		ID: c.nextID.Add(1), Name: a.name, Job: p.ID, Service: p.Route.Service, Spec: p.Spec,
 		CPU: s.Size.CPU, Memory: s.Size.Memory, GPU: s.Size.GPU,
 		Expected: expected.Milliseconds(),
@@ -142,7 +147,7 @@
 // send has a gate run a task. A job that ends meanwhile has the task stopped.
 func (c *Coordinator) send(p *progress, l *link.Link, m msgs.Task) msgs.TaskReply {
 	if !p.depart() {
-		return msgs.TaskReply{Result: msgs.Refused, Reason: "ended"}
+		return msgs.TaskReply{Result: msgs.Refused, Reason: cause.Ended}
 	}
 	replies := make(chan msgs.TaskReply, 1)
 	go func() { replies <- l.Do(context.Background(), m) }()
@@ -153,12 +158,12 @@
 	case <-p.ctx.Done():
 		l.Cancel(m.ID)
 		p.landed(true)
-		return msgs.TaskReply{Result: msgs.Lost, Reason: "ended"}
+		return msgs.TaskReply{Result: msgs.Lost, Reason: cause.Ended}
 	}
 }
 
 // retried notes why a task is placed again.
-func (c *Coordinator) retried(p *progress, a *attempt, target string, reply msgs.TaskReply) {
+func (c *Coordinator) retried(p *progress, a *attempt, target string, reply msgs.TaskReply, after time.Duration) {
 	if reply.Result == msgs.Done || p.ctx.Err() != nil {
 		return
 	}
@@ -166,14 +171,13 @@
 	if reason == "" {
 		reason = reply.Result.String()
 	}
-	a.avoid[target] = reason != reasonFull
-	c.count("retried." + reason)
+	a.avoid[target] = reason != cause.Full
+	c.count(cause.Retried + reason)
 	p.mu.Lock()
 	p.retries++
 	p.mu.Unlock()
-	if reply.Result != msgs.Refused {
-		c.event("task_retried", "job", p.ID, "task", a.name, "target", target, "result", reply.Result, "reason", reason)
-	}
+	c.trace("task_retried", "job", p.ID, "task", a.name, "target", target, "result", reply.Result, "reason", reason,
+		"after", after)
 }
 
 // giveUp refuses the job if it has waited too long with nothing started.
--- a/internal/disp/edge/entry.go
+++ b/internal/disp/edge/entry.go
@@ -1,14 +1,10 @@
 package edge
 
 import (
-	"cmp"
 	"context"
-	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/coord"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/link"
@@ -19,16 +15,8 @@
 )
 
 const (
-	gossipEvery   = 500 * time.Millisecond
-	gossipTimeout = 400 * time.Millisecond
-	// gossipPeers is the number of entries that are asked each time.
-	gossipPeers   = 2
 	lookupTimeout = 500 * time.Millisecond
 	forgetEvery   = 10 * time.Second
-	// mostLinks is the number of nodes that an entry uses. Each entry draws its
-	// own, so every node serves several, and an entry's calls, connections and
-	// memory stay bounded whatever the size of the fleet.
-	mostLinks = 64
 )
 
 // Entry is the process that takes jobs. Set the exported fields before Run. It
@@ -56,12 +44,8 @@
 	links   map[string]*line
 	list    []*link.Link
 	pending map[string]map[string]int // by entry and route
-}
-
-// line is a link and what ends it.
-type line struct {
-	link *link.Link
-	stop context.CancelFunc
+	silent  map[string]bool           // other entries that don't answer
+	inForce boot.Time                 // from when on the configuration has been
 }
 
 // Service returns the methods that other processes call.
@@ -114,10 +98,24 @@
 	if !e.Config.Offer(t) {
 		return false
 	}
+	e.mu.Lock()
+	e.inForce = boot.Now()
+	e.mu.Unlock()
 	e.Event("config", "version", t.Version, "routes", len(t.Routes), "from", from)
 	return true
 }
 
+// InForce returns the configuration and the moment from which it has been in
+// force, or nil before the first.
+func (e *Entry) InForce() (*route.Table, boot.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.Config.Get(), e.inForce
+}
+
+// Entries returns the addresses of the other entries that are known.
+func (e *Entry) Entries() []string { return e.members.All(memb.Entry) }
+
 // Links returns the ways to all nodes that are known.
 func (e *Entry) Links() []*link.Link {
 	e.mu.Lock()
@@ -135,33 +133,6 @@
 	}
 }
 
-// choose connects to the nodes that this entry draws from those known, and
-// gives up links to others once no task is there.
-func (e *Entry) choose() {
-	wanted := draw(e.Addr, e.members.All(memb.Gate), mostLinks)
-	for _, addr := range wanted {
-		e.connect(addr)
-	}
-	for _, l := range e.Links() {
-		if !slices.Contains(wanted, l.Addr) && !l.Busy() {
-			e.disconnect(l.Addr)
-		}
-	}
-}
-
-// draw returns the n of all that rank first by a hash of them and self, so that
-// entries draw differently, and draw nearly the same again when some come or go.
-func draw(self string, all []string, n int) []string {
-	if len(all) <= n {
-		return all
-	}
-	drawn := slices.Clone(all)
-	slices.SortFunc(drawn, func(a, b string) int { return cmp.Compare(weight(self, a), weight(self, b)) })
-	return drawn[:n]
-}
-
-func weight(self, addr string) uint64 { return xxhash.Sum64String(self + " " + addr) }
-
 // Gone notes that a member's row was dropped.
 func (e *Entry) Gone(m memb.Member) {
 	e.members.Remove(m)
@@ -222,100 +193,10 @@
 	return ""
 }
 
-// gossip exchanges what is known with some other entries.
-func (e *Entry) gossip(ctx context.Context) {
-	peers := e.members.All(memb.Entry)
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	for _, addr := range peers[:min(gossipPeers, len(peers))] {
-		go e.gossipWith(ctx, addr)
-	}
-}
-
-func (e *Entry) gossipWith(ctx context.Context, addr string) {
-	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
-	defer cancel()
-	m := &msgs.Gossip{Entry: e.Addr, Members: e.fresh(), Version: e.Config.Version()}
-	reply := &msgs.GossipReply{}
-	if err := e.pool.Call(ctx, addr, gossipMethod, m, reply); err != nil {
-		e.pool.Drop(addr)
-		return
-	}
-	e.hear(memb.Member{Role: memb.Entry, Addr: addr})
-	e.takeMembers(reply.Members)
-	e.takePending(addr, reply)
-	if len(reply.Config) == 0 || reply.Version <= e.Config.Version() {
-		return
-	}
-	t, err := e.Decode(reply.Config)
-	if err != nil {
-		e.Event("config_invalid", "from", addr, "err", err)
-		return
-	}
-	e.Configure(t, addr)
-}
-
-// tell answers another entry that has the configuration of the given version.
-func (e *Entry) tell(version int64) msgs.GossipReply {
-	reply := msgs.GossipReply{Members: e.fresh(), Version: e.Config.Version()}
-	if t := e.Config.Get(); t != nil && t.Version > version {
-		reply.Config = t.Raw
-	}
-	for name, n := range e.Coord.Pending() {
-		reply.Pending = append(reply.Pending, name)
-		reply.Counts = append(reply.Counts, int64(n))
-	}
-	return reply
-}
-
-func (e *Entry) takePending(addr string, reply *msgs.GossipReply) {
-	counts := map[string]int{}
-	for i, name := range reply.Pending {
-		if i < len(reply.Counts) {
-			counts[name] = int(reply.Counts[i])
-		}
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.pending == nil {
-		e.pending = map[string]map[string]int{}
-	}
-	e.pending[addr] = counts
-}
-
-func (e *Entry) fresh() []string {
-	var names []string
-	for _, m := range e.members.Fresh(boot.Now()) {
-		names = append(names, m.String())
-	}
-	return names
-}
-
-func (e *Entry) takeMembers(names []string) {
-	for _, name := range names {
-		if m, ok := memb.Parse(name); ok {
-			e.Known(m)
-		}
-	}
-}
-
-func (e *Entry) hear(m memb.Member) {
-	e.Known(m)
-	e.members.Heard(m, boot.Now())
-}
-
-// hearGates notes which nodes answered lately.
-func (e *Entry) hearGates() {
-	now := boot.Now()
-	for _, l := range e.Links() {
-		if heard := l.View(now).Heard; heard > 0 {
-			e.members.Heard(memb.Member{Role: memb.Gate, Addr: l.Addr}, heard)
-		}
-	}
-}
-
 // forget drops the members that have not been heard of for long.
 func (e *Entry) forget(ctx context.Context, now boot.Time) {
 	for _, m := range e.members.Forget(now) {
+		e.forgetPeer(m.Addr)
 		e.Event("member_forgotten", "member", m)
 		e.Gone(m)
 		if e.Strike == nil {
@@ -326,42 +207,3 @@
 		}
 	}
 }
-
-// connect opens a link to a node.
-func (e *Entry) connect(addr string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.ctx == nil || e.links[addr] != nil {
-		return
-	}
-	if e.links == nil {
-		e.links = map[string]*line{}
-	}
-	ctx, stop := context.WithCancel(e.ctx)
-	l := &link.Link{
-		Addr: addr, Entry: e.Name, Life: e.Life,
-		Call: e.pool.Call, Drop: e.pool.Drop, Event: e.Event,
-	}
-	e.links[addr] = &line{l, stop}
-	e.relist()
-	go l.Run(ctx)
-}
-
-func (e *Entry) disconnect(addr string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if known := e.links[addr]; known != nil {
-		known.stop()
-		delete(e.links, addr)
-		e.relist()
-	}
-}
-
-// relist makes the list of links anew, so that readers need no copy.
-func (e *Entry) relist() {
-	list := make([]*link.Link, 0, len(e.links))
-	for _, known := range e.links {
-		list = append(list, known.link)
-	}
-	e.list = list
-}
--- a/internal/disp/gate/apply.go
+++ b/internal/disp/gate/apply.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
@@ -19,16 +20,21 @@
 	stale := g.clock.set && l.Clock < g.clock.read
 	g.clock.note(l.Clock, now)
 	for _, e := range l.Ended {
-		g.end(e, l.Clock, now)
+		if g.end(e, l.Clock, now) {
+			g.keepEnd(e, l.Clock)
+		}
 	}
 	if stale {
 		return
 	}
+	if l.Clock > g.endClock {
+		g.lastEnds = nil
+	}
 	listed := make(map[string]bool, len(l.Running))
 	strangers := 0
 	for _, row := range l.Running {
 		listed[row.Task] = true
-		if !g.progress(row, now) {
+		if !g.progress(row, now) && g.lastEnds[row.Task] != row.Run {
 			strangers++
 			g.stopStranger(row)
 		}
@@ -44,15 +50,26 @@
 	}
 }
 
-// end takes in the end of a run.
-func (g *Gate) end(e Ended, clock int64, now boot.Time) {
+// keepEnd notes the end of a run that was told at the target's time clock. With
+// two holds open, a list of the same millisecond may have been made before the
+// end, and shows the run.
+func (g *Gate) keepEnd(e Ended, clock int64) {
+	if g.lastEnds == nil || clock > g.endClock {
+		g.lastEnds = map[string]int{}
+	}
+	g.endClock = clock
+	g.lastEnds[e.Task] = e.Run
+}
+
+// end takes in the end of a run, and reports whether the run was known here.
+func (g *Gate) end(e Ended, clock int64, now boot.Time) bool {
 	if e.Number <= g.seen {
-		return
+		return false
 	}
 	g.seen = e.Number
 	r := g.runs[e.Task]
 	if r == nil || r.number != e.Run {
-		return
+		return false
 	}
 	r.ran = max(0, time.Duration(clock-r.since)*time.Millisecond)
 	if r.since == 0 {
@@ -60,18 +77,21 @@
 	}
 	switch e.How {
 	case EndedDone:
-		g.trust.Good()
+		if g.trust.Good() {
+			g.event("target_back", "target", g.life.ID, "job", r.msg.Job, "task", r.msg.Name)
+		}
 		g.speed.note(r.msg.Expected, r.ran)
 		g.finish(r, msgs.Done, "")
 	case EndedFailed:
-		g.bad(r, "failing", now)
+		g.bad(r, cause.Failing, now)
 		g.finish(r, msgs.Failed, "")
 	default:
 		if !r.cancel {
-			r.because = "lapsed"
+			r.because = cause.Lapsed
 		}
 		g.finish(r, msgs.Lost, r.because)
 	}
+	return true
 }
 
 // progress takes in a run in progress. It reports false if the run is not
@@ -84,6 +104,7 @@
 	if r.phase == ordered && r.settle {
 		r.phase, r.settle = running, false
 		r.begun, r.moved = now, now
+		g.tellStarted(r, now)
 		if r.cancel {
 			g.stopNow(r, now)
 		}
@@ -99,10 +120,10 @@
 	switch {
 	case r.phase == ordered && !r.settle:
 	case r.phase == ordered && (r.barred > 0 && clock > r.barred || clock > r.latest):
-		g.refuse(r, "unanswered")
+		g.refuse(r, cause.Unanswered)
 	case r.phase == running && clock > r.since && (r.since > 0 || clock > r.latest):
 		g.count("target.vanished")
-		g.finish(r, msgs.Lost, "vanished")
+		g.finish(r, msgs.Lost, cause.Vanished)
 	}
 }
 
@@ -116,16 +137,16 @@
 				g.stopNow(r, now)
 			}
 		case now.Sub(r.moved) > max(standstill, time.Duration(standstillShare*float64(r.msg.Expected))*time.Millisecond):
-			g.bad(r, "stuck", now)
-			g.event("task_stuck", "job", r.msg.Job, "task", r.msg.Name, "percent", r.percent, "after", now.Sub(r.begun))
-			g.abandon(r, "stuck")
+			g.bad(r, cause.Stuck, now)
+			g.trace("task_stuck", "job", r.msg.Job, "task", r.msg.Name, "percent", r.percent, "after", now.Sub(r.begun))
+			g.abandon(r, cause.Stuck)
 		}
 	}
 }
 
 // stopStranger stops a run that this process did not order.
 func (g *Gate) stopStranger(row Running) {
-	g.count("stopped.stranger")
+	g.count(cause.Stopped + cause.Stranger)
 	r := &run{msg: msgs.Task{Name: row.Task}, number: row.Run}
 	g.stopNow(r, g.now())
 }
--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/room"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/trust"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
@@ -26,8 +27,12 @@
 	Now func() boot.Time
 	// Event logs a change of state; nil drops it.
 	Event func(event string, pairs ...any)
+	// Trace logs a decision about a task; nil drops it.
+	Trace func(event string, pairs ...any)
 	// Count counts by reason; nil drops it.
 	Count func(name string)
+	// Time notes how long something took; nil drops it.
+	Time func(name string, d time.Duration)
 
 	mu         sync.Mutex
 	life       Life
@@ -36,11 +41,13 @@
 	clean      bool // nothing unknown runs at the target
 	fence      int64
 	clock      targetClock
-	seen       int64     // number of the newest end that was taken in
-	acked      int64     // number of the newest end that the target was told of
-	misses     int       // holds without an answer, one after the other
-	silent     bool      // too many of them
-	hedgeUntil boot.Time // until when a second hold is kept open
+	seen       int64          // number of the newest end that was taken in
+	acked      int64          // number of the newest end that the target was told of
+	endClock   int64          // target's clock when the newest end was told, ms
+	lastEnds   map[string]int // runs by task whose end was told then
+	misses     int            // holds without an answer, one after the other
+	silent     bool           // too many of them
+	hedgeUntil boot.Time      // until when a second hold is kept open
 	leaseEnd   boot.Time
 	runs       map[string]*run // by task: all that may run at the target
 	tasks      map[taskID]*run // by sender's ID, with results that are kept a while
@@ -83,6 +90,7 @@
 	latest  int64 // deadline of the newest start, target's clock, ms
 	since   int64 // target's clock when the start was answered, ms
 
+	came     boot.Time // when the task arrived
 	leave    boot.Time // when to leave the queue
 	begun    boot.Time // when the start was answered or listed
 	stopAt   boot.Time // when to send the next stop
@@ -112,7 +120,7 @@
 	select {
 	case <-r.finished:
 	case <-ctx.Done():
-		return msgs.TaskReply{Result: msgs.Lost, Reason: "gate is stopping"}
+		return msgs.TaskReply{Result: msgs.Lost, Reason: cause.Stopping}
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -127,7 +135,7 @@
 		g.renew(m.Sender)
 		for _, id := range m.Cancel {
 			if r := g.tasks[taskID{m.Entry, m.Life, id}]; r != nil {
-				g.abandon(r, "cancelled")
+				g.abandon(r, cause.Cancelled)
 			}
 		}
 	}
@@ -140,7 +148,7 @@
 	g.mu.Lock()
 	g.stopping = true
 	for _, r := range g.queue {
-		g.finish(r, msgs.Refused, "stopping")
+		g.finish(r, msgs.Refused, cause.Stopping)
 	}
 	g.queue = nil
 	g.mu.Unlock()
@@ -161,7 +169,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if m.GateLife != g.Process {
-		return nil, msgs.TaskReply{Result: msgs.Stranger, Reason: "other life", Load: g.load()}
+		return nil, msgs.TaskReply{Result: msgs.Stranger, Reason: cause.OtherLife, Load: g.load()}
 	}
 	g.renew(m.Sender)
 	id := taskID{m.Entry, m.Life, m.ID}
@@ -170,12 +178,13 @@
 	}
 	size := room.Size{CPU: m.CPU, Memory: m.Memory, GPU: m.GPU}
 	if reason := g.objection(m, size); reason != "" {
-		g.count("refused." + reason)
+		g.tellRefused(m, reason)
 		return nil, msgs.TaskReply{Result: msgs.Refused, Reason: reason, Load: g.load()}
 	}
+	now := g.now()
 	r := &run{
 		id: id, msg: m, size: size, number: 1, finished: make(chan struct{}),
-		leave: g.now().Add(time.Duration(m.Patience) * time.Millisecond),
+		came: now, leave: now.Add(time.Duration(m.Patience) * time.Millisecond),
 	}
 	g.remember(r)
 	g.queue = append(g.queue, r)
@@ -183,7 +192,7 @@
 	g.startQueued()
 	if r.phase == queued && m.Patience <= 0 {
 		g.dequeue(r)
-		g.finish(r, msgs.Refused, "full")
+		g.finish(r, msgs.Refused, cause.Full)
 	}
 	return r, msgs.TaskReply{}
 }
@@ -192,34 +201,35 @@
 func (g *Gate) objection(m msgs.Task, size room.Size) string {
 	switch {
 	case g.stopping:
-		return "stopping"
+		return cause.Stopping
 	case !g.known:
-		return "notarget"
+		return cause.NoTarget
 	case g.life.Leaving:
-		return "leaving"
+		return cause.Leaving
 	case m.Service != g.life.Service:
-		return "service"
+		return cause.Service
 	case !size.Valid() || !size.Within(g.life.Capacity):
-		return "size"
+		return cause.Size
 	case !g.lives(m.Sender):
-		return "expired"
+		return cause.Expired
 	case g.runs[m.Name] != nil:
-		return "twin"
+		return cause.Twin
 	case g.trust.Aside(g.now()) != "":
-		return "aside"
+		return cause.Aside
 	}
 	return ""
 }
 
-// startQueued starts what waits and has room, most urgent first. A task that
-// has no room lets no later one pass, so that wide tasks get their turn.
+// startQueued starts what waits and has room, most urgent first, and hands back
+// what a target that is set aside does not get. A task that has no room lets no
+// later one pass, so that wide tasks get their turn.
 func (g *Gate) startQueued() {
 	now := g.now()
 	for len(g.queue) > 0 && g.usable(now) {
 		r := g.queue[0]
 		if g.runs[r.msg.Name] != nil {
 			g.queue = g.queue[1:]
-			g.finish(r, msgs.Refused, "twin")
+			g.finish(r, msgs.Refused, cause.Twin)
 			continue
 		}
 		if !g.used().Plus(r.size).Within(g.life.Capacity) {
@@ -227,6 +237,7 @@
 		}
 		g.queue = g.queue[1:]
 		g.trust.Trial(now)
+		g.tellOrdered(r, now)
 		r.phase = ordered
 		g.runs[r.msg.Name] = r
 		g.nudge()
@@ -267,6 +278,7 @@
 	if r.phase == over {
 		return
 	}
+	was := r.phase
 	r.phase = over
 	r.ended = g.now()
 	r.result = result
@@ -274,11 +286,7 @@
 	if g.runs[r.msg.Name] == r {
 		delete(g.runs, r.msg.Name)
 	}
-	if result == msgs.Refused {
-		g.count("refused." + reason)
-	} else {
-		g.count("ended." + result.String())
-	}
+	g.tellEnded(r, was)
 	close(r.finished)
 	g.nudge()
 }
@@ -288,7 +296,7 @@
 	now := g.now()
 	l := msgs.Load{Life: g.Process, Stamp: int64(now), Speed: g.speed.value(), Leaving: g.stopping || g.life.Leaving}
 	if !g.known {
-		l.Aside = "notarget"
+		l.Aside = cause.NoTarget
 		return l
 	}
 	used := g.used()
@@ -300,7 +308,7 @@
 	}
 	l.Aside = g.trust.Aside(now)
 	if g.silent || !g.clean {
-		l.Aside = "silent"
+		l.Aside = cause.Silent
 	}
 	return l
 }
@@ -322,18 +330,6 @@
 	return boot.Now()
 }
 
-func (g *Gate) event(event string, pairs ...any) {
-	if g.Event != nil {
-		g.Event(event, pairs...)
-	}
-}
-
-func (g *Gate) count(name string) {
-	if g.Count != nil {
-		g.Count(name)
-	}
-}
-
 // nudge makes the hold loop look at the state again.
 func (g *Gate) nudge() {
 	select {
--- a/internal/disp/gate/gate_test.go
+++ b/internal/disp/gate/gate_test.go
@@ -7,6 +7,9 @@
 	"testing"
 	"time"
 
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/room"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
@@ -285,3 +288,60 @@
 		t.Errorf("got %v %q", reply.Result, reply.Reason)
 	}
 }
+
+// Two lists of the same millisecond may overtake each other. The one that was
+// made before a run's end shows it; that is no stranger.
+func TestGateKnowsRunThatHasJustEnded(t *testing.T) {
+	now := boot.Time(time.Hour)
+	var stops []string
+	g := &Gate{
+		Process: 7, Now: func() boot.Time { return now },
+		Stop: func(_ context.Context, _ Life, o Order) (int64, error) {
+			stops = append(stops, o.Task)
+			return 0, ErrUnanswered
+		},
+	}
+	g.Announced(newFake(1000).life)
+	r := &run{msg: msgs.Task{Name: "a", Expected: 10}, number: 1, phase: running, since: 5, finished: make(chan struct{})}
+	g.runs = map[string]*run{"a": r}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.apply(Listing{Clock: 100, Ended: []Ended{{Number: 1, Task: "a", Run: 1, How: EndedDone}}}, now)
+	g.apply(Listing{Clock: 100, Running: []Running{{Task: "a", Run: 1}}}, now)
+	if !g.clean {
+		t.Error("a run that has just ended counts as a stranger")
+	}
+	g.apply(Listing{Clock: 101, Running: []Running{{Task: "a", Run: 1}}}, now)
+	if g.clean {
+		t.Error("a run that is listed after its end is no stranger")
+	}
+}
+
+// Nothing is started while something unknown runs at the target, also if it
+// can't be stopped for a while.
+func TestGateStartsNothingBesideAStranger(t *testing.T) {
+	f := newFake(1000)
+	f.runs["old"] = fakeRun{number: 3, size: room.Size{CPU: 900}, ends: time.Now().Add(time.Hour)}
+	stop := make(chan struct{})
+	g := &Gate{Process: 7, Start: f.Start, Hold: f.Hold}
+	g.Stop = func(ctx context.Context, l Life, o Order) (int64, error) {
+		select {
+		case <-stop:
+			return f.Stop(ctx, l, o)
+		case <-ctx.Done():
+			return 0, ErrUnanswered
+		}
+	}
+	o := start(t, g, f)
+	o.until("the stranger is seen", func() bool { return o.State().Known && o.sync().Aside == cause.Silent })
+	replies := make(chan msgs.TaskReply, 1)
+	m := o.task("a", 500)
+	m.Patience = 60_000
+	go func() { replies <- o.take(m) }()
+	o.until("the task waits", func() bool { return o.State().Queued == 1 })
+	close(stop)
+	if reply := <-replies; reply.Result != msgs.Done {
+		t.Errorf("got %v %q", reply.Result, reply.Reason)
+	}
+	f.check(t)
+}
--- a/internal/disp/gate/hold.go
+++ b/internal/disp/gate/hold.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/trust"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
@@ -43,10 +44,11 @@
 		g.shed()
 		return true
 	}
-	g.gone("reborn")
+	g.gone(cause.Reborn)
 	g.life, g.known = l, true
 	g.clean, g.silent, g.misses = false, false, 0
 	g.clock, g.seen, g.acked = targetClock{}, 0, 0
+	g.endClock, g.lastEnds = 0, nil
 	g.trust, g.speed = trust.Record{}, speed{}
 	if g.fence == 0 {
 		g.fence = time.Now().UnixMilli()
@@ -61,7 +63,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.known && g.life.ID == id {
-		g.gone("departed")
+		g.gone(cause.Departed)
 	}
 }
 
@@ -71,7 +73,7 @@
 		return
 	}
 	for _, r := range g.queue {
-		g.finish(r, msgs.Refused, "leaving")
+		g.finish(r, msgs.Refused, cause.Leaving)
 	}
 	g.queue = nil
 }
@@ -197,7 +199,7 @@
 	case errors.Is(err, ErrFenced):
 		g.raiseFence()
 	case errors.Is(err, ErrReborn):
-		g.gone("reborn")
+		g.gone(cause.Reborn)
 	default:
 		g.misses++
 		g.hedgeUntil = now.Add(hedgeFor)
@@ -220,7 +222,7 @@
 		return
 	}
 	for _, r := range g.runs {
-		g.finish(r, msgs.Lost, "silent")
+		g.finish(r, msgs.Lost, cause.Silent)
 	}
 }
 
@@ -235,7 +237,7 @@
 			pause = tickEvery
 		}
 		now := g.now()
-		g.expire()
+		g.expire(now)
 		g.leaveQueue(now)
 		g.forget(now)
 		g.watch(now)
@@ -261,7 +263,7 @@
 	kept := g.queue[:0:0]
 	for _, r := range g.queue {
 		if now >= r.leave {
-			g.finish(r, msgs.Refused, "full")
+			g.finish(r, msgs.Refused, cause.Full)
 			continue
 		}
 		kept = append(kept, r)
--- a/internal/disp/gate/lease.go
+++ b/internal/disp/gate/lease.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
@@ -15,6 +16,8 @@
 	Lease = 600 * time.Millisecond
 	// clockRate is the slowest that a target's clock runs, against real time.
 	clockRate = 0.98
+	// keepSender is how long a sender is remembered after its lease has lapsed.
+	keepSender = time.Minute
 	// stopSlack covers the tick that notices a lapsed lease and three attempts
 	// to stop a task.
 	stopSlack = 150 * time.Millisecond
@@ -25,8 +28,9 @@
 
 // sender is what is known of one entry.
 type sender struct {
-	life  uint64
-	until boot.Time // when its lease lapses
+	life   uint64
+	until  boot.Time // when its lease lapses
+	lapsed bool      // the lapse has been noticed
 }
 
 // renew notes the stamp that a sender echoed. A new life of a sender gives up
@@ -42,6 +46,7 @@
 		g.event("sender", "entry", s.Entry, "life", s.Life)
 	}
 	known.until = max(known.until, boot.Time(s.Echo).Add(Authority))
+	known.lapsed = known.lapsed && g.now() >= known.until
 }
 
 // lives tells whether the sender's lease holds now.
@@ -50,11 +55,21 @@
 	return known != nil && known.life == s.Life && g.now() < known.until
 }
 
-// expire gives up the tasks of senders whose lease has lapsed.
-func (g *Gate) expire() {
+// expire gives up the tasks of senders whose lease has lapsed, and forgets
+// senders that have been silent for long.
+func (g *Gate) expire(now boot.Time) {
+	for name, s := range g.senders {
+		if now >= s.until && !s.lapsed {
+			s.lapsed = true
+			g.event("entry_lapsed", "entry", name, "life", s.life, "since", now.Sub(s.until))
+		}
+		if now.Sub(s.until) > keepSender {
+			delete(g.senders, name)
+		}
+	}
 	for _, r := range g.tasks {
 		if r.phase != over && !g.lives(r.msg.Sender) {
-			g.abandon(r, "expired")
+			g.abandon(r, cause.Expired)
 		}
 	}
 }
@@ -69,7 +84,7 @@
 	default:
 		r.cancel = true
 		r.because = reason
-		g.count("stopped." + reason)
+		g.count(cause.Stopped + reason)
 		if r.phase == running {
 			g.stopNow(r, g.now())
 		}
--- a/internal/disp/gate/order.go
+++ b/internal/disp/gate/order.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
@@ -26,8 +27,10 @@
 			return
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		sent := g.now()
 		clock, err := g.Start(ctx, life, o)
 		cancel()
+		g.took(OrderTime, g.now().Sub(sent))
 		if g.started(r, life, clock, err) {
 			if errors.Is(err, ErrUnanswered) {
 				g.settle(r)
@@ -37,7 +40,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.refuse(r, "orders")
+	g.refuse(r, cause.Orders)
 }
 
 // prepare makes the order to start r, or gives r up if it must not start now.
@@ -52,10 +55,10 @@
 		g.refuse(r, r.because)
 		return Life{}, Order{}, false
 	case !g.lives(r.msg.Sender):
-		g.refuse(r, "expired")
+		g.refuse(r, cause.Expired)
 		return Life{}, Order{}, false
 	case !g.reachable():
-		g.refuse(r, "silent")
+		g.refuse(r, cause.Silent)
 		return Life{}, Order{}, false
 	}
 	r.latest = g.deadline(now)
@@ -79,6 +82,7 @@
 		r.phase = running
 		r.since = clock
 		r.begun, r.moved = now, now
+		g.tellStarted(r, now)
 		if r.cancel {
 			g.stopNow(r, now)
 		}
@@ -92,19 +96,20 @@
 		return false
 	case errors.Is(err, ErrUnanswered):
 		g.count("target.unanswered")
+		g.trace("start_unanswered", "job", r.msg.Job, "task", r.msg.Name, "run", r.number, "target", life.ID, "err", err)
 		g.hedgeUntil = now.Add(hedgeFor)
 		r.settle = true
 	case errors.Is(err, ErrReborn):
-		g.gone("reborn")
+		g.gone(cause.Reborn)
 	case errors.Is(err, ErrUnhealthy):
-		g.bad(r, "unhealthy", now)
-		g.refuse(r, "unhealthy")
+		g.bad(r, cause.Unhealthy, now)
+		g.refuse(r, cause.Unhealthy)
 	case errors.Is(err, ErrUnreachable):
 		g.silent = true
-		g.refuse(r, "unreachable")
+		g.refuse(r, cause.Unreachable)
 	default:
-		g.event("start_refused", "job", r.msg.Job, "task", r.msg.Name, "err", err)
-		g.refuse(r, "rejected")
+		g.trace("start_refused", "job", r.msg.Job, "task", r.msg.Name, "err", err)
+		g.refuse(r, cause.Rejected)
 	}
 	return true
 }
@@ -148,8 +153,8 @@
 		return
 	}
 	if g.trust.Bad(r.msg.Job, reason, now) {
-		g.event("target_aside", "target", g.life.ID, "reason", reason, "job", r.msg.Job)
-		g.count("aside." + reason)
+		g.event("target_aside", "target", g.life.ID, "reason", reason, "job", r.msg.Job, "task", r.msg.Name)
+		g.count(cause.SetBack + reason)
 	}
 }
 
@@ -185,7 +190,7 @@
 	case errors.Is(err, ErrFenced):
 		g.raiseFence()
 	case errors.Is(err, ErrReborn):
-		g.gone("reborn")
+		g.gone(cause.Reborn)
 	}
 }
 
--- a/internal/disp/link/link.go
+++ b/internal/disp/link/link.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/gate"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/room"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
@@ -131,7 +132,7 @@
 func (l *Link) Do(ctx context.Context, m msgs.Task) msgs.TaskReply {
 	sender, ok := l.sender(0)
 	if !ok {
-		return msgs.TaskReply{Result: msgs.Refused, Reason: "unreachable"}
+		return msgs.TaskReply{Result: msgs.Refused, Reason: cause.Unreachable}
 	}
 	life := sender.GateLife
 	l.fly(1)
@@ -139,21 +140,23 @@
 	l.note(m)
 	sent := false
 	for {
-		m.Sender = sender
+		// A call that failed may still be reading its message.
+		message := m
+		message.Sender = sender
 		var reply msgs.TaskReply
-		err := l.Call(ctx, l.Addr, TakeMethod, &m, &reply)
+		err := l.Call(ctx, l.Addr, TakeMethod, &message, &reply)
 		switch {
 		case err == nil && reply.Result != msgs.Stranger:
 			l.learn(reply.Load, false)
 			return reply
 		case err == nil && !sent:
-			return msgs.TaskReply{Result: msgs.Refused, Reason: "stranger"}
+			return msgs.TaskReply{Result: msgs.Refused, Reason: cause.Stranger}
 		case err != nil && !sent && errors.Is(err, peer.ErrNotSent):
-			return msgs.TaskReply{Result: msgs.Refused, Reason: "unreachable"}
+			return msgs.TaskReply{Result: msgs.Refused, Reason: cause.Unreachable}
 		}
 		sent = true
 		if sender, ok = l.regain(ctx, life); !ok {
-			return msgs.TaskReply{Result: msgs.Lost, Reason: "silent"}
+			return msgs.TaskReply{Result: msgs.Lost, Reason: cause.Silent}
 		}
 	}
 }
@@ -236,9 +239,10 @@
 	l.mu.Lock()
 	l.failures++
 	first := l.failures == 1
+	target, age, flying := l.load.Target, l.now().Sub(l.answered), l.flying
 	l.mu.Unlock()
 	if first {
-		l.event("gate_silent", "gate", l.Addr, "err", err)
+		l.event("gate_silent", "gate", l.Addr, "target", target, "answered", age, "tasks", flying, "err", err)
 	}
 	l.Drop(l.Addr)
 }
@@ -268,7 +272,7 @@
 	l.sent = kept
 	l.mu.Unlock()
 	if reborn || regained {
-		l.event("gate_answers", "gate", l.Addr, "life", load.Life)
+		l.event("gate_answers", "gate", l.Addr, "target", load.Target, "life", load.Life, "reborn", reborn)
 	}
 }
 
--- /dev/null
+++ b/internal/disp/rules/rules_test.go
@@ -0,0 +1,231 @@
+package rules
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/core/seed"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/coord"
+	"pgregory.net/rapid"
+)
+
+const (
+	entryCount = 2
+	gateCount  = 3
+	playTime   = 4000 // ms in which jobs come and things fail
+	// calmTime is how long all is well before the last jobs come, which must all
+	// be done: what a failure left behind has then passed.
+	calmTime = 6 * time.Second
+	calmJobs = 6
+)
+
+func TestMain(m *testing.M) { seed.Main(m, seed.Size{Checks: 60}) }
+
+// Kinds of events.
+const (
+	killGate = iota
+	killEntry
+	cutSilent
+	cutNoAnswer
+	rebirth
+	leaveTarget
+	muteTarget
+	loseOrders
+	lateOrders
+	failTarget
+	stuckTarget
+	unhealthyTarget
+	callerLeaves
+	kinds
+)
+
+var kindNames = [kinds]string{
+	"kill gate", "kill entry", "cut", "cut answers", "target reborn", "target leaves", "target mute", "orders lost",
+	"orders late", "target fails", "target stuck", "target unhealthy", "caller leaves",
+}
+
+// event is something that happens at a time, for a while.
+type event struct {
+	At   int // ms
+	Kind int
+	I    int // which gate, entry or job
+	For  int // ms
+}
+
+// String returns the event for the report of a failure.
+func (e event) String() string {
+	return fmt.Sprintf("%d ms: %s %d for %d ms", e.At, kindNames[e.Kind], e.I, e.For)
+}
+
+// plan is a schedule.
+type plan struct {
+	Events []event
+	Jobs   []jobSpec
+	Times  []int // when the jobs come, ms
+}
+
+func drawPlan(t *rapid.T, kinds []int) plan {
+	var p plan
+	for i := range rapid.IntRange(1, 7).Draw(t, "events") {
+		p.Events = append(p.Events, event{
+			At:   rapid.IntRange(0, playTime).Draw(t, fmt.Sprint("at", i)),
+			Kind: rapid.SampledFrom(kinds).Draw(t, fmt.Sprint("kind", i)),
+			I:    rapid.IntRange(0, 5).Draw(t, fmt.Sprint("which", i)),
+			For:  rapid.IntRange(50, 1500).Draw(t, fmt.Sprint("for", i)),
+		})
+	}
+	for i := range rapid.IntRange(10, 40).Draw(t, "jobs") {
+		p.Jobs = append(p.Jobs, jobSpec{
+			Tasks: rapid.IntRange(1, 4).Draw(t, fmt.Sprint("tasks", i)),
+			Work: work{
+				CPU:  rapid.IntRange(100, 600).Draw(t, fmt.Sprint("cpu", i)),
+				MS:   rapid.IntRange(20, 700).Draw(t, fmt.Sprint("ms", i)),
+				Fail: rapid.IntRange(0, 9).Draw(t, fmt.Sprint("fails", i)) == 0,
+			},
+			Attempts: rapid.IntRange(1, 3).Draw(t, fmt.Sprint("attempts", i)),
+			Entry:    rapid.IntRange(0, entryCount-1).Draw(t, fmt.Sprint("entry", i)),
+		})
+		p.Times = append(p.Times, rapid.IntRange(0, playTime).Draw(t, fmt.Sprint("time", i)))
+	}
+	return p
+}
+
+// begin has an event begin, and returns what ends it.
+func (w *world) begin(e event) (end func()) {
+	g, i := e.I%gateCount, e.I%entryCount
+	while := func(how behaviour) func() {
+		w.targets[g].behave(how)
+		return func() { w.targets[g].behave(behaviour{}) }
+	}
+	switch e.Kind {
+	case killGate:
+		w.gateAt(g).kill()
+		return func() { w.startGate(g) }
+	case killEntry:
+		w.entryAt(i).kill()
+		return func() { w.startEntry(i) }
+	case cutSilent:
+		return w.cutOff(i, g, silent)
+	case cutNoAnswer:
+		return w.cutOff(i, g, noAnswer)
+	case rebirth:
+		w.gateAt(g).gate.Announced(w.targets[g].reborn())
+	case leaveTarget:
+		w.gateAt(g).gate.Announced(w.targets[g].leave())
+		return func() { w.gateAt(g).gate.Announced(w.targets[g].reborn()) }
+	case muteTarget:
+		return while(behaviour{mute: true})
+	case loseOrders:
+		return while(behaviour{lose: 3})
+	case lateOrders:
+		return while(behaviour{lose: 2, late: time.Duration(e.For) * time.Millisecond / 2})
+	case failTarget:
+		return while(behaviour{fail: true})
+	case stuckTarget:
+		return while(behaviour{stuck: true})
+	case unhealthyTarget:
+		return while(behaviour{refuses: true})
+	case callerLeaves:
+		w.callerLeaves(fmt.Sprint("j", e.I))
+	}
+	return func() {}
+}
+
+func (w *world) gateAt(i int) *gateProc {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.gates[i]
+}
+
+func (w *world) entryAt(i int) *entryProc {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.entries[i]
+}
+
+func (w *world) cutOff(entry, g int, kind cutKind) func() {
+	set := func(k cutKind) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.cut[[2]int{entry, g}] = k
+	}
+	set(kind)
+	return func() { set(whole) }
+}
+
+func (w *world) callerLeaves(id string) {
+	w.mu.Lock()
+	leave := w.jobs[id]
+	w.mu.Unlock()
+	if leave != nil {
+		w.judge.leave(id)
+		leave()
+	}
+}
+
+// play plays a schedule and returns what broke a rule.
+func play(p plan) []string {
+	w := newWorld(entryCount, gateCount)
+	time.Sleep(50 * time.Millisecond) // the entries find the gates
+	for _, e := range p.Events {
+		go func() {
+			time.Sleep(time.Duration(e.At) * time.Millisecond)
+			end := w.begin(e)
+			time.Sleep(time.Duration(e.For) * time.Millisecond)
+			end()
+		}()
+	}
+	for i, s := range p.Jobs {
+		go func() {
+			time.Sleep(time.Duration(p.Times[i]) * time.Millisecond)
+			w.submit(fmt.Sprint("j", i), s)
+		}()
+	}
+	time.Sleep(playTime*time.Millisecond + 1500*time.Millisecond + calmTime)
+	before := w.judge.count(coord.Done)
+	for i := range calmJobs {
+		w.submit(fmt.Sprint("calm", i), jobSpec{Tasks: 2, Work: work{CPU: 100, MS: 50}, Attempts: 1, Entry: i % entryCount})
+		time.Sleep(100 * time.Millisecond)
+	}
+	time.Sleep(time.Second)
+	if served := w.judge.count(coord.Done) - before; served < calmJobs {
+		w.judge.fault("RECOVER: %d of %d jobs are served on a calm day afterwards", served, calmJobs)
+	}
+	w.end()
+	time.Sleep(5 * time.Second) // goroutines end by their time-outs
+	return w.judge.faults
+}
+
+func check(t *testing.T, kinds []int) {
+	rapid.Check(t, func(rt *rapid.T) {
+		p := drawPlan(rt, kinds)
+		var faults []string
+		synctest.Test(t, func(*testing.T) { faults = play(p) })
+		if len(faults) > 0 {
+			rt.Fatalf("%v\n%v\n%+v", faults, p.Events, p.Jobs)
+		}
+	})
+}
+
+func all() []int {
+	var list []int
+	for k := range kinds {
+		list = append(list, k)
+	}
+	return list
+}
+
+// Whatever fails, no rule is broken, and all is served again afterwards.
+func TestRulesHoldWhateverFails(t *testing.T) { check(t, all()) }
+
+// The same with processes that die and start again, and cuts, only.
+func TestRulesHoldWhenProcessesDie(t *testing.T) {
+	check(t, []int{killGate, killEntry, cutSilent, cutNoAnswer, rebirth, callerLeaves})
+}
+
+// The same with targets that misbehave only.
+func TestRulesHoldWhenTargetsMisbehave(t *testing.T) {
+	check(t, []int{rebirth, leaveTarget, muteTarget, loseOrders, lateOrders, failTarget, stuckTarget, unhealthyTarget, killGate})
+}
--- a/internal/disp/trust/trust.go
+++ b/internal/disp/trust/trust.go
@@ -28,8 +28,12 @@
 	retryAt boot.Time
 }
 
-// Good notes a success.
-func (r *Record) Good() { *r = Record{} }
+// Good notes a success, and reports whether the target had been set aside.
+func (r *Record) Good() bool {
+	aside := r.reason != ""
+	*r = Record{}
+	return aside
+}
 
 // Bad notes that a task of job went wrong at the target at now, and reports
 // whether the target has just been set aside.
--- a/internal/stand/yard/judge.go
+++ b/internal/stand/yard/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 )
 
@@ -15,6 +16,7 @@
 	refused int
 	unknown int
 	failed  int
+	ids     map[string][]string // of jobs by what their callers got
 }
 
 func (j *judge) fault(format string, args ...any) {
@@ -50,6 +52,10 @@
 func (j *judge) answered(job, state string, tasks int) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	if j.ids == nil {
+		j.ids = map[string][]string{}
+	}
+	j.ids[state] = append(j.ids[state], job)
 	switch state {
 	case "done":
 		j.done++
@@ -76,3 +82,41 @@
 	}
 	return task
 }
+
+// again notes a job that its caller had to ask for more than once.
+func (j *judge) again(job string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.ids[StateAgain] = append(j.ids[StateAgain], job)
+}
+
+// Verdict is what callers got and what must not be.
+type Verdict struct {
+	Done    int      `json:"done"`
+	Failed  int      `json:"failed"`
+	Refused int      `json:"refused"`
+	Unknown int      `json:"unknown"`
+	Faults  []string `json:"faults"`
+}
+
+// Verdict returns what was seen so far.
+func (y *Yard) Verdict() Verdict {
+	j := &y.judge
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return Verdict{Done: j.done, Failed: j.failed, Refused: j.refused, Unknown: j.unknown, Faults: append([]string{}, j.faults...)}
+}
+
+// StateAgain stands for the jobs that callers had to ask for more than once.
+const StateAgain = "again"
+
+// Jobs returns the IDs of the jobs whose callers got the given state, and of
+// StateAgain.
+func (y *Yard) Jobs(state string) []string {
+	y.judge.mu.Lock()
+	defer y.judge.mu.Unlock()
+	return slices.Clone(y.judge.ids[state])
+}
+
+// Metrics returns the metrics address of an entry.
+func (y *Yard) Metrics(entry int) string { return address(entry, y.ports.metrics) }
--- a/internal/stand/yard/yard.go
+++ b/internal/stand/yard/yard.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -53,7 +54,7 @@
 }
 
 // ports are those that all processes have alike, each at its own address.
-type ports struct{ front, ready, control, internal, app, store int }
+type ports struct{ front, ready, control, internal, app, store, metrics int }
 
 // New starts the platform's parts and all processes of the program, whose files
 // go to dir.
@@ -68,7 +69,7 @@
 	y.ctx, y.stop = context.WithCancel(context.Background())
 	y.ports = ports{
 		front: fleet.FreePort(), ready: fleet.FreePort(), control: fleet.FreePort(),
-		internal: fleet.FreePort(), app: fleet.FreePort(), store: fleet.FreePort(),
+		internal: fleet.FreePort(), app: fleet.FreePort(), store: fleet.FreePort(), metrics: fleet.FreePort(),
 	}
 	if err := y.serve(fmt.Sprintf("127.0.0.1:%d", y.ports.store), &y.table); err != nil {
 		return nil, err
@@ -117,7 +118,7 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return err
 	}
-	y.args[name] = []string{role, "-settings", path}
+	y.args[name] = []string{role, "-settings", path, "-metrics", strconv.Itoa(y.ports.metrics)}
 	return y.Launch(name)
 }
 
@@ -258,8 +259,10 @@
 		panic(err)
 	}
 	state := "unknown"
+	again := false
 	for try := 0; try < 4 && state == "unknown"; try++ {
 		if try > 0 {
+			again = true
 			time.Sleep(resendAfter)
 		}
 		entry := 1 + (int(id[len(id)-1])+try)%entries
@@ -267,6 +270,9 @@
 		state = outcome(code, answer)
 	}
 	y.judge.answered(id, state, tasks)
+	if again {
+		y.judge.again(id)
+	}
 	return state
 }
 
@@ -302,20 +308,3 @@
 	}
 	return resp.StatusCode, text
 }
-
-// Verdict is what callers got and what must not be.
-type Verdict struct {
-	Done    int      `json:"done"`
-	Failed  int      `json:"failed"`
-	Refused int      `json:"refused"`
-	Unknown int      `json:"unknown"`
-	Faults  []string `json:"faults"`
-}
-
-// Verdict returns what was seen so far.
-func (y *Yard) Verdict() Verdict {
-	j := &y.judge
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return Verdict{Done: j.done, Failed: j.failed, Refused: j.refused, Unknown: j.unknown, Faults: append([]string{}, j.faults...)}
-}
