Let entries insist where most targets are set aside

The entry ignores targets being aside where most are, but each gate handed its tasks back by its own judgement. Ruled out: strangers, fences, leases and links, which were all in order in that state.

Now the entry says in the task that it insists, and the gate takes it; what else waits at a target that is set aside is handed back at once. Gates that can start nothing are passed over for that reason, and don't count among those set aside.

The properties' target now takes 30 ms to stop a run, and some tasks run for 4 s.

--- a/internal/disp/coord/admit.go
+++ b/internal/disp/coord/admit.go
@@ -49,13 +49,17 @@
 			Used:     v.Used,
 			Queued:   v.Load.Queued,
 			Speed:    v.Load.Speed,
-			Aside:    v.Load.Aside != "",
+			Blocked:  blocked(v.Load.Aside),
+			Aside:    v.Load.Aside != "" && !blocked(v.Load.Aside),
 			Far:      far,
 		})
 	}
 	return f
 }
 
+// blocked tells whether a gate that gives this reason can start nothing.
+func blocked(aside string) bool { return aside == cause.Silent || aside == cause.NoTarget }
+
 // admit decides whether a job is taken: not if no target could ever run one of
 // its tasks, and not if the first steps would wait for room so long that the
 // answer would be late. An entry that has no gates yet takes it, since they
--- a/internal/disp/coord/task.go
+++ b/internal/disp/coord/task.go
@@ -123,7 +123,7 @@
 	way, view := f.links[choice.Gate], f.views[choice.Gate]
 	c.trace("task_placed", "job", p.ID, "task", a.name, "gate", way.Addr, "target", view.Load.Target,
 		"used", view.Used.CPU, "of", view.Load.CPU, "speed", int(100*view.Load.Speed), "age", c.now().Sub(view.Heard),
-		"wait", choice.Wait, "finish", choice.Finish, "gates", len(f.gates), "failures", a.failures)
+		"wait", choice.Wait, "finish", choice.Finish, "gates", len(f.gates), "failures", a.failures, "insist", choice.Insist)
 	allowance := p.Route.Allowance(expected)
 	return way, view.Load.Target, msgs.Task{
 		ID: c.nextID.Add(1), Name: a.name, Job: p.ID, Service: p.Route.Service, Spec: p.Spec,
@@ -132,6 +132,7 @@
 		Patience: patience(choice).Milliseconds(),
 		Urgency:  p.Arrived.Add(allowance - expected).Milli(),
 		Failures: a.failures,
+		Insist:   choice.Insist,
 	}, true
 }
 
--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -214,7 +214,7 @@
 		return cause.Expired
 	case g.runs[m.Name] != nil:
 		return cause.Twin
-	case g.trust.Aside(g.now()) != "":
+	case !m.Insist && g.trust.Aside(g.now()) != "":
 		return cause.Aside
 	}
 	return ""
@@ -225,11 +225,11 @@
 // later one pass, so that wide tasks get their turn.
 func (g *Gate) startQueued() {
 	now := g.now()
-	for len(g.queue) > 0 && g.usable(now) {
+	for len(g.queue) > 0 && g.reachable() {
 		r := g.queue[0]
-		if g.runs[r.msg.Name] != nil {
+		if reason := g.unwanted(r, now); reason != "" {
 			g.queue = g.queue[1:]
-			g.finish(r, msgs.Refused, cause.Twin)
+			g.finish(r, msgs.Refused, reason)
 			continue
 		}
 		if !g.used().Plus(r.size).Within(g.life.Capacity) {
@@ -245,9 +245,16 @@
 	}
 }
 
-// usable tells whether further tasks may be started at now.
-func (g *Gate) usable(now boot.Time) bool {
-	return g.reachable() && g.trust.Aside(now) == ""
+// unwanted returns the reason why a task that waits is handed back instead of
+// started, or nothing.
+func (g *Gate) unwanted(r *run, now boot.Time) string {
+	switch {
+	case g.runs[r.msg.Name] != nil:
+		return cause.Twin
+	case !r.msg.Insist && g.trust.Aside(now) != "":
+		return cause.Aside
+	}
+	return ""
 }
 
 // reachable tells whether orders can be given to the target.
--- a/internal/disp/gate/gate_test.go
+++ b/internal/disp/gate/gate_test.go
@@ -345,3 +345,25 @@
 	}
 	f.check(t)
 }
+
+// A task that insists is started though the target is set aside; others that wait
+// are handed back at once.
+func TestGateTakesTaskThatInsists(t *testing.T) {
+	f := newFake(1000)
+	f.fail = true
+	o := open(t, f)
+	for i := range 2 {
+		if reply := o.take(o.task(fmt.Sprintf("bad%d", i), 10)); reply.Result != msgs.Failed {
+			t.Fatalf("got %v %q", reply.Result, reply.Reason)
+		}
+	}
+	if reply := o.take(o.task("other", 10)); reply.Result != msgs.Refused || reply.Reason != cause.Aside {
+		t.Errorf("got %v %q", reply.Result, reply.Reason)
+	}
+	f.set(func(f *fakeTarget) { f.fail = false })
+	m := o.task("insists", 10)
+	m.Insist = true
+	if reply := o.take(m); reply.Result != msgs.Done {
+		t.Errorf("got %v %q", reply.Result, reply.Reason)
+	}
+}
--- a/internal/disp/pick/pick.go
+++ b/internal/disp/pick/pick.go
@@ -15,8 +15,8 @@
 	crowding = 80 * time.Millisecond
 	// slowest is the least speed that is reckoned with.
 	slowest = 0.02
-	// mostAside is the share of gates, in percent, that may be set aside before
-	// being set aside counts for nothing.
+	// mostAside is the share of gates that can start tasks, in percent, that may
+	// be set aside before being so counts for nothing.
 	mostAside = 50
 )
 
@@ -26,7 +26,8 @@
 	Used     room.Size
 	Queued   int64 // core-milliseconds that wait
 	Speed    float64
-	Aside    bool
+	Blocked  bool    // it can start nothing now
+	Aside    bool    // its target is set aside
 	Avoid    bool    // the task has come back from it
 	Far      float64 // factor on the run time there; 0 means 1
 }
@@ -42,11 +43,13 @@
 	Gate   int           // index; -1 for none
 	Wait   time.Duration // expected in the gate's queue
 	Finish time.Duration // expected from now on
+	Insist bool          // the gate's target is set aside, as too many are
 }
 
-// Best returns the choice with the earliest expected end. Gates that are set
-// aside, or that the task has come back from, are taken only where no other can
-// run it.
+// Best returns the choice with the earliest expected end. Gates that can start
+// nothing, that are set aside, or that the task has come back from, are taken only
+// where no other can run it. Where too many are set aside, being so counts for
+// nothing: then it is the tasks that fail rather than the targets.
 func Best(gates []Gate, t Task) Choice {
 	ignoreAside := tooManyAside(gates)
 	best := Choice{Gate: -1}
@@ -60,7 +63,7 @@
 		cost := finish + g.crowded()
 		rank := g.rank(ignoreAside)
 		if best.Gate < 0 || rank < bestRank || rank == bestRank && cost < bestCost {
-			best = Choice{Gate: i, Wait: wait, Finish: finish}
+			best = Choice{Gate: i, Wait: wait, Finish: finish, Insist: g.Aside && ignoreAside}
 			bestRank, bestCost = rank, cost
 		}
 	}
@@ -94,15 +97,22 @@
 	if g.Aside && !ignoreAside {
 		rank += 2
 	}
+	if g.Blocked {
+		rank += 4
+	}
 	return rank
 }
 
 func tooManyAside(gates []Gate) bool {
-	aside := 0
+	open, aside := 0, 0
 	for _, g := range gates {
+		if g.Blocked {
+			continue
+		}
+		open++
 		if g.Aside {
 			aside++
 		}
 	}
-	return aside*100 > len(gates)*mostAside
+	return aside*100 > open*mostAside
 }
--- a/internal/disp/pick/pick_test.go
+++ b/internal/disp/pick/pick_test.go
@@ -103,3 +103,31 @@
 		Best(gates, Task{Size: room.Size{CPU: 100}, Expected: time.Second})
 	}
 }
+
+// Where most targets are set aside it is the tasks that fail, so being set aside
+// counts for nothing, and the gate is told so. A gate that can start nothing
+// neither counts nor is chosen.
+func TestBestInsistsWhereMostAreAside(t *testing.T) {
+	task := Task{Size: room.Size{CPU: 100}, Expected: 100 * time.Millisecond}
+	aside, blocked := gate(0, 2), gate(0, 3)
+	aside.Aside = true
+	blocked.Blocked = true
+	for _, tt := range []struct {
+		name   string
+		gates  []Gate
+		want   int
+		insist bool
+	}{
+		{"half aside", []Gate{aside, gate(500, 1)}, 1, false},
+		{"most aside", []Gate{aside, aside, gate(500, 1)}, 0, true},
+		{"most aside, the other better", []Gate{aside, aside, gate(0, 4)}, 2, false},
+		{"blocked ones don't count", []Gate{aside, aside, gate(500, 1), blocked, blocked}, 0, true},
+		{"blocked ones are no help", []Gate{aside, gate(500, 1), blocked, blocked, blocked}, 1, false},
+		{"nothing else", []Gate{blocked}, 0, false},
+	} {
+		got := Best(tt.gates, task)
+		if got.Gate != tt.want || got.Insist != tt.insist {
+			t.Errorf("%s: got %d, insist %t", tt.name, got.Gate, got.Insist)
+		}
+	}
+}
--- a/internal/disp/rules/judge_test.go
+++ b/internal/disp/rules/judge_test.go
@@ -116,6 +116,9 @@
 	if v == nil {
 		return
 	}
+	if !v.left.IsZero() && time.Since(v.left) > cancelTime {
+		j.note("UNASKED: %s runs until %v after its caller left", task, time.Since(v.left))
+	}
 	switch how {
 	case gate.EndedDone:
 		v.done[task] = true
--- a/internal/disp/rules/rules_test.go
+++ b/internal/disp/rules/rules_test.go
@@ -15,10 +15,15 @@
 	entryCount = 2
 	gateCount  = 3
 	playTime   = 4000 // ms in which jobs come and things fail
+	longWork   = 4000 // ms that some tasks run for
 	// calmTime is how long all is well before the last jobs come, which must all
 	// be done: what a failure left behind has then passed.
-	calmTime = 6 * time.Second
-	calmJobs = 6
+	calmTime  = 10 * time.Second
+	calmJobs  = 6
+	calmPause = 100 * time.Millisecond
+	// trialTime is how long targets that were set aside may stay so while calm
+	// jobs come.
+	trialTime = 10 * time.Second
 )
 
 func TestMain(m *testing.M) { seed.Main(m, seed.Size{Checks: 60}) }
@@ -77,7 +82,7 @@
 		})
 	}
 	for i := range rapid.IntRange(10, 40).Draw(t, "jobs") {
-		p.Jobs = append(p.Jobs, jobSpec{
+		s := jobSpec{
 			Tasks: rapid.IntRange(1, 4).Draw(t, fmt.Sprint("tasks", i)),
 			Work: work{
 				CPU:  rapid.IntRange(100, 600).Draw(t, fmt.Sprint("cpu", i)),
@@ -86,7 +91,11 @@
 			},
 			Attempts: rapid.IntRange(1, 3).Draw(t, fmt.Sprint("attempts", i)),
 			Entry:    rapid.IntRange(0, entryCount-1).Draw(t, fmt.Sprint("entry", i)),
-		})
+		}
+		if rapid.IntRange(0, 9).Draw(t, fmt.Sprint("long", i)) == 0 {
+			s.Work = work{CPU: 100, MS: longWork}
+		}
+		p.Jobs = append(p.Jobs, s)
 		p.Times = append(p.Times, rapid.IntRange(0, playTime).Draw(t, fmt.Sprint("time", i)))
 	}
 	return p
@@ -114,7 +123,10 @@
 		w.gateAt(g).gate.Announced(w.targets[g].reborn())
 	case leaveTarget:
 		w.gateAt(g).gate.Announced(w.targets[g].leave())
-		return func() { w.gateAt(g).gate.Announced(w.targets[g].reborn()) }
+		return func() {
+			time.Sleep(drainTime)
+			w.gateAt(g).gate.Announced(w.targets[g].reborn())
+		}
 	case muteTarget:
 		return while(behaviour{mute: true})
 	case loseOrders:
@@ -167,6 +179,12 @@
 
 // play plays a schedule and returns what broke a rule.
 func play(p plan) []string {
+	faults, _ := playCount(p)
+	return faults
+}
+
+// playCount plays a schedule and returns also how many of its jobs were done.
+func playCount(p plan) ([]string, int) {
 	w := newWorld(entryCount, gateCount)
 	time.Sleep(50 * time.Millisecond) // the entries find the gates
 	for _, e := range p.Events {
@@ -187,15 +205,32 @@
 	before := w.judge.count(coord.Done)
 	for i := range calmJobs {
 		w.submit(fmt.Sprint("calm", i), jobSpec{Tasks: 2, Work: work{CPU: 100, MS: 50}, Attempts: 1, Entry: i % entryCount})
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(calmPause)
 	}
 	time.Sleep(time.Second)
 	if served := w.judge.count(coord.Done) - before; served < calmJobs {
-		w.judge.fault("RECOVER: %d of %d jobs are served on a calm day afterwards", served, calmJobs)
+		w.judge.fault("RECOVER: %d of %d jobs are served on a calm day afterwards; %s", served, calmJobs, w.state())
+	}
+	for i := 0; w.aside() && i < int(trialTime/calmPause); i++ {
+		w.submit(fmt.Sprint("calmer", i), jobSpec{Tasks: 2, Work: work{CPU: 100, MS: 50}, Attempts: 1, Entry: i % entryCount})
+		time.Sleep(calmPause)
+	}
+	if w.aside() {
+		w.judge.fault("RECOVER: a target is set aside on a calm day; %s", w.state())
 	}
 	w.end()
 	time.Sleep(5 * time.Second) // goroutines end by their time-outs
-	return w.judge.faults
+	return w.judge.faults, before
+}
+
+// aside tells whether a target is set aside.
+func (w *world) aside() bool {
+	for i := range w.gates {
+		if w.gateAt(i).gate.State().Load.Aside != "" {
+			return true
+		}
+	}
+	return false
 }
 
 func check(t *testing.T, kinds []int) {
@@ -229,3 +264,22 @@
 func TestRulesHoldWhenTargetsMisbehave(t *testing.T) {
 	check(t, []int{rebirth, leaveTarget, muteTarget, loseOrders, lateOrders, failTarget, stuckTarget, unhealthyTarget, killGate})
 }
+
+// While most jobs can never be done, the others are: their failures set no more
+// targets aside than there must be left.
+func TestHopelessJobsTakeNoTargetsAway(t *testing.T) {
+	var p plan
+	for i := range 60 {
+		p.Jobs = append(p.Jobs, jobSpec{Tasks: 1, Work: work{CPU: 100, MS: 40, Fail: i%3 > 0}, Attempts: 3, Entry: i % entryCount})
+		p.Times = append(p.Times, i*playTime/60)
+	}
+	var faults []string
+	served := 0
+	synctest.Test(t, func(*testing.T) { faults, served = playCount(p) })
+	if len(faults) > 0 {
+		t.Error(faults)
+	}
+	if served < 20 {
+		t.Errorf("%d of 20 jobs were done", served)
+	}
+}
--- a/internal/disp/rules/target_test.go
+++ b/internal/disp/rules/target_test.go
@@ -14,6 +14,7 @@
 const (
 	targetRoom = 1000 // thousandths of a core
 	mostLease  = time.Second
+	stopTime   = 30 * time.Millisecond // from an order to stop a run to its end
 	lookEvery  = time.Millisecond
 )
 
@@ -49,10 +50,11 @@
 }
 
 type targetRun struct {
-	number int
-	work   work
-	ends   time.Time
-	from   time.Time
+	number  int
+	work    work
+	ends    time.Time
+	from    time.Time
+	stopped bool
 }
 
 // work is what a task asks of a target.
@@ -200,8 +202,8 @@
 			return
 		}
 		t.fence = o.Fence
-		if r := t.runs[o.Task]; r != nil && r.number == o.Run {
-			t.end(o.Task, r, gate.EndedOther)
+		if r := t.runs[o.Task]; r != nil && r.number == o.Run && !r.stopped {
+			r.stopped, r.ends = true, time.Now().Add(stopTime)
 		}
 		t.highest[o.Task] = max(t.highest[o.Task], o.Run)
 	}
@@ -277,8 +279,9 @@
 func (t *target) tidy() {
 	for task, r := range t.runs {
 		switch {
-		case t.clock() > t.until:
+		case t.clock() > t.until, r.stopped && !time.Now().Before(r.ends):
 			t.end(task, r, gate.EndedOther)
+		case r.stopped:
 		case t.how.stuck || time.Now().Before(r.ends):
 		case t.how.fail || r.work.Fail:
 			t.end(task, r, gate.EndedFailed)
--- a/internal/disp/rules/world_test.go
+++ b/internal/disp/rules/world_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -303,3 +304,25 @@
 		p.kill()
 	}
 }
+
+// state tells what gates, targets and entries believe, for the report of a
+// failure.
+func (w *world) state() string {
+	text := ""
+	for i := range w.gates {
+		text += fmt.Sprintf("gate %d %+v; ", i, w.gateAt(i).gate.State())
+	}
+	for i := range w.entries {
+		for _, l := range w.entryAt(i).coord.Links() {
+			text += fmt.Sprintf("entry %d %s %+v; ", i, l.Addr, l.View(w.now()))
+		}
+	}
+	w.judge.mu.Lock()
+	defer w.judge.mu.Unlock()
+	for id, v := range w.judge.jobs {
+		if strings.HasPrefix(id, "calm") {
+			text += fmt.Sprintf("%s %+v; ", id, *v)
+		}
+	}
+	return text
+}
--- a/internal/wire/msgs/msgs_test.go
+++ b/internal/wire/msgs/msgs_test.go
@@ -49,7 +49,7 @@
 		&Empty{},
 		&Task{
 			Sender: Sender{Entry: "e", Life: 1, GateLife: 2, Echo: 3}, ID: 4, Name: "n", Job: "j", Service: "s", Spec: "x",
-			CPU: 5, Memory: 6, GPU: 7, Expected: 8, Patience: 9, Urgency: 10, Failures: 11,
+			CPU: 5, Memory: 6, GPU: 7, Expected: 8, Patience: 9, Urgency: 10, Failures: 11, Insist: true,
 		},
 		&TaskReply{Result: Failed, Reason: "r", Ran: 1, Load: load},
 		&Sync{Sender: Sender{Entry: "e", Life: 1, GateLife: 2, Echo: 3}, Cancel: []uint64{4, 5}},
--- a/internal/wire/msgs/task.go
+++ b/internal/wire/msgs/task.go
@@ -48,6 +48,7 @@
 	Patience int64 // longest wait in the gate's queue, ms
 	Urgency  int64 // the gate's queue starts the lowest first, ms
 	Failures int   // how often the task has failed elsewhere
+	Insist   bool  // to be taken though the target is set aside, since most are
 }
 
 // TaskReply tells how the task ended.
@@ -118,13 +119,13 @@
 // EncodeMsgpack writes the message.
 func (m *Task) EncodeMsgpack(e *msgpack.Encoder) error {
 	return pack(e, m.Entry, m.Life, m.GateLife, m.Echo, m.ID, m.Name, m.Job, m.Service, m.Spec,
-		m.CPU, m.Memory, m.GPU, m.Expected, m.Patience, m.Urgency, m.Failures)
+		m.CPU, m.Memory, m.GPU, m.Expected, m.Patience, m.Urgency, m.Failures, m.Insist)
 }
 
 // DecodeMsgpack reads the message.
 func (m *Task) DecodeMsgpack(d *msgpack.Decoder) error {
 	return unpack(d, &m.Entry, &m.Life, &m.GateLife, &m.Echo, &m.ID, &m.Name, &m.Job, &m.Service, &m.Spec,
-		&m.CPU, &m.Memory, &m.GPU, &m.Expected, &m.Patience, &m.Urgency, &m.Failures)
+		&m.CPU, &m.Memory, &m.GPU, &m.Expected, &m.Patience, &m.Urgency, &m.Failures, &m.Insist)
 }
 
 // EncodeMsgpack writes the message.
--- a/test/mutant_test.go
+++ b/test/mutant_test.go
@@ -111,7 +111,9 @@
 	{rule: "DRAIN leaving target", file: dispGate + "gate.go", old: "case g.life.Leaving:\n\t\treturn \"leaving\"\n", new: "", test: "internal/disp/gate TestGateLeavesWithItsTarget", more: []edit{{dispGate + "gate.go", "!g.silent && !g.life.Leaving && g.clock.set", "!g.silent && g.clock.set"}}},
 	{rule: "UNASKED cancel", file: dispCoord + "task.go", old: "l.Cancel(m.ID)\n", new: "", test: "internal/disp/coord TestCallerThatLeavesHasTasksStopped"},
 	{rule: "UNASKED cancel until answered", file: dispLink, old: "if err != nil {\n\t\tl.failed(err)\n\t\treturn", new: "if err != nil {\n\t\tl.confirm(cancels)\n\t\tl.failed(err)\n\t\treturn", test: "internal/disp/link TestCancelIsSentUntilAnswered"},
-	{rule: "RECOVER set aside", file: dispGate + "order.go", old: "case !g.reachable():", new: "case !g.usable(now):", test: "internal/disp/gate TestGateTriesTargetAgain"},
+	{rule: "RECOVER set aside", file: dispGate + "order.go", old: "case !g.reachable():", new: "case !g.reachable() || g.trust.Aside(now) != \"\":", test: "internal/disp/gate TestGateTriesTargetAgain"},
+	{rule: "RECOVER most set aside", file: dispGate + "gate.go", old: "case !m.Insist && g.trust", new: "case g.trust", test: "internal/disp/rules TestHopelessJobsTakeNoTargetsAway"},
+	{rule: "LIMIT strangers", file: dispGate + "gate.go", old: "g.known && g.clean && !g.silent", new: "g.known && !g.silent", test: "internal/disp/gate TestGateStartsNothingBesideAStranger"},
 }
 
 // propertyTimeout ends a test that a broken rule has hang, which counts as caught.
