--- a/cmd/gypsumlanding/observe.go
+++ b/cmd/gypsumlanding/observe.go
@@ -49,7 +49,7 @@
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
 	look := time.NewTicker(settingsEvery)
-	written := modified(p.path)
+	written, known := modified(p.path), p.cfg
 	for {
 		why := "signal"
 		select {
@@ -67,8 +67,8 @@
 			continue
 		}
 		setSeeds(cfg.Seeds)
-		p.log.Event("settings_read", "after", why, "changed", strings.Join(cfg.Changes(p.cfg), "; "))
-		p.cfg = cfg
+		p.log.Event("settings_read", "after", why, "changed", strings.Join(cfg.Changes(known), "; "))
+		known = cfg
 	}
 }
 
--- a/internal/daem/trail/trail.go
+++ b/internal/daem/trail/trail.go
@@ -208,8 +208,10 @@
 
 const timeFormat = "15:04:05.000"
 
-// Print writes the story and the verdict.
-func (b *Book) Print(w io.Writer) error {
+// Text returns the story, a line each, and the verdict. Changes of state are
+// marked with an asterisk.
+func (b *Book) Text() string {
+	var w strings.Builder
 	story := b.Story()
 	for _, l := range story {
 		var pairs []string
@@ -222,11 +224,8 @@
 		if !l.about(b.Job) {
 			mark = "* "
 		}
-		if _, err := fmt.Fprintf(w, "%s +%-6d %s%-22s %-16s %s\n", l.Time.Format(timeFormat),
-			l.Time.Sub(story[0].Time).Milliseconds(), mark, l.Process, l.Event, strings.Join(pairs, " ")); err != nil {
-			return err
-		}
+		fmt.Fprintf(&w, "%s +%-6d %s%-22s %-16s %s\n", l.Time.Format(timeFormat),
+			l.Time.Sub(story[0].Time).Milliseconds(), mark, l.Process, l.Event, strings.Join(pairs, " "))
 	}
-	_, err := fmt.Fprintln(w, b.Verdict())
-	return err
+	return w.String() + b.Verdict() + "\n"
 }
--- a/internal/disp/gate/apply.go
+++ b/internal/disp/gate/apply.go
@@ -5,6 +5,7 @@
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/targ"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
@@ -16,9 +17,9 @@
 )
 
 // apply takes in a list of the target.
-func (g *Gate) apply(l Listing, now boot.Time) {
-	stale := g.clock.set && l.Clock < g.clock.read
-	g.clock.note(l.Clock, now)
+func (g *Gate) apply(l targ.Listing, now boot.Time) {
+	stale := g.clock.Set && l.Clock < g.clock.Read
+	g.clock.Note(l.Clock, now)
 	for _, e := range l.Ended {
 		if g.end(e, l.Clock, now) {
 			g.keepEnd(e, l.Clock)
@@ -53,7 +54,7 @@
 // keepEnd notes the end of a run that was told at the target's time clock. With
 // two holds open, a list of the same millisecond may have been made before the
 // end, and shows the run.
-func (g *Gate) keepEnd(e Ended, clock int64) {
+func (g *Gate) keepEnd(e targ.Ended, clock int64) {
 	if g.lastEnds == nil || clock > g.endClock {
 		g.lastEnds = map[string]int{}
 	}
@@ -62,7 +63,7 @@
 }
 
 // end takes in the end of a run, and reports whether the run was known here.
-func (g *Gate) end(e Ended, clock int64, now boot.Time) bool {
+func (g *Gate) end(e targ.Ended, clock int64, now boot.Time) bool {
 	if e.Number <= g.seen {
 		return false
 	}
@@ -76,13 +77,13 @@
 		r.ran = 0
 	}
 	switch e.How {
-	case EndedDone:
+	case targ.EndedDone:
 		if g.trust.Good() {
 			g.event("target_back", "target", g.life.ID, "job", r.msg.Job, "task", r.msg.Name)
 		}
-		g.speed.note(r.msg.Expected, r.ran)
+		g.speed.Note(r.msg.Expected, r.ran)
 		g.finish(r, msgs.Done, "")
-	case EndedFailed:
+	case targ.EndedFailed:
 		g.bad(r, cause.Failing, now)
 		g.finish(r, msgs.Failed, "")
 	default:
@@ -96,7 +97,7 @@
 
 // progress takes in a run in progress. It reports false if the run is not
 // known here.
-func (g *Gate) progress(row Running, now boot.Time) bool {
+func (g *Gate) progress(row targ.Running, now boot.Time) bool {
 	r := g.runs[row.Task]
 	if r == nil || r.number != row.Run {
 		return false
@@ -145,7 +146,7 @@
 }
 
 // stopStranger stops a run that this process did not order.
-func (g *Gate) stopStranger(row Running) {
+func (g *Gate) stopStranger(row targ.Running) {
 	g.count(cause.Stopped + cause.Stranger)
 	r := &run{msg: msgs.Task{Name: row.Task}, number: row.Run}
 	g.stopNow(r, g.now())
--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -8,7 +8,10 @@
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/learn"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/lease"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/room"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/targ"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/trust"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
@@ -20,9 +23,9 @@
 	Process uint64
 	// Start, Stop and Hold call the target. A nil error means that it answered
 	// with success; Start and Stop return its clock in ms.
-	Start func(context.Context, Life, Order) (int64, error)
-	Stop  func(context.Context, Life, Order) (int64, error)
-	Hold  func(context.Context, Life, Renewal) (Listing, error)
+	Start func(context.Context, targ.Life, targ.Order) (int64, error)
+	Stop  func(context.Context, targ.Life, targ.Order) (int64, error)
+	Hold  func(context.Context, targ.Life, targ.Renewal) (targ.Listing, error)
 	// Now reads the clock; nil means boot.Now.
 	Now func() boot.Time
 	// Event logs a change of state; nil drops it.
@@ -35,12 +38,12 @@
 	Time func(name string, d time.Duration)
 
 	mu         sync.Mutex
-	life       Life
+	life       targ.Life
 	known      bool // life is set
 	stopping   bool // this process is stopping
 	clean      bool // nothing unknown runs at the target
 	fence      int64
-	clock      targetClock
+	clock      targ.Clock
 	seen       int64          // number of the newest end that was taken in
 	acked      int64          // number of the newest end that the target was told of
 	endClock   int64          // target's clock when the newest end was told, ms
@@ -52,9 +55,9 @@
 	runs       map[string]*run // by task: all that may run at the target
 	tasks      map[taskID]*run // by sender's ID, with results that are kept a while
 	queue      []*run
-	senders    map[string]*sender
+	senders    lease.Book // of the entries
 	trust      trust.Record
-	speed      speed
+	speed      learn.Speed
 	reportAt   boot.Time // when to log the load next
 	wake       chan struct{}
 }
@@ -259,7 +262,7 @@
 
 // reachable tells whether orders can be given to the target.
 func (g *Gate) reachable() bool {
-	return g.known && g.clean && !g.silent && !g.life.Leaving && g.clock.set
+	return g.known && g.clean && !g.silent && !g.life.Leaving && g.clock.Set
 }
 
 // used returns the room that is taken.
@@ -301,7 +304,7 @@
 // load returns what the target has to give.
 func (g *Gate) load() msgs.Load {
 	now := g.now()
-	l := msgs.Load{Life: g.Process, Stamp: int64(now), Speed: g.speed.value(), Leaving: g.stopping || g.life.Leaving}
+	l := msgs.Load{Life: g.Process, Stamp: int64(now), Speed: g.speed.Value(), Leaving: g.stopping || g.life.Leaving}
 	if !g.known {
 		l.Aside = cause.NoTarget
 		return l
--- a/internal/disp/gate/hold.go
+++ b/internal/disp/gate/hold.go
@@ -7,6 +7,8 @@
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/learn"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/targ"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/trust"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
@@ -28,13 +30,13 @@
 
 // Announced takes in what the target said of itself. It reports whether the
 // life is the newest.
-func (g *Gate) Announced(l Life) bool {
+func (g *Gate) Announced(l targ.Life) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.known && l.Born < g.life.Born {
 		return false
 	}
-	if g.known && l.same(g.life) {
+	if g.known && l.Same(g.life) {
 		if l.Leaving && !g.life.Leaving {
 			g.event("target_leaving", "target", l.ID)
 		}
@@ -47,9 +49,9 @@
 	g.gone(cause.Reborn)
 	g.life, g.known = l, true
 	g.clean, g.silent, g.misses = false, false, 0
-	g.clock, g.seen, g.acked = targetClock{}, 0, 0
+	g.clock, g.seen, g.acked = targ.Clock{}, 0, 0
 	g.endClock, g.lastEnds = 0, nil
-	g.trust, g.speed = trust.Record{}, speed{}
+	g.trust, g.speed = trust.Record{}, learn.Speed{}
 	if g.fence == 0 {
 		g.fence = time.Now().UnixMilli()
 	}
@@ -136,19 +138,19 @@
 }
 
 // plan returns the next hold, or how long to wait for something to do.
-func (g *Gate) plan() (Life, Renewal, time.Duration) {
+func (g *Gate) plan() (targ.Life, targ.Renewal, time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
 	if !g.known {
-		return Life{}, Renewal{}, holdIdle
+		return targ.Life{}, targ.Renewal{}, holdIdle
 	}
 	idle := len(g.runs) == 0 && g.acked == g.seen && g.clean && !g.silent
-	if idle && g.clock.set && now.Sub(g.clock.after) < holdIdle {
-		return Life{}, Renewal{}, holdIdle - now.Sub(g.clock.after)
+	if idle && g.clock.Set && now.Sub(g.clock.After) < holdIdle {
+		return targ.Life{}, targ.Renewal{}, holdIdle - now.Sub(g.clock.After)
 	}
-	renewal := Renewal{Fence: g.fence, Seen: g.seen}
-	if g.clock.set && !g.silent && len(g.runs) > 0 {
+	renewal := targ.Renewal{Fence: g.fence, Seen: g.seen}
+	if g.clock.Set && !g.silent && len(g.runs) > 0 {
 		renewal.Deadline = g.deadline(now)
 	}
 	if len(g.runs) > 0 && !g.stoppingRun() && g.misses == 0 && g.clean {
@@ -179,10 +181,10 @@
 }
 
 // held takes in the answer to a hold and reports whether there was one.
-func (g *Gate) held(life Life, renewal Renewal, l Listing, err error) bool {
+func (g *Gate) held(life targ.Life, renewal targ.Renewal, l targ.Listing, err error) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.known || !life.same(g.life) {
+	if !g.known || !life.Same(g.life) {
 		return true
 	}
 	now := g.now()
@@ -196,9 +198,9 @@
 		g.apply(l, now)
 		g.startQueued()
 		return true
-	case errors.Is(err, ErrFenced):
+	case errors.Is(err, targ.ErrFenced):
 		g.raiseFence()
-	case errors.Is(err, ErrReborn):
+	case errors.Is(err, targ.ErrReborn):
 		g.gone(cause.Reborn)
 	default:
 		g.misses++
--- a/internal/disp/gate/lease.go
+++ b/internal/disp/gate/lease.go
@@ -14,10 +14,6 @@
 	Authority = 500 * time.Millisecond
 	// Lease is how far ahead of the target's clock deadlines lie.
 	Lease = 600 * time.Millisecond
-	// clockRate is the slowest that a target's clock runs, against real time.
-	clockRate = 0.98
-	// keepSender is how long a sender is remembered after its lease has lapsed.
-	keepSender = time.Minute
 	// stopSlack covers the tick that notices a lapsed lease and three attempts
 	// to stop a task.
 	stopSlack = 150 * time.Millisecond
@@ -26,46 +22,20 @@
 	Silence = Authority + Lease*100/98 + stopSlack
 )
 
-// sender is what is known of one entry.
-type sender struct {
-	life   uint64
-	until  boot.Time // when its lease lapses
-	lapsed bool      // the lapse has been noticed
-}
-
-// renew notes the stamp that a sender echoed. A new life of a sender gives up
-// all that its former life had here.
+// renew notes the stamp that a sender echoed.
 func (g *Gate) renew(s msgs.Sender) {
-	if g.senders == nil {
-		g.senders = map[string]*sender{}
-	}
-	known := g.senders[s.Entry]
-	if known == nil || known.life != s.Life {
-		known = &sender{life: s.Life}
-		g.senders[s.Entry] = known
+	if g.senders.Renew(s.Entry, s.Life, boot.Time(s.Echo).Add(Authority), g.now()) {
 		g.event("sender", "entry", s.Entry, "life", s.Life)
 	}
-	known.until = max(known.until, boot.Time(s.Echo).Add(Authority))
-	known.lapsed = known.lapsed && g.now() >= known.until
 }
 
 // lives tells whether the sender's lease holds now.
-func (g *Gate) lives(s msgs.Sender) bool {
-	known := g.senders[s.Entry]
-	return known != nil && known.life == s.Life && g.now() < known.until
-}
+func (g *Gate) lives(s msgs.Sender) bool { return g.senders.Holds(s.Entry, s.Life, g.now()) }
 
-// expire gives up the tasks of senders whose lease has lapsed, and forgets
-// senders that have been silent for long.
+// expire gives up the tasks of senders whose lease has lapsed.
 func (g *Gate) expire(now boot.Time) {
-	for name, s := range g.senders {
-		if now >= s.until && !s.lapsed {
-			s.lapsed = true
-			g.event("entry_lapsed", "entry", name, "life", s.life, "since", now.Sub(s.until))
-		}
-		if now.Sub(s.until) > keepSender {
-			delete(g.senders, name)
-		}
+	for _, lapse := range g.senders.Lapsed(now) {
+		g.event("entry_lapsed", "entry", lapse.Holder, "life", lapse.Life, "since", now.Sub(lapse.Until))
 	}
 	for _, r := range g.tasks {
 		if r.phase != over && !g.lives(r.msg.Sender) {
@@ -91,28 +61,9 @@
 	}
 }
 
-// targetClock is a lower bound of the target's clock.
-type targetClock struct {
-	set   bool
-	read  int64     // ms
-	after boot.Time // a moment at which the target's clock was at read or later
-}
-
-// note takes in a reading that arrived at now.
-func (c *targetClock) note(read int64, now boot.Time) {
-	if !c.set || read > c.at(now) {
-		*c = targetClock{set: true, read: read, after: now}
-	}
-}
-
-// at returns the least that the target's clock can show at now, in ms.
-func (c *targetClock) at(now boot.Time) int64 {
-	return c.read + int64(clockRate*float64(now.Sub(c.after))/float64(time.Millisecond))
-}
-
 // deadline returns the target's time at which an order sent at now ends, and
 // notes how long what runs there may run on.
 func (g *Gate) deadline(now boot.Time) int64 {
 	g.leaseEnd = max(g.leaseEnd, now.Add(Lease*100/98))
-	return g.clock.at(now) + Lease.Milliseconds()
+	return g.clock.At(now) + Lease.Milliseconds()
 }
--- a/internal/disp/gate/order.go
+++ b/internal/disp/gate/order.go
@@ -7,6 +7,7 @@
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/targ"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
@@ -32,7 +33,7 @@
 		cancel()
 		g.took(OrderTime, g.now().Sub(sent))
 		if g.started(r, life, clock, err) {
-			if errors.Is(err, ErrUnanswered) {
+			if errors.Is(err, targ.ErrUnanswered) {
 				g.settle(r)
 			}
 			return
@@ -44,38 +45,38 @@
 }
 
 // prepare makes the order to start r, or gives r up if it must not start now.
-func (g *Gate) prepare(r *run) (Life, Order, bool) {
+func (g *Gate) prepare(r *run) (targ.Life, targ.Order, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
 	switch {
 	case r.phase != ordered:
-		return Life{}, Order{}, false
+		return targ.Life{}, targ.Order{}, false
 	case r.cancel:
 		g.refuse(r, r.because)
-		return Life{}, Order{}, false
+		return targ.Life{}, targ.Order{}, false
 	case !g.lives(r.msg.Sender):
 		g.refuse(r, cause.Expired)
-		return Life{}, Order{}, false
+		return targ.Life{}, targ.Order{}, false
 	case !g.reachable():
 		g.refuse(r, cause.Silent)
-		return Life{}, Order{}, false
+		return targ.Life{}, targ.Order{}, false
 	}
 	r.latest = g.deadline(now)
-	return g.life, Order{Task: r.msg.Name, Run: r.number, Spec: r.msg.Spec, Deadline: r.latest, Fence: g.fence}, true
+	return g.life, targ.Order{Task: r.msg.Name, Run: r.number, Spec: r.msg.Spec, Deadline: r.latest, Fence: g.fence}, true
 }
 
 // started takes in the answer to a start. It reports false if the start should
 // be ordered again.
-func (g *Gate) started(r *run, life Life, clock int64, err error) bool {
+func (g *Gate) started(r *run, life targ.Life, clock int64, err error) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
-	if !life.same(g.life) || r.phase != ordered {
+	if !life.Same(g.life) || r.phase != ordered {
 		return true
 	}
 	if clock > 0 {
-		g.clock.note(clock, now)
+		g.clock.Note(clock, now)
 	}
 	switch {
 	case err == nil:
@@ -86,25 +87,25 @@
 		if r.cancel {
 			g.stopNow(r, now)
 		}
-	case errors.Is(err, ErrOldRun):
+	case errors.Is(err, targ.ErrOldRun):
 		r.number += runStep
 		return false
-	case errors.Is(err, ErrFenced):
+	case errors.Is(err, targ.ErrFenced):
 		g.raiseFence()
 		return false
-	case errors.Is(err, ErrLate):
+	case errors.Is(err, targ.ErrLate):
 		return false
-	case errors.Is(err, ErrUnanswered):
+	case errors.Is(err, targ.ErrUnanswered):
 		g.count("target.unanswered")
 		g.trace("start_unanswered", "job", r.msg.Job, "task", r.msg.Name, "run", r.number, "target", life.ID, "err", err)
 		g.hedgeUntil = now.Add(hedgeFor)
 		r.settle = true
-	case errors.Is(err, ErrReborn):
+	case errors.Is(err, targ.ErrReborn):
 		g.gone(cause.Reborn)
-	case errors.Is(err, ErrUnhealthy):
+	case errors.Is(err, targ.ErrUnhealthy):
 		g.bad(r, cause.Unhealthy, now)
 		g.refuse(r, cause.Unhealthy)
-	case errors.Is(err, ErrUnreachable):
+	case errors.Is(err, targ.ErrUnreachable):
 		g.silent = true
 		g.refuse(r, cause.Unreachable)
 	default:
@@ -130,14 +131,14 @@
 // look has the target list its runs at once, and reports whether r is settled.
 func (g *Gate) look(r *run) bool {
 	g.mu.Lock()
-	life, renewal := g.life, Renewal{Fence: g.fence, Seen: g.seen}
+	life, renewal := g.life, targ.Renewal{Fence: g.fence, Seen: g.seen}
 	g.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	l, err := g.Hold(ctx, life, renewal)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if err == nil && g.known && life.same(g.life) {
+	if err == nil && g.known && life.Same(g.life) {
 		g.apply(l, g.now())
 		g.startQueued()
 	}
@@ -167,7 +168,7 @@
 // stop orders the target to stop r once.
 func (g *Gate) stop(r *run) {
 	g.mu.Lock()
-	life, o := g.life, Order{Task: r.msg.Name, Run: r.number, Fence: g.fence}
+	life, o := g.life, targ.Order{Task: r.msg.Name, Run: r.number, Fence: g.fence}
 	g.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
@@ -176,20 +177,20 @@
 }
 
 // stopped takes in the answer to a stop.
-func (g *Gate) stopped(r *run, life Life, clock int64, err error) {
+func (g *Gate) stopped(r *run, life targ.Life, clock int64, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !life.same(g.life) || r.phase == over {
+	if !life.Same(g.life) || r.phase == over {
 		return
 	}
 	switch {
 	case err == nil:
 		r.barred = clock
-		g.clock.note(clock, g.now())
+		g.clock.Note(clock, g.now())
 		g.nudge()
-	case errors.Is(err, ErrFenced):
+	case errors.Is(err, targ.ErrFenced):
 		g.raiseFence()
-	case errors.Is(err, ErrReborn):
+	case errors.Is(err, targ.ErrReborn):
 		g.gone(cause.Reborn)
 	}
 }
--- a/internal/disp/gate/tell.go
+++ b/internal/disp/gate/tell.go
@@ -5,6 +5,7 @@
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/targ"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
@@ -19,7 +20,7 @@
 
 // State is what an operator is shown of a gate.
 type State struct {
-	Life    Life
+	Life    targ.Life
 	Known   bool // a target has announced itself
 	Load    msgs.Load
 	Clean   bool // nothing unknown runs at the target
@@ -36,7 +37,7 @@
 	defer g.mu.Unlock()
 	return State{
 		Life: g.life, Known: g.known, Load: g.load(), Clean: g.clean, Silent: g.silent, Fence: g.fence,
-		Running: len(g.runs), Queued: len(g.queue), Entries: len(g.senders),
+		Running: len(g.runs), Queued: len(g.queue), Entries: g.senders.Len(),
 	}
 }
 
@@ -55,7 +56,7 @@
 // tellStarted logs that the target has started r.
 func (g *Gate) tellStarted(r *run, now boot.Time) {
 	g.trace("task_started", "job", r.msg.Job, "task", r.msg.Name, "run", r.number, "target", g.life.ID,
-		"entry", r.msg.Entry, "after", now.Sub(r.came), "deadline", r.latest, "clock", g.clock.at(now))
+		"entry", r.msg.Entry, "after", now.Sub(r.came), "deadline", r.latest, "clock", g.clock.At(now))
 }
 
 // tellEnded logs and counts what became of r. It was in the given phase before.
--- a/internal/disp/gate/speed.go
+++ b/internal/disp/learn/speed.go
@@ -1,4 +1,4 @@
-package gate
+package learn
 
 import (
 	"math"
@@ -10,15 +10,15 @@
 	speedBound  = 16.0 // ratios beyond it, or below its inverse, are cut to it
 )
 
-// speed learns how fast a target runs tasks against what was expected. The zero
+// Speed learns how fast a target runs tasks against what was expected. The zero
 // value takes it for 1.
-type speed struct {
+type Speed struct {
 	log float64 // natural logarithm
 	n   int
 }
 
-// note takes in a task that was expected to take want ms at speed 1.
-func (s *speed) note(want int64, took time.Duration) {
+// Note takes in a task that was expected to take want ms at speed 1.
+func (s *Speed) Note(want int64, took time.Duration) {
 	if want <= 0 || took <= 0 {
 		return
 	}
@@ -29,5 +29,5 @@
 	s.log += weight * (math.Log(ratio) - s.log)
 }
 
-// value returns the speed.
-func (s *speed) value() float64 { return math.Exp(s.log) }
+// Value returns the speed.
+func (s *Speed) Value() float64 { return math.Exp(s.log) }
--- a/internal/disp/gate/target.go
+++ b/internal/disp/targ/targ.go
@@ -1,4 +1,4 @@
-package gate
+package targ
 
 import (
 	"github.com/ansel1/merry/v2"
@@ -39,8 +39,8 @@
 	Leaving  bool
 }
 
-// same tells whether l and o are the same life.
-func (l Life) same(o Life) bool { return l.ID == o.ID && l.Born == o.Born }
+// Same tells whether l and o are the same life.
+func (l Life) Same(o Life) bool { return l.ID == o.ID && l.Born == o.Born }
 
 // Order starts or stops one run of a task.
 type Order struct {
