--- a/internal/daem/logs/logs_test.go
+++ b/internal/daem/logs/logs_test.go
@@ -34,9 +34,9 @@
 	var out buffer
 	l := New(&out, "prog", "e1")
 	l.Event("started", "life", 7)
-	l.Trace("job", "job", "a b")
+	l.Trace("job", "job", "a b", "after", 1234567*time.Nanosecond)
 	l.Flush(flushLimit)
-	for _, want := range []string{"prog=prog id=e1 ts=", "event=started life=7\n", `event=job job="a b"`} {
+	for _, want := range []string{"prog=prog id=e1 ts=", "event=started life=7\n", `event=job job="a b" after=1.2ms`} {
 		if !strings.Contains(out.String(), want) {
 			t.Errorf("%q lacks %q", out.String(), want)
 		}
@@ -115,6 +115,32 @@
 	}
 }
 
+// sizes notes the sizes of writes, and whether each ends with a line.
+type sizes struct {
+	most  int
+	torn  bool
+	lines int
+}
+
+func (s *sizes) Write(p []byte) (int, error) {
+	s.most = max(s.most, len(p))
+	s.torn = s.torn || !bytes.HasSuffix(p, []byte("\n"))
+	s.lines += bytes.Count(p, []byte("\n"))
+	return len(p), nil
+}
+
+func TestLinesAreWrittenWholeInSmallPieces(t *testing.T) {
+	var out sizes
+	s := newSink(&out, nil)
+	for i := range 500 {
+		s.put(line{at: time.Unix(1000, 0), event: "started", pairs: []any{"i", i, "text", strings.Repeat("x", i%90)}}, 0)
+	}
+	s.write(<-s.lines)
+	if out.most > batchBytes || out.torn || out.lines != 500 {
+		t.Errorf("%d lines written, up to %d bytes at once, torn: %t", out.lines, out.most, out.torn)
+	}
+}
+
 // BenchmarkTrace measures what a line costs in processor time, formatting and
 // writing included.
 func BenchmarkTrace(b *testing.B) {
--- a/internal/daem/logs/sink.go
+++ b/internal/daem/logs/sink.go
@@ -20,9 +20,12 @@
 	traceReserve = 1000 // of lineBurst, kept from the lines of requests
 	// gatherFor is how long lines are gathered before they are written at once. A
 	// process that is killed loses so much of its log.
-	gatherFor  = 20 * time.Millisecond
-	batchBytes = 32 << 10 // that are written at once at the most
+	gatherFor = 20 * time.Millisecond
+	// batchBytes are written at once at the most, but for a longer line: a pipe
+	// takes so much in one piece, so lines of two processes don't mix.
+	batchBytes = 4 << 10
 	reportGap  = time.Second
+	precision  = 100 * time.Microsecond // of durations
 )
 
 // line is one line before it is formatted.
@@ -93,31 +96,44 @@
 
 // write writes l and what is queued behind it.
 func (s *sink) write(l line) {
-	for {
-		if l.written == nil {
-			s.format(l)
-		}
-		if l.written != nil || s.buffer.Len() >= batchBytes || len(s.lines) == 0 {
+	for l.written == nil {
+		s.format(l)
+		if len(s.lines) == 0 {
 			break
 		}
 		l = <-s.lines
 	}
 	s.tellDropped(l.at)
-	// There is nowhere to tell that the output is closed.
-	_, _ = s.w.Write(s.buffer.Bytes())
-	s.buffer.Reset()
+	s.output(s.buffer.Len())
 	if l.written != nil {
 		close(l.written)
 	}
 }
 
+// output writes the first n bytes of the buffer.
+func (s *sink) output(n int) {
+	// There is nowhere to tell that the output is closed.
+	_, _ = s.w.Write(s.buffer.Next(n))
+}
+
+// format adds a line to the buffer, and writes the lines before it if they fill a
+// batch.
 func (s *sink) format(l line) {
+	before := s.buffer.Len()
 	pairs := append([]any{"ts", l.at.UTC().Format(time.RFC3339Nano), "event", l.event}, l.pairs...)
+	for i, v := range pairs {
+		if d, ok := v.(time.Duration); ok {
+			pairs[i] = d.Round(precision)
+		}
+	}
 	if err := s.next.Log(pairs...); err != nil {
 		s.mu.Lock()
 		s.drop(l)
 		s.mu.Unlock()
 	}
+	if s.buffer.Len() > batchBytes && before > 0 {
+		s.output(before)
+	}
 }
 
 // tellDropped writes a line about the lines that were dropped, now and then.
