Add a soak of the real programs under random failures

Stand-ins judge; a leaving target now tells work that comes too late.

The rule is broken only where all tries were refused, so the judge now takes the refusal of an only try for the statement that nothing has started; as strict for these as before.

--- /dev/null
+++ b/internal/stand/soak/failures.go
@@ -0,0 +1,126 @@
+package soak
+
+import (
+	"syscall"
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/stand/cable"
+	"github.com/gypsumlanding/gypsumlanding/internal/stand/yard"
+)
+
+// failure is one kind of failure, of one of several things.
+type failure struct {
+	kind   string
+	prefix string // of the things' names: e entries, n nodes, t targets, s the store, f fronts
+	among  int
+	play   func(s *player, name string, i int, lasts time.Duration)
+}
+
+// failures are all kinds; the more frequent ones stand more than once.
+var failures = []failure{
+	{"kill", "e", entries, kill},
+	{"kill", "n", nodes, kill},
+	{"stop", "e", entries, term},
+	{"stop", "n", nodes, term},
+	{"pause", "e", entries, pause},
+	{"pause", "n", nodes, pause},
+	{"hup", "e", entries, hup},
+	{"config", "c", 1, config},
+	{"store down", "s", 1, storeDown},
+	{"store cut", "e", entries, func(s *player, name string, _ int, lasts time.Duration) {
+		cut(s, "store "+name, cable.Silent, lasts)
+	}},
+	{"store answers lost", "n", nodes, func(s *player, name string, _ int, lasts time.Duration) {
+		cut(s, "store "+name, cable.Deaf, lasts)
+	}},
+	{"callers cut", "e", entries, func(s *player, name string, _ int, lasts time.Duration) {
+		cut(s, "front "+name, cable.Broken, lasts)
+	}},
+	{"callers reset", "f", entries, func(s *player, _ string, i int, _ time.Duration) {
+		s.yard.Cable(front(i)).Break()
+	}},
+	{"target cut", "t", nodes, targetCut(cable.Silent)},
+	{"target answers lost", "t", nodes, targetCut(cable.Deaf)},
+	{"target reset", "t", nodes, targetCut(cable.Broken)},
+	{"orders lost", "t", nodes, target(yard.Manner{Lose: 0.3})},
+	{"target fails", "t", nodes, target(yard.Manner{Fail: true})},
+	{"target crashes", "t", nodes, func(s *player, _ string, i int, _ time.Duration) { s.yard.Crash(i) }},
+	{"target leaves", "t", nodes, leave},
+}
+
+func front(i int) string { return "front e" + string(rune('0'+i)) }
+
+func kill(s *player, name string, _ int, lasts time.Duration) {
+	s.yard.Kill(name)
+	time.Sleep(lasts / 2)
+	s.launch(name)
+}
+
+func term(s *player, name string, _ int, _ time.Duration) {
+	if err := s.yard.Stop(name); err != nil {
+		s.fault("%s ended with %v", name, err)
+	}
+	s.launch(name)
+}
+
+func (s *player) launch(name string) {
+	if err := s.yard.Launch(name); err != nil {
+		s.fault("%s does not start: %v", name, err)
+	}
+}
+
+func pause(s *player, name string, _ int, lasts time.Duration) {
+	s.signal(name, syscall.SIGSTOP)
+	time.Sleep(lasts)
+	s.signal(name, syscall.SIGCONT)
+}
+
+func hup(s *player, name string, _ int, _ time.Duration) { s.signal(name, syscall.SIGHUP) }
+
+func (s *player) signal(name string, sig syscall.Signal) {
+	if err := s.yard.Signal(name, sig); err != nil {
+		s.fault("signal to %s: %v", name, err)
+	}
+}
+
+func config(s *player, _ string, _ int, _ time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.yard.Configure(s.version)
+}
+
+func storeDown(s *player, _ string, _ int, lasts time.Duration) {
+	s.yard.Table(true)
+	time.Sleep(lasts)
+	s.yard.Table(false)
+}
+
+func cut(s *player, name string, m cable.Mode, lasts time.Duration) {
+	c := s.yard.Cable(name)
+	c.Set(m)
+	time.Sleep(lasts)
+	c.Set(cable.Whole)
+}
+
+func targetCut(m cable.Mode) func(*player, string, int, time.Duration) {
+	return func(s *player, _ string, i int, lasts time.Duration) {
+		cut(s, "target n"+string(rune('0'+i)), m, lasts)
+	}
+}
+
+func target(m yard.Manner) func(*player, string, int, time.Duration) {
+	return func(s *player, _ string, i int, lasts time.Duration) {
+		s.yard.Worker(i, m)
+		time.Sleep(lasts)
+		s.yard.Worker(i, yard.Manner{})
+	}
+}
+
+// leave has a target say that it leaves, serve on for a while, and come back as
+// another life.
+func leave(s *player, _ string, i int, lasts time.Duration) {
+	s.yard.Worker(i, yard.Manner{Leaving: true})
+	time.Sleep(2*time.Second + lasts)
+	s.yard.Crash(i)
+}
--- a/internal/stand/yard/worker.go
+++ b/internal/stand/yard/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -15,6 +16,7 @@
 	pollEvery = time.Millisecond
 	maxLease  = time.Second // the longest that a target grants
 	beatEvery = 200 * time.Millisecond
+	drainTime = 2 * time.Second // within which a leaving target gets nothing new
 )
 
 // worker is a stand-in target. It carries out orders, leaves some unanswered if
@@ -30,6 +32,8 @@
 	born    time.Time
 	seq     int
 	leaving bool
+	left    time.Time // since when it has said so
+	rate    float64   // of its clock; 0 means 1
 	fence   int64
 	until   time.Time
 	runs    map[string]*workerRun
@@ -61,7 +65,7 @@
 	}
 	w.born = time.Now()
 	w.id = fmt.Sprintf("i-%x", w.born.UnixNano())
-	w.seq, w.fence, w.until, w.leaving = 0, 0, time.Time{}, false
+	w.seq, w.fence, w.until, w.leaving, w.left = 0, 0, time.Time{}, false, time.Time{}
 	w.runs, w.highest, w.ended = map[string]*workerRun{}, map[string]int{}, nil
 }
 
@@ -73,6 +77,7 @@
 	if w.leaving {
 		state = "draining"
 	}
+	leaving := w.leaving
 	text, err := json.Marshal(map[string]any{
 		"service": serviceName, "address": w.addr, "zone": "z", "state": state, "seq": w.seq,
 		"born": w.born.UnixMilli(), "capacity": map[string]int{"cpu": w.room, "mem-mb": 1 << 20},
@@ -83,8 +88,14 @@
 		panic(err)
 	}
 	resp, err := client.Post("http://"+w.control+"/-/instances/"+id+"/heartbeat", "application/json", bytes.NewReader(text))
-	if err == nil {
-		_ = resp.Body.Close()
+	if err != nil {
+		return
+	}
+	_ = resp.Body.Close()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if leaving && w.id == id && w.left.IsZero() {
+		w.left = time.Now()
 	}
 }
 
@@ -153,14 +164,16 @@
 	_ = json.NewEncoder(out).Encode(map[string]any{"clock-ms": w.clock(), "reason": reason})
 }
 
-func (w *worker) clock() int64 { return time.Since(w.born).Milliseconds() + 1 }
+func (w *worker) clock() int64 {
+	return int64(cmp.Or(w.rate, 1)*float64(time.Since(w.born).Milliseconds())) + 1
+}
 
 // extend renews the lease up to a time on the worker's clock.
 func (w *worker) extend(deadline int64) {
 	if deadline == 0 {
 		return
 	}
-	until := w.born.Add(time.Duration(deadline) * time.Millisecond)
+	until := w.born.Add(time.Duration(float64(deadline)/cmp.Or(w.rate, 1)) * time.Millisecond)
 	if limit := time.Now().Add(maxLease); until.After(limit) {
 		until = limit
 	}
@@ -180,6 +193,9 @@
 	case deadline <= w.clock():
 		return "late"
 	}
+	if !w.left.IsZero() && time.Since(w.left) > drainTime {
+		w.judge.fault("%s starts at %s %v after it said that it leaves", task, w.addr, time.Since(w.left))
+	}
 	var s spec
 	if err := json.Unmarshal([]byte(text), &s); err != nil {
 		w.judge.fault("%s: a spec that nobody wrote: %q", task, text)
--- a/internal/stand/yard/yard.go
+++ b/internal/stand/yard/yard.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"github.com/gypsumlanding/gypsumlanding/internal/stand/cable"
 	"github.com/gypsumlanding/gypsumlanding/internal/stand/fleet"
 )
 
@@ -26,12 +27,15 @@
 	taskRoom    = 4000 // thousandths of a core at each target
 	resendAfter = 1300 * time.Millisecond
 	callTimeout = 10 * time.Second
+	// statusTimeout is how long a process may take to tell its status.
+	statusTimeout = time.Second
 )
 
 // Options describe a yard. Zero fields mean the defaults.
 type Options struct {
-	Entries int // 0 means 2
-	Nodes   int // 0 means 4
+	Entries int  // 0 means 2
+	Nodes   int  // 0 means 4
+	Cables  bool // lay a cable before each entry, target and way to the store
 }
 
 // Yard is a small platform with the dispatcher on it. Make one with New.
@@ -48,9 +52,10 @@
 	stop    context.CancelFunc
 	servers []*http.Server
 
-	mu    sync.Mutex
-	procs map[string]*fleet.Proc
-	args  map[string][]string
+	mu     sync.Mutex
+	procs  map[string]*fleet.Proc
+	args   map[string][]string
+	cables map[string]*cable.Cable // by "front e1", "target n1", "store e1"
 }
 
 // ports are those that all processes have alike, each at its own address.
@@ -65,7 +70,7 @@
 	if o.Nodes == 0 {
 		o.Nodes = 4
 	}
-	y := &Yard{dir: dir, program: program, procs: map[string]*fleet.Proc{}, args: map[string][]string{}}
+	y := &Yard{dir: dir, program: program, procs: map[string]*fleet.Proc{}, args: map[string][]string{}, cables: map[string]*cable.Cable{}}
 	y.ctx, y.stop = context.WithCancel(context.Background())
 	y.ports = ports{
 		front: fleet.FreePort(), ready: fleet.FreePort(), control: fleet.FreePort(),
@@ -76,25 +81,50 @@
 	}
 	y.Configure(1)
 	for i := range o.Entries {
-		if err := y.prepare(fmt.Sprintf("e%d", i+1), "entry", i+1); err != nil {
+		if err := y.prepare(fmt.Sprintf("e%d", i+1), "entry", i+1, o); err != nil {
 			return nil, err
 		}
 	}
 	for i := range o.Nodes {
-		if err := y.prepare(fmt.Sprintf("n%d", i+1), "node", i+101); err != nil {
+		if err := y.prepare(fmt.Sprintf("n%d", i+1), "node", i+101, o); err != nil {
 			return nil, err
 		}
-		if err := y.addWorker(i + 101); err != nil {
+		if err := y.addWorker(fmt.Sprintf("n%d", i+1), i+101, o); err != nil {
 			return nil, err
 		}
 	}
 	return y, nil
 }
 
+// lay returns the address by which to is reached: a cable's, if there is to be one.
+func (y *Yard) lay(name, to string, o Options) (string, error) {
+	if !o.Cables {
+		return to, nil
+	}
+	c, err := cable.Lay(to)
+	if err != nil {
+		return "", err
+	}
+	y.cables[name] = c
+	return c.Addr(), nil
+}
+
+// Cable returns the cable "front e1", "target n1" or "store e1", or nil.
+func (y *Yard) Cable(name string) *cable.Cable { return y.cables[name] }
+
 func address(host, port int) string { return fmt.Sprintf("127.0.1.%d:%d", host, port) }
 
 // prepare writes a process's settings and starts it.
-func (y *Yard) prepare(name, role string, host int) error {
+func (y *Yard) prepare(name, role string, host int, o Options) error {
+	store, err := y.lay("store "+name, fmt.Sprintf("127.0.0.1:%d", y.ports.store), o)
+	if err != nil {
+		return err
+	}
+	if role == "entry" {
+		if _, err := y.lay("front "+name, address(host, y.ports.front), o); err != nil {
+			return err
+		}
+	}
 	text := fmt.Sprintf(`node-name = %q
 ip = "127.0.1.%d"
 zone = "z"
@@ -111,9 +141,9 @@
 [bounds]
 grace-s = %d
 [platform]
-address = "127.0.0.1:%d"
+address = %q
 `, name, host, y.ports.internal, y.ports.internal, address(1, y.ports.control), address(host, y.ports.app), serviceName,
-		address(host, y.ports.front), address(host, y.ports.ready), address(host, y.ports.control), graceTime, y.ports.store)
+		address(host, y.ports.front), address(host, y.ports.ready), address(host, y.ports.control), graceTime, store)
 	path := filepath.Join(y.dir, name+".toml")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return err
@@ -158,6 +188,9 @@
 		_ = p.Signal(syscall.SIGCONT)
 		p.Kill()
 	}
+	for _, c := range y.cables {
+		c.Close()
+	}
 	for _, srv := range y.servers {
 		_ = srv.Close()
 	}
@@ -174,11 +207,16 @@
 	return nil
 }
 
-func (y *Yard) addWorker(host int) error {
-	w := &worker{addr: address(host, y.ports.app), control: address(host, y.ports.control), room: taskRoom, judge: &y.judge}
+func (y *Yard) addWorker(node string, host int, o Options) error {
+	listen := address(host, y.ports.app)
+	addr, err := y.lay("target "+node, listen, o)
+	if err != nil {
+		return err
+	}
+	w := &worker{addr: addr, control: address(host, y.ports.control), room: taskRoom, judge: &y.judge}
 	w.reborn()
 	y.workers = append(y.workers, w)
-	if err := y.serve(w.addr, w); err != nil {
+	if err := y.serve(listen, w); err != nil {
 		return err
 	}
 	go w.run(y.ctx)
@@ -216,13 +254,38 @@
 // Table takes the table store down or up.
 func (y *Yard) Table(down bool) { y.table.setDown(down) }
 
-// Worker changes how a target behaves: the share of orders that it leaves
-// without an answer, whether all fails, and whether it leaves.
-func (y *Yard) Worker(i int, lose float64, fail, leaving bool) {
+// Manner is how a target behaves.
+type Manner struct {
+	Lose    float64 // share of orders that it leaves without an answer
+	Fail    bool    // all that it runs fails
+	Leaving bool    // it says that it leaves
+}
+
+// Worker changes how a target behaves.
+func (y *Yard) Worker(i int, m Manner) {
 	w := y.workers[i-1]
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.lose, w.fail, w.leaving = lose, fail, leaving
+	w.lose, w.fail, w.leaving = m.Lose, m.Fail, m.Leaving
+}
+
+// InForce returns an entry's life and the version of the configuration that it
+// says is in force, and whether it answers.
+func (y *Yard) InForce(entry int) (life string, version int64, ok bool) {
+	client := http.Client{Timeout: statusTimeout}
+	resp, err := client.Get("http://" + y.Metrics(entry) + "/status")
+	if err != nil {
+		return "", 0, false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var doc struct {
+		Life  string `json:"life"`
+		Entry struct {
+			Version int64 `json:"version"`
+		} `json:"entry"`
+	}
+	err = json.NewDecoder(resp.Body).Decode(&doc)
+	return doc.Life, doc.Entry.Version, err == nil
 }
 
 // Crash has a target lose all that it runs and start a new life.
@@ -259,20 +322,17 @@
 		panic(err)
 	}
 	state := "unknown"
-	again := false
+	tries := 0
 	for try := 0; try < 4 && state == "unknown"; try++ {
 		if try > 0 {
-			again = true
 			time.Sleep(resendAfter)
 		}
+		tries++
 		entry := 1 + (int(id[len(id)-1])+try)%entries
 		code, answer := y.ask(entry, http.MethodPost, routePrefix+id, body)
 		state = outcome(code, answer)
 	}
-	y.judge.answered(id, state, tasks)
-	if again {
-		y.judge.again(id)
-	}
+	y.judge.answered(id, state, tasks, tries > 1)
 	return state
 }
 
@@ -292,7 +352,11 @@
 func (y *Yard) ask(entry int, method, path string, body []byte) (int, []byte) {
 	ctx, cancel := context.WithTimeout(y.ctx, callTimeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+address(entry, y.ports.front)+path, bytes.NewReader(body))
+	at := address(entry, y.ports.front)
+	if c := y.cables["front e"+strconv.Itoa(entry)]; c != nil {
+		at = c.Addr()
+	}
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+at+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil
 	}
@@ -308,3 +372,11 @@
 	}
 	return resp.StatusCode, text
 }
+
+// Clock has a target's clock run at a rate.
+func (y *Yard) Clock(i int, rate float64) {
+	w := y.workers[i-1]
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.rate = rate
+}
