--- a/internal/daem/trail/trail.go
+++ b/internal/daem/trail/trail.go
@@ -57,11 +57,11 @@
 	return l.Get(jobKey) == job || strings.HasPrefix(l.Get(taskKey), job+".")
 }
 
-// ofRequest tells whether l is about a request, and not a change of state.
-func (l Line) ofRequest() bool { return l.Get(jobKey) != "" && l.Event != asideEvent }
+// decidedBy are changes of state that name the job that decided them.
+var decidedBy = map[string]bool{"target_aside": true, "target_back": true}
 
-// Lines that tell a change of state and name the job that decided it.
-const asideEvent = "target_aside"
+// ofRequest tells whether l is about a request, and not a change of state.
+func (l Line) ofRequest() bool { return l.Get(jobKey) != "" && !decidedBy[l.Event] }
 
 // Book is lines of one request, and changes of state that may have touched it.
 // The zero value is for no request.
@@ -80,10 +80,10 @@
 		l, ok := parse(scan.Text())
 		switch {
 		case !ok:
-		case l.about(b.Job) && l.Event != asideEvent:
-			b.lines = append(b.lines, l)
 		case !l.ofRequest():
 			b.states = append(b.states, l)
+		case l.about(b.Job):
+			b.lines = append(b.lines, l)
 		}
 	}
 	return merry.Prepend(scan.Err(), "reading log lines")
