--- a/internal/stand/soak/failures.go
+++ b/internal/stand/soak/failures.go
@@ -56,14 +56,24 @@
 	s.launch(name)
 }
 
+// startTime is how long a process may take before it handles signals. One that
+// is told to stop before ends by the signal itself; nothing is lost with it.
+const startTime = 100 * time.Millisecond
+
 func term(s *player, name string, _ int, _ time.Duration) {
-	if err := s.yard.Stop(name); err != nil {
+	s.mu.Lock()
+	young := time.Since(s.launched[name]) < startTime
+	s.mu.Unlock()
+	if err := s.yard.Stop(name); err != nil && !young {
 		s.fault("%s ended with %v", name, err)
 	}
 	s.launch(name)
 }
 
 func (s *player) launch(name string) {
+	s.mu.Lock()
+	s.launched[name] = time.Now()
+	s.mu.Unlock()
 	if err := s.yard.Launch(name); err != nil {
 		s.fault("%s does not start: %v", name, err)
 	}
--- a/internal/stand/soak/soak.go
+++ b/internal/stand/soak/soak.go
@@ -52,11 +52,12 @@
 	yard   *yard.Yard
 	random *rand.Rand
 
-	mu      sync.Mutex
-	busy    map[string]bool // processes and targets that something is done to
-	counts  map[string]int
-	faults  []string
-	version int
+	mu       sync.Mutex
+	busy     map[string]bool // processes and targets that something is done to
+	counts   map[string]int
+	launched map[string]time.Time // when a process was started again
+	faults   []string
+	version  int
 }
 
 // Run plays a soak and returns what was seen.
@@ -67,7 +68,8 @@
 	}
 	defer y.Close()
 	s := &player{
-		Plan: p, yard: y, random: rand.New(rand.NewPCG(p.Seed, 0)), busy: map[string]bool{}, counts: map[string]int{}, version: 1,
+		Plan: p, yard: y, random: rand.New(rand.NewPCG(p.Seed, 0)), version: 1,
+		busy: map[string]bool{}, counts: map[string]int{}, launched: map[string]time.Time{},
 	}
 	for i := range nodes {
 		y.Clock(i+1, 0.98+0.04*s.random.Float64())
