--- a/internal/disp/gate/fake_test.go
+++ b/internal/disp/gate/fake_test.go
@@ -244,6 +244,19 @@
 	return o
 }
 
+// openStuck opens a gate before a target whose runs never end, and starts a task
+// there by the given way.
+func openStuck(t *testing.T, f *fakeTarget, take func(*opened, msgs.Task) msgs.TaskReply) (*opened, msgs.Task, <-chan msgs.TaskReply) {
+	t.Helper()
+	f.stuck = true
+	o := open(t, f)
+	m := o.task("a", 10)
+	replies := make(chan msgs.TaskReply, 1)
+	go func() { replies <- take(o, m) }()
+	o.until("it runs", func() bool { return o.sync().UsedCPU == 10 })
+	return o, m, replies
+}
+
 // start starts a gate before a target and ends it with the test.
 func start(t *testing.T, g *Gate, f *fakeTarget) *opened {
 	t.Helper()
@@ -279,6 +292,9 @@
 	}
 }
 
+// takeOnce runs a task, whose lease nobody renews, and returns the reply.
+func (o *opened) takeOnce(m msgs.Task) msgs.TaskReply { return o.Take(context.Background(), m) }
+
 // take runs a task while the entry's lease is renewed, and returns the reply.
 func (o *opened) take(m msgs.Task) msgs.TaskReply {
 	replies := make(chan msgs.TaskReply, 1)
--- a/internal/disp/gate/gate_test.go
+++ b/internal/disp/gate/gate_test.go
@@ -113,13 +113,7 @@
 }
 
 func TestGateStopsWhatIsCancelled(t *testing.T) {
-	f := newFake(1000)
-	f.stuck = true
-	o := open(t, f)
-	m := o.task("a", 10)
-	replies := make(chan msgs.TaskReply, 1)
-	go func() { replies <- o.Take(context.Background(), m) }()
-	o.until("it runs", func() bool { return o.sync().UsedCPU == 10 })
+	o, m, replies := openStuck(t, newFake(1000), (*opened).takeOnce)
 	o.until("it is stopped", func() bool { return o.sync(m.ID).UsedCPU == 0 })
 	if reply := <-replies; reply.Result == msgs.Done || reply.Reason != "cancelled" {
 		t.Errorf("got %v %q", reply.Result, reply.Reason)
@@ -143,13 +137,7 @@
 }
 
 func TestGateEndsTasksOfEntryThatStartedAgain(t *testing.T) {
-	f := newFake(1000)
-	f.stuck = true
-	o := open(t, f)
-	replies := make(chan msgs.TaskReply, 1)
-	m := o.task("a", 10)
-	go func() { replies <- o.Take(context.Background(), m) }()
-	o.until("it runs", func() bool { return o.sync().UsedCPU == 10 })
+	o, _, replies := openStuck(t, newFake(1000), (*opened).takeOnce)
 	again := msgs.Sender{Entry: "e", Life: 2, GateLife: 7, Echo: o.sync().Stamp}
 	for range 3 * Authority / (50 * time.Millisecond) {
 		again.Echo = o.Sync(msgs.Sync{Sender: again}).Stamp
@@ -188,12 +176,7 @@
 
 func TestGateGivesUpTasksOfSilentTarget(t *testing.T) {
 	f := newFake(1000)
-	f.stuck = true
-	o := open(t, f)
-	replies := make(chan msgs.TaskReply, 1)
-	m := o.task("a", 10)
-	go func() { replies <- o.take(m) }()
-	o.until("it runs", func() bool { return o.sync().UsedCPU == 10 })
+	o, _, replies := openStuck(t, f, (*opened).take)
 	f.set(func(f *fakeTarget) { f.mute = true })
 	if reply := <-replies; reply.Result != msgs.Lost || reply.Reason != "silent" {
 		t.Errorf("got %v %q", reply.Result, reply.Reason)
@@ -212,12 +195,7 @@
 
 func TestGateMovesToNewLife(t *testing.T) {
 	f := newFake(1000)
-	f.stuck = true
-	o := open(t, f)
-	replies := make(chan msgs.TaskReply, 1)
-	m := o.task("a", 10)
-	go func() { replies <- o.take(m) }()
-	o.until("it runs", func() bool { return o.sync().UsedCPU == 10 })
+	o, _, replies := openStuck(t, f, (*opened).take)
 	old := f.life
 	f.set(func(f *fakeTarget) {
 		f.life.ID, f.life.Born = "i-2", 2
--- a/internal/disp/link/link_test.go
+++ b/internal/disp/link/link_test.go
@@ -156,13 +156,19 @@
 	}
 }
 
-// A task at a silent gate is lost only when its lease has surely lapsed.
-func TestDoWaitsUntilLeaseHasLapsed(t *testing.T) {
+// doBroken sends a task to a gate that breaks the connection each time.
+func doBroken() (*fakeGate, *Link, chan msgs.TaskReply) {
 	f, l := newGate()
 	l.sync(context.Background())
 	f.take = func(int, msgs.Task) (msgs.TaskReply, error) { return msgs.TaskReply{}, peer.ErrBroken }
 	replies := do(l, msgs.Task{})
 	f.awaitTake()
+	return f, l, replies
+}
+
+// A task at a silent gate is lost only when its lease has surely lapsed.
+func TestDoWaitsUntilLeaseHasLapsed(t *testing.T) {
+	f, l, replies := doBroken()
 	f.mu.Lock()
 	f.silent = true
 	f.mu.Unlock()
@@ -180,11 +186,7 @@
 
 // A new life of the gate says nothing of what its former life left running.
 func TestDoWaitsAfterGateStartedAgain(t *testing.T) {
-	f, l := newGate()
-	l.sync(context.Background())
-	f.take = func(int, msgs.Task) (msgs.TaskReply, error) { return msgs.TaskReply{}, peer.ErrBroken }
-	replies := do(l, msgs.Task{})
-	f.awaitTake()
+	f, l, replies := doBroken()
 	f.mu.Lock()
 	f.life = 6
 	f.mu.Unlock()
