Never take a call that was written for not sent, nor start what was given up

Ruled out: the caller asking again (1.3 s), a lapsed lease (1.26 s), a gate that forgot the task (it ended it). The pool now notes which calls were about to be written.

--- a/internal/disp/gate/doc.go
+++ b/internal/disp/gate/doc.go
@@ -13,6 +13,8 @@
 //     deadline has passed on the target's clock.
 //   - An entry's tasks run only while the entry renews its lease on them, by
 //     echoing a stamp of this gate's own clock that is younger than Authority.
+//   - A task that was refused or cancelled never starts, whenever a copy of its
+//     message comes; one older than Authority is refused.
 //   - What runs at the target and isn't known here is stopped before anything is
 //     started.
 //
--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -137,9 +137,7 @@
 	if m.GateLife == g.Process {
 		g.renew(m.Sender)
 		for _, id := range m.Cancel {
-			if r := g.tasks[taskID{m.Entry, m.Life, id}]; r != nil {
-				g.abandon(r, cause.Cancelled)
-			}
+			g.cancel(taskID{m.Entry, m.Life, id})
 		}
 	}
 	return g.load()
@@ -167,7 +165,9 @@
 	return len(g.runs) > 0 || len(g.queue) > 0
 }
 
-// admit returns the run for m, or the reply if there is to be none.
+// admit returns the run for m, or the reply if there is to be none. What is
+// refused is remembered, so that a copy of the message that comes late is refused
+// as well.
 func (g *Gate) admit(m msgs.Task) (*run, msgs.TaskReply) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -179,17 +179,16 @@
 	if r := g.tasks[id]; r != nil {
 		return r, msgs.TaskReply{}
 	}
-	size := room.Size{CPU: m.CPU, Memory: m.Memory, GPU: m.GPU}
-	if reason := g.objection(m, size); reason != "" {
-		g.tellRefused(m, reason)
-		return nil, msgs.TaskReply{Result: msgs.Refused, Reason: reason, Load: g.load()}
-	}
 	now := g.now()
 	r := &run{
-		id: id, msg: m, size: size, number: 1, finished: make(chan struct{}),
-		came: now, leave: now.Add(time.Duration(m.Patience) * time.Millisecond),
+		id: id, msg: m, size: room.Size{CPU: m.CPU, Memory: m.Memory, GPU: m.GPU}, number: 1,
+		finished: make(chan struct{}), came: now, leave: now.Add(time.Duration(m.Patience) * time.Millisecond),
 	}
 	g.remember(r)
+	if reason := g.objection(m, r.size); reason != "" {
+		g.finish(r, msgs.Refused, reason)
+		return r, msgs.TaskReply{}
+	}
 	g.queue = append(g.queue, r)
 	sort.SliceStable(g.queue, func(i, j int) bool { return g.queue[i].msg.Urgency < g.queue[j].msg.Urgency })
 	g.startQueued()
@@ -200,6 +199,17 @@
 	return r, msgs.TaskReply{}
 }
 
+// cancel has a task stopped. One that has not come yet is refused when it does:
+// its message may have been overtaken on another connection.
+func (g *Gate) cancel(id taskID) {
+	r := g.tasks[id]
+	if r == nil {
+		r = &run{id: id, finished: make(chan struct{}), came: g.now()}
+		g.remember(r)
+	}
+	g.abandon(r, cause.Cancelled)
+}
+
 // objection returns the reason why a task can't be taken now, or nothing.
 func (g *Gate) objection(m msgs.Task, size room.Size) string {
 	switch {
@@ -213,7 +223,7 @@
 		return cause.Service
 	case !size.Valid() || !size.Within(g.life.Capacity):
 		return cause.Size
-	case !g.lives(m.Sender):
+	case !g.lives(m.Sender) || g.now() >= boot.Time(m.Echo).Add(Authority):
 		return cause.Expired
 	case g.runs[m.Name] != nil:
 		return cause.Twin
--- a/internal/disp/gate/gate_test.go
+++ b/internal/disp/gate/gate_test.go
@@ -338,3 +338,44 @@
 		t.Errorf("got %v %q", reply.Result, reply.Reason)
 	}
 }
+
+// A cancellation may overtake the task that it is for.
+func TestGateRefusesTaskThatWasCancelledBefore(t *testing.T) {
+	o := open(t, newFake(1000))
+	m := o.task("a", 10)
+	o.sync(m.ID)
+	m.Echo = o.sync().Stamp
+	if reply := o.take(m); reply.Result != msgs.Refused || reply.Reason != cause.Cancelled {
+		t.Errorf("got %v %q", reply.Result, reply.Reason)
+	}
+	if o.target.startCalls != 0 {
+		t.Error("it was started")
+	}
+}
+
+// A message that was held up must not start what its entry has given up since,
+// though the entry lives on.
+func TestGateRefusesMessageThatWasHeldUp(t *testing.T) {
+	o := open(t, newFake(1000))
+	m := o.task("a", 10)
+	m.Echo = int64(boot.Now().Add(-Authority))
+	o.sync()
+	if reply := o.take(m); reply.Result != msgs.Refused || reply.Reason != cause.Expired {
+		t.Errorf("got %v %q", reply.Result, reply.Reason)
+	}
+}
+
+// The entry places a task elsewhere once a copy of it was refused, so no other copy
+// may start.
+func TestGateKeepsToARefusal(t *testing.T) {
+	o := open(t, newFake(1000))
+	m := o.task("a", 10)
+	m.Service = "else"
+	if reply := o.take(m); reply.Result != msgs.Refused {
+		t.Fatalf("got %v %q", reply.Result, reply.Reason)
+	}
+	m.Service = "s"
+	if reply := o.take(m); reply.Result != msgs.Refused || reply.Reason != cause.Service {
+		t.Errorf("got %v %q", reply.Result, reply.Reason)
+	}
+}
--- a/internal/disp/gate/tell.go
+++ b/internal/disp/gate/tell.go
@@ -41,13 +41,6 @@
 	}
 }
 
-// tellRefused logs that m was not taken.
-func (g *Gate) tellRefused(m msgs.Task, reason string) {
-	g.count(cause.Refused + reason)
-	g.trace("task_refused", "job", m.Job, "task", m.Name, "entry", m.Entry, "target", g.life.ID, "reason", reason,
-		"used", g.used().CPU, "queued", len(g.queue))
-}
-
 // tellOrdered notes that r leaves the queue at now.
 func (g *Gate) tellOrdered(r *run, now boot.Time) {
 	g.took(WaitTime, now.Sub(r.came))
--- a/internal/disp/rules/rules_test.go
+++ b/internal/disp/rules/rules_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -43,12 +44,13 @@
 	stuckTarget
 	unhealthyTarget
 	callerLeaves
+	callersCut
 	kinds
 )
 
 var kindNames = [kinds]string{
 	"kill gate", "kill entry", "cut", "cut answers", "target reborn", "target leaves", "target mute", "orders lost",
-	"orders late", "target fails", "target stuck", "target unhealthy", "caller leaves",
+	"orders late", "target fails", "target stuck", "target unhealthy", "caller leaves", "callers cut",
 }
 
 // event is something that happens at a time, for a while.
@@ -141,6 +143,8 @@
 		return while(behaviour{refuses: true})
 	case callerLeaves:
 		w.callerLeaves(fmt.Sprint("j", e.I))
+	case callersCut:
+		w.breakCallers(i)
 	}
 	return func() {}
 }
@@ -167,6 +171,17 @@
 	return func() { set(whole) }
 }
 
+// breakCallers breaks the connections of all callers of an entry, who ask again.
+func (w *world) breakCallers(entry int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for key, cancel := range w.asks {
+		if strings.HasPrefix(key, fmt.Sprint(entry, "/")) {
+			cancel()
+		}
+	}
+}
+
 func (w *world) callerLeaves(id string) {
 	w.mu.Lock()
 	leave := w.jobs[id]
@@ -257,7 +272,7 @@
 
 // The same with processes that die and start again, and cuts, only.
 func TestRulesHoldWhenProcessesDie(t *testing.T) {
-	check(t, []int{killGate, killEntry, cutSilent, cutNoAnswer, rebirth, callerLeaves})
+	check(t, []int{killGate, killEntry, cutSilent, cutNoAnswer, rebirth, callerLeaves, callersCut})
 }
 
 // The same with targets that misbehave only.
@@ -283,3 +298,9 @@
 		t.Errorf("%d of 20 jobs were done", served)
 	}
 }
+
+// Connections to callers break again and again while those to gates do: what an
+// entry gave up must not start after its caller has asked another entry.
+func TestRulesHoldWhenConnectionsBreak(t *testing.T) {
+	check(t, []int{callersCut, cutSilent, cutNoAnswer, muteTarget, loseOrders})
+}
--- a/internal/disp/rules/world_test.go
+++ b/internal/disp/rules/world_test.go
@@ -39,6 +39,7 @@
 	cut     map[[2]int]cutKind // by entry and gate
 	lives   uint64
 	jobs    map[string]context.CancelFunc
+	asks    map[string]context.CancelFunc // that break a caller's connection, by entry and job
 	callers sync.WaitGroup
 }
 
@@ -68,7 +69,7 @@
 func newWorld(entries, gates int) *world {
 	w := &world{
 		judge: newJudge(), begun: time.Now(), done: make(chan struct{}),
-		cut: map[[2]int]cutKind{}, jobs: map[string]context.CancelFunc{},
+		cut: map[[2]int]cutKind{}, jobs: map[string]context.CancelFunc{}, asks: map[string]context.CancelFunc{},
 		gates: make([]*gateProc, gates), entries: make([]*entryProc, entries),
 	}
 	for i := range gates {
@@ -266,6 +267,15 @@
 	}
 	ctx, cancel := context.WithCancel(left)
 	defer cancel()
+	key := fmt.Sprintf("%d/%s", entry, id)
+	w.mu.Lock()
+	w.asks[key] = cancel
+	w.mu.Unlock()
+	defer func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		delete(w.asks, key)
+	}()
 	answers := make(chan coord.Answer, 1)
 	go func() {
 		answers <- p.coord.Submit(ctx, coord.Job{
@@ -281,7 +291,7 @@
 	case a := <-answers:
 		return a
 	case <-p.ctx.Done():
-	case <-left.Done():
+	case <-ctx.Done():
 		<-answers
 	}
 	return coord.Answer{State: coord.Abandoned}
--- a/internal/wire/peer/pool.go
+++ b/internal/wire/peer/pool.go
@@ -63,7 +63,7 @@
 			return err
 		}
 		err = call(ctx, client, method, args, reply)
-		if !errors.Is(err, rpc.ErrShutdown) {
+		if !errors.Is(err, errUnwritten) {
 			return err
 		}
 		l.drop(client)
@@ -84,22 +84,49 @@
 	l.drop(client)
 }
 
+// errUnwritten means that the connection was closed before the call was written.
+var errUnwritten = merry.Sentinel("call not written")
+
+// outgoing is the arguments of a call, and whether they were about to be written.
+// net/rpc reports ErrShutdown both for calls that it did not write and, where the
+// connection ends while it is being closed, for calls that the peer may have.
+type outgoing struct {
+	args  any
+	begun atomic.Bool
+}
+
+// notingCodec notes which calls are written.
+type notingCodec struct{ rpc.ClientCodec }
+
+// WriteRequest writes a call.
+func (c notingCodec) WriteRequest(r *rpc.Request, body any) error {
+	if o, ok := body.(*outgoing); ok {
+		o.begun.Store(true)
+		body = o.args
+	}
+	return c.ClientCodec.WriteRequest(r, body)
+}
+
 func call(ctx context.Context, client *rpc.Client, method string, args, reply any) error {
+	o := &outgoing{args: args}
 	done := make(chan *rpc.Call, 1)
-	go client.Go(method, args, reply, done)
+	go client.Go(method, o, reply, done)
 	select {
 	case c := <-done:
-		return classify(c.Error)
+		return classify(c.Error, o.begun.Load())
 	case <-ctx.Done():
 		return ErrLate
 	}
 }
 
-// classify keeps ErrShutdown, which net/rpc gives to calls it did not write.
-func classify(err error) error {
+// classify returns the error of a call that was or was not about to be written.
+func classify(err error, begun bool) error {
 	var own rpc.ServerError
-	if err == nil || errors.Is(err, rpc.ErrShutdown) || errors.As(err, &own) {
+	switch {
+	case err == nil, errors.As(err, &own):
 		return err
+	case !begun && errors.Is(err, rpc.ErrShutdown):
+		return errUnwritten
 	}
 	return merry.Append(ErrBroken, err.Error())
 }
@@ -134,7 +161,7 @@
 	if err != nil {
 		return nil, false, merry.Append(ErrNotSent, err.Error())
 	}
-	l.client = rpc.NewClientWithCodec(codec.NewClient(boundedConn{conn, &p.traffic}))
+	l.client = rpc.NewClientWithCodec(notingCodec{codec.NewClient(boundedConn{conn, &p.traffic})})
 	return l.client, true, nil
 }
 
