Take a job up again only when nothing of its former try can run

The entry now keeps a job until none of its tasks can be at a gate, and a copy waits for that. TestJobThatIsAskedForAgainWaitsForItsFormerTasks failed before, passes now.

--- a/internal/disp/coord/coord.go
+++ b/internal/disp/coord/coord.go
@@ -57,7 +57,7 @@
 		c.trace("job_twin", "job", p.ID, "route", p.Route.Name)
 		return Answer{State: Abandoned, Reason: cause.Twin}
 	}
-	defer c.leave(p)
+	defer func() { go c.leave(p) }()
 	for i, s := range j.Steps {
 		go c.runStep(p, i, s)
 	}
@@ -69,9 +69,7 @@
 
 // Cancel stops the job with this ID and reports whether it was here.
 func (c *Coordinator) Cancel(id string) bool {
-	c.mu.Lock()
-	p := c.jobs[id]
-	c.mu.Unlock()
+	p := c.current(id)
 	if p == nil {
 		return false
 	}
@@ -81,15 +79,23 @@
 
 // State tells where the job with this ID stands, and whether it is here.
 func (c *Coordinator) State(id string) (State, bool) {
-	c.mu.Lock()
-	p := c.jobs[id]
-	c.mu.Unlock()
+	p := c.current(id)
 	if p == nil {
 		return 0, false
 	}
 	return p.state(), true
 }
 
+// current returns the job with this ID if it has not ended, or nil.
+func (c *Coordinator) current(id string) *progress {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.jobs[id]; p != nil && !p.over() {
+		return p
+	}
+	return nil
+}
+
 // Pending returns the number of jobs of each route that have not begun.
 func (c *Coordinator) Pending() map[string]int {
 	c.mu.Lock()
@@ -107,26 +113,56 @@
 func (c *Coordinator) Running() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.jobs)
+	n := 0
+	for _, p := range c.jobs {
+		if !p.over() {
+			n++
+		}
+	}
+	return n
 }
 
+// enter notes a job. It reports false if the job is here already. A caller whose
+// connection broke may ask again at once; the job is then taken up again when
+// nothing of the former try can run any more.
 func (c *Coordinator) enter(p *progress) bool {
+	for {
+		former := c.put(p)
+		switch {
+		case former == nil:
+			return true
+		case !former.over():
+			return false
+		}
+		select {
+		case <-former.closed:
+		case <-p.ctx.Done():
+			return false
+		}
+	}
+}
+
+// put notes a job unless there is one with its ID, which it returns.
+func (c *Coordinator) put(p *progress) *progress {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.jobs == nil {
 		c.jobs = map[string]*progress{}
 	}
-	if c.jobs[p.ID] != nil {
-		return false
+	if former := c.jobs[p.ID]; former != nil {
+		return former
 	}
 	c.jobs[p.ID] = p
-	return true
+	return nil
 }
 
+// leave forgets a job that has ended once none of its tasks can run any more.
 func (c *Coordinator) leave(p *progress) {
+	p.away.Wait()
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	delete(c.jobs, p.ID)
+	c.mu.Unlock()
+	close(p.closed)
 }
 
 // report logs how a job ended.
--- a/internal/disp/coord/coord_test.go
+++ b/internal/disp/coord/coord_test.go
@@ -78,8 +78,9 @@
 	}
 	f.mu.Lock()
 	f.tasks = append(f.tasks, *m)
+	take := f.take
 	f.mu.Unlock()
-	*out = f.take(gate, *m)
+	*out = take(gate, *m)
 	load.Stamp = int64(boot.Now())
 	out.Load = load
 	return nil
@@ -329,3 +330,42 @@
 		t.Errorf("got %+v", a)
 	}
 }
+
+// A caller whose connection broke asks again at once: nothing is sent for the
+// second try while a task of the first may run.
+func TestJobThatIsAskedForAgainWaitsForItsFormerTasks(t *testing.T) {
+	f := gates(t, 2)
+	release := make(chan struct{})
+	f.take = func(int, msgs.Task) msgs.TaskReply {
+		<-release
+		return msgs.TaskReply{Result: msgs.Lost, Reason: "cancelled"}
+	}
+	c := f.coordinator()
+	ctx, leave := context.WithCancel(context.Background())
+	first, second := make(chan Answer, 1), make(chan Answer, 1)
+	go func() { first <- c.Submit(ctx, job(1, 100)) }()
+	await(t, "the task is sent", func() bool { return f.sent() == 1 })
+	leave()
+	if a := <-first; a.State != Abandoned {
+		t.Errorf("got %+v", a)
+	}
+	entered := make(chan struct{})
+	go func() {
+		close(entered)
+		second <- c.Submit(context.Background(), job(1, 100))
+	}()
+	<-entered
+	for range 50 {
+		if f.sent() != 1 {
+			t.Fatal("the second try was sent while the first may run")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	f.mu.Lock()
+	f.take = func(int, msgs.Task) msgs.TaskReply { return msgs.TaskReply{Result: msgs.Done, Ran: 10} }
+	f.mu.Unlock()
+	close(release)
+	if a := <-second; a.State != Done {
+		t.Errorf("got %+v", a)
+	}
+}
--- a/internal/disp/coord/job.go
+++ b/internal/disp/coord/job.go
@@ -62,6 +62,8 @@
 	ctx    context.Context // ends when the job does
 	cancel context.CancelFunc
 	steps  []chan struct{} // closed when the step is done
+	away   sync.WaitGroup  // tasks that may be at a gate, also once the job has ended
+	closed chan struct{}   // closed when the job has ended and none is
 
 	mu        sync.Mutex
 	flying    int  // tasks that are at a gate
@@ -73,7 +75,7 @@
 }
 
 func newProgress(ctx context.Context, j Job) *progress {
-	p := &progress{Job: j, perTarget: map[string]int{}}
+	p := &progress{Job: j, perTarget: map[string]int{}, closed: make(chan struct{})}
 	p.ctx, p.cancel = context.WithCancel(ctx)
 	for _, s := range j.Steps {
 		p.left += s.Count
@@ -113,9 +115,17 @@
 		return false
 	}
 	p.flying++
+	p.away.Add(1)
 	return true
 }
 
+// over tells whether the job has ended.
+func (p *progress) over() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.answer != nil
+}
+
 // landed notes that a task is at no gate any more, and whether it had started.
 func (p *progress) landed(started bool) {
 	p.mu.Lock()
--- a/internal/disp/coord/task.go
+++ b/internal/disp/coord/task.go
@@ -150,10 +150,11 @@
 	if !p.depart() {
 		return msgs.TaskReply{Result: msgs.Refused, Reason: cause.Ended}
 	}
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
 	replies := make(chan msgs.TaskReply, 1)
-	go func() { replies <- l.Do(ctx, m) }()
+	go func() {
+		defer p.away.Done()
+		replies <- l.Do(context.Background(), m)
+	}()
 	select {
 	case reply := <-replies:
 		p.landed(reply.Result != msgs.Refused)
--- a/test/mutant_test.go
+++ b/test/mutant_test.go
@@ -119,6 +119,7 @@
 	{rule: "REFUSED nothing started, whatever fails", file: dispCoord + "job.go", old: "if p.started || p.flying > 0 || p.answer != nil {", new: "if p.answer != nil {", test: rulesTest},
 	{rule: "LOST all attempts, whatever fails", file: dispCoord + "task.go", old: "if a.failures >= max(1, p.Route.Attempts) {", new: "if a.failures >= 1 {", test: rulesTest},
 	{rule: "BUDGET attempts, whatever fails", file: dispCoord + "task.go", old: "a.failures++", new: "a.failures += 0", test: rulesTest},
+	{rule: "TWICE asked for again at once", file: dispCoord + "coord.go", old: "\tp.away.Wait()\n", new: "", test: "internal/disp/coord TestJobThatIsAskedForAgainWaitsForItsFormerTasks"},
 	{rule: "TWICE call that was written", file: "internal/wire/peer/pool.go", old: "case !begun && errors.Is", new: "case errors.Is", test: "internal/wire/peer TestCallThatWasWrittenIsNeverNotSent"},
 	{rule: "TWICE message held up", file: dispGate + "gate.go", old: " || g.now() >= boot.Time(m.Echo).Add(Authority)", new: "", test: "internal/disp/gate TestGateRefusesMessageThatWasHeldUp"},
 	{rule: "UNASKED cancelled before", file: dispGate + "gate.go", old: "		g.remember(r)\n\t}\n\tg.abandon", new: "		return\n\t}\n\tg.abandon", test: "internal/disp/gate TestGateRefusesTaskThatWasCancelledBefore"},
