Order a gate's queue by the time left until the desired start

Cause: QueueRank was the desired start by the clock of the sender's machine, which counts from that machine's boot. A gate compared ranks of entries on machines of different age, so tasks from the younger machine always went first. The message now says how much time is left until the desired start, and the gate adds it to its own clock on arrival. Element 14 of the array stays in place and is not read; a task of an older process is due when it arrives.

All properties of rules now run with entries whose machines booted 40 minutes apart. boot.Time.Milli is not used any more.

--- a/internal/disp/boot/boot.go
+++ b/internal/disp/boot/boot.go
@@ -26,9 +26,6 @@
 // Sub returns the duration from o to t, which is negative if o is later.
 func (t Time) Sub(o Time) time.Duration { return time.Duration(t - o) }
 
-// Milli returns t in whole milliseconds since the machine booted.
-func (t Time) Milli() int64 { return int64(t) / int64(time.Millisecond) }
-
 // Sleep waits for d, or until ctx is cancelled.
 func Sleep(ctx context.Context, d time.Duration) { Await(ctx, nil, d) }
 
--- a/internal/disp/coord/task.go
+++ b/internal/disp/coord/task.go
@@ -134,7 +134,7 @@
 		CPU: s.Size.CPU, Memory: s.Size.Memory, GPU: s.Size.GPU,
 		ExpectedRunTime: expectedRunTime.Milliseconds(),
 		MaxQueueTime:    queueTimeLimit(choice).Milliseconds(),
-		QueueRank:       e.Arrived.Add(latencyBudget - expectedRunTime).Milli(),
+		StartWithin:     e.Arrived.Add(latencyBudget - expectedRunTime).Sub(c.now()).Milliseconds(),
 		Failures:        ts.failures,
 		IgnoreBreaker:   choice.IgnoreBreaker,
 	}, true
--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -55,7 +55,7 @@
 	leaseEnd     boot.Time       // latest time at which the target's lease lapses
 	runs         map[string]*run // by task name: all that may run at the target
 	tasks        map[taskID]*run // all known tasks, with recent results
-	queue        []*run          // by urgency, then arrival
+	queue        []*run          // by latest desired start, then arrival
 	entryLeases  lease.Table
 	breaker      cbreak.Breaker
 	speed        estim.Speed
@@ -95,6 +95,7 @@
 	startClock    int64  // target's clock when it answered the start, ms; 0 without an answer
 
 	arrivedAt     boot.Time
+	startBy       boot.Time // latest desired start
 	queueDeadline boot.Time // latest time to leave the queue
 	startedAt     boot.Time // when the start was answered or the run first listed
 	nextStop      boot.Time // when the next stop is sent
@@ -185,7 +186,9 @@
 	now := g.now()
 	r := &run{
 		id: id, msg: m, demand: rsrc.Vector{CPU: m.CPU, Memory: m.Memory, GPU: m.GPU}, number: 1,
-		finished: make(chan struct{}), arrivedAt: now, queueDeadline: now.Add(time.Duration(m.MaxQueueTime) * time.Millisecond),
+		finished: make(chan struct{}), arrivedAt: now,
+		startBy:       now.Add(time.Duration(m.StartWithin) * time.Millisecond),
+		queueDeadline: now.Add(time.Duration(m.MaxQueueTime) * time.Millisecond),
 	}
 	g.addTask(r)
 	if reason := g.admitRefusal(m, r.demand); reason != "" {
@@ -193,7 +196,7 @@
 		return r, msgs.TaskReply{}
 	}
 	g.queue = append(g.queue, r)
-	sort.SliceStable(g.queue, func(i, j int) bool { return g.queue[i].msg.QueueRank < g.queue[j].msg.QueueRank })
+	sort.SliceStable(g.queue, func(i, j int) bool { return g.queue[i].startBy < g.queue[j].startBy })
 	g.startQueued()
 	if r.phase == queued && m.MaxQueueTime <= 0 {
 		g.dequeue(r)
--- a/internal/disp/rules/checker_test.go
+++ b/internal/disp/rules/checker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -22,6 +23,7 @@
 	startedAt  time.Time
 	jobs       map[string]*jobRecord
 	running    map[string]string // target by running task
+	startedRun []string          // tasks in the order of the starts of their runs
 	violations []string
 }
 
@@ -33,7 +35,6 @@
 	done             map[string]bool // tasks with a run that ended as done
 	failedRuns       map[string]int  // runs that ended as failed, by task
 	reportedFailures map[string]int  // failed runs reported to the entry since the last submission, by task
-	refused          int             // not used
 	submissions      int             // by its caller, to any entry
 	abandonedAt      time.Time       // time at which the caller abandoned the job, or zero
 	answer           coord.State     // valid if answered is set
@@ -93,6 +94,7 @@
 		return
 	}
 	job.starts++
+	c.startedRun = append(c.startedRun, task)
 	if other, ok := c.running[task]; ok {
 		c.addViolation("TWICE: %s starts at %s while it runs at %s", task, targetName, other)
 	}
@@ -108,6 +110,13 @@
 	}
 }
 
+// startOrder returns the tasks in the order of the starts of their runs.
+func (c *checker) startOrder() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.startedRun)
+}
+
 // runEnded records that a run of a task has ended at a target, and how.
 func (c *checker) runEnded(task, targetName string, how targ.Outcome) {
 	c.mu.Lock()
--- a/internal/disp/rules/cluster_test.go
+++ b/internal/disp/rules/cluster_test.go
@@ -23,6 +23,7 @@
 	oneWayDelay   = time.Millisecond        // latency between processes, one way
 	brokenTimeout = 700 * time.Millisecond  // time after which a call without a reply fails as broken
 	resubmitDelay = 1300 * time.Millisecond // from a lost answer to the next submission of the job
+	bootInterval  = 40 * time.Minute        // between the boots of the machines of consecutive entries
 )
 
 // cluster is a set of entries and gates with one target for each gate, and the
@@ -86,9 +87,13 @@
 	return c
 }
 
-// now returns the boot time that all processes of the cluster share.
+// now returns the boot time of the machines of all gates.
 func (c *cluster) now() boot.Time { return boot.Time(time.Hour).Add(time.Since(c.startedAt)) }
 
+// entryNow returns the boot time of the machine of entry i. The machines of the
+// entries have booted at different times, so no decision may compare their clocks.
+func (c *cluster) entryNow(i int) boot.Time { return c.now().Add(time.Duration(i) * bootInterval) }
+
 // startGate replaces gate i by a new incarnation, to which its target announces
 // itself at once.
 func (c *cluster) startGate(i int) {
@@ -148,10 +153,11 @@
 	c.lastIncarnation++
 	p := &entryProcess{}
 	p.ctx, p.kill = context.WithCancel(context.Background())
+	now := func() boot.Time { return c.entryNow(i) }
 	var links []*link.Link
 	for g := range c.gates {
 		l := &link.Link{
-			Addr: fmt.Sprintf("g%d", g), Entry: fmt.Sprintf("e%d", i), Incarnation: c.lastIncarnation, Now: c.now, Drop: func(string) {},
+			Addr: fmt.Sprintf("g%d", g), Entry: fmt.Sprintf("e%d", i), Incarnation: c.lastIncarnation, Now: now, Drop: func(string) {},
 			Call: func(ctx context.Context, _, method string, args, reply any) error {
 				return c.call(ctx, i, p, g, method, args, reply)
 			},
@@ -159,7 +165,7 @@
 		links = append(links, l)
 		go l.Run(p.ctx)
 	}
-	p.coord = &coord.Coordinator{Links: func() []*link.Link { return links }, Now: c.now}
+	p.coord = &coord.Coordinator{Links: func() []*link.Link { return links }, Now: now}
 	c.entries[i] = p
 }
 
@@ -288,7 +294,7 @@
 	answers := make(chan coord.Answer, 1)
 	go func() {
 		answers <- p.coord.Submit(ctx, coord.Job{
-			ID: id, Spec: spec, Arrived: c.now(),
+			ID: id, Spec: spec, Arrived: c.entryNow(entry),
 			Route: route.Route{Name: "r", Service: "s", MaxAttempts: s.Attempts, MaxStretch: 1.6, LatencyMargin: 60 * time.Millisecond},
 			Steps: []coord.Step{{
 				Count: s.Tasks, Size: rsrc.Vector{CPU: s.Work.CPU, Memory: 1},
--- a/internal/wire/msgs/msgs_test.go
+++ b/internal/wire/msgs/msgs_test.go
@@ -50,7 +50,7 @@
 		&Empty{},
 		&Task{
 			Sender: Sender{Entry: "e", Incarnation: 1, GateIncarnation: 2, EchoedTimestamp: 3}, ID: 4, Name: "n", Job: "j", Service: "s", Spec: "x",
-			CPU: 5, Memory: 6, GPU: 7, ExpectedRunTime: 8, MaxQueueTime: 9, QueueRank: 10, Failures: 11, IgnoreBreaker: true,
+			CPU: 5, Memory: 6, GPU: 7, ExpectedRunTime: 8, MaxQueueTime: 9, StartWithin: -10, Failures: 11, IgnoreBreaker: true,
 		},
 		&TaskReply{Result: Failed, Reason: "r", RunTime: 1, Load: load},
 		&Sync{Sender: Sender{Entry: "e", Incarnation: 1, GateIncarnation: 2, EchoedTimestamp: 3}, Cancel: []uint64{4, 5}},
@@ -98,6 +98,25 @@
 	}
 }
 
+// TestTaskOfOlderProcessDecodes reads a Task as processes sent it that ranked tasks by a
+// time since the boot of the sender's machine. The time is not taken for StartWithin.
+func TestTaskOfOlderProcessDecodes(t *testing.T) {
+	encoded, err := msgpack.Marshal([]any{
+		"e", uint64(1), uint64(2), int64(3), uint64(4), "n", "j", "s", "x", 5, 6, 7, int64(8), int64(9), int64(3_600_000), 11, true,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := Task{
+		Sender: Sender{Entry: "e", Incarnation: 1, GateIncarnation: 2, EchoedTimestamp: 3}, ID: 4, Name: "n", Job: "j", Service: "s", Spec: "x",
+		CPU: 5, Memory: 6, GPU: 7, ExpectedRunTime: 8, MaxQueueTime: 9, Failures: 11, IgnoreBreaker: true,
+	}
+	var got Task
+	if err := msgpack.Unmarshal(encoded, &got); err != nil || got != want {
+		t.Errorf("got %+v, %v, want %+v", got, err, want)
+	}
+}
+
 func FuzzMessages(f *testing.F) {
 	for _, m := range examples() {
 		encoded, err := msgpack.Marshal(m)
--- a/internal/wire/msgs/task.go
+++ b/internal/wire/msgs/task.go
@@ -46,7 +46,7 @@
 	GPU             int    // devices
 	ExpectedRunTime int64  // expected run time on a target of speed 1, ms
 	MaxQueueTime    int64  // longest time in the gate's queue, ms
-	QueueRank       int64  // latest desired start, ms since the sender's machine booted; the lowest is started first
+	StartWithin     int64  // time left until the latest desired start, ms; not positive once it has passed
 	Failures        int    // number of times that the task has failed elsewhere
 	IgnoreBreaker   bool   // start the task even if the target's circuit breaker is open, since too many are
 }
@@ -120,18 +120,21 @@
 	State string // empty if the entry does not know the job
 }
 
-// EncodeMsgpack writes the message.
+// EncodeMsgpack writes the message. Its element 14 was a time since the boot of the
+// sender's machine, which means nothing elsewhere; it is 0 now and is not read.
 func (m *Task) EncodeMsgpack(e *msgpack.Encoder) error {
 	return encodeArray(e, m.Entry, m.Incarnation, m.GateIncarnation, m.EchoedTimestamp, m.ID,
 		m.Name, m.Job, m.Service, m.Spec, m.CPU, m.Memory, m.GPU,
-		m.ExpectedRunTime, m.MaxQueueTime, m.QueueRank, m.Failures, m.IgnoreBreaker)
+		m.ExpectedRunTime, m.MaxQueueTime, int64(0), m.Failures, m.IgnoreBreaker, m.StartWithin)
 }
 
-// DecodeMsgpack reads the message.
+// DecodeMsgpack reads the message. One without StartWithin, from an older process, is
+// due when it arrives.
 func (m *Task) DecodeMsgpack(d *msgpack.Decoder) error {
+	var unused int64
 	return decodeArray(d, &m.Entry, &m.Incarnation, &m.GateIncarnation, &m.EchoedTimestamp, &m.ID,
 		&m.Name, &m.Job, &m.Service, &m.Spec, &m.CPU, &m.Memory, &m.GPU,
-		&m.ExpectedRunTime, &m.MaxQueueTime, &m.QueueRank, &m.Failures, &m.IgnoreBreaker)
+		&m.ExpectedRunTime, &m.MaxQueueTime, &unused, &m.Failures, &m.IgnoreBreaker, &m.StartWithin)
 }
 
 // EncodeMsgpack writes the message.
