Let jobs go first that can still be answered in time

By half second, from the power's return (37.4 s) on, jobs that arrived | answered in time, late, refused: first submissions 37.5: 36,9,0 38.0: 35,33,39 38.5: 24,42,20 39.0: 35,44,5 repeated 37.5: 11,3,0 38.0: 34,30,50 38.5: 9,8,15 39.0: 0,1,0 The repeated ones had missed their latency budget before they came, went first at the gates because their desired start was older, and pushed the others beyond theirs. Ruled out: processes that start slowly (all up and serving within 30 ms of their machine), stale configuration (5 jobs refused in the first 10 ms).

Change: package triage. A caller that waits less than the platform's resubmit delay and the job's latency budget has asked before. Tasks that can still start in time go first at a gate; the others use what is left, and a job beyond its budget is refused at once if it would have to wait.

--- a/cmd/gypsumlanding/process.go
+++ b/cmd/gypsumlanding/process.go
@@ -68,7 +68,10 @@
 	}
 	e.SetSeeds(p.cfg.Seeds)
 	go p.watchSettings(e.SetSeeds)
-	e.Coord = &coord.Coordinator{Links: e.Links, Trace: p.log.Trace, Count: p.counters.Count, Observe: p.counters.Observe}
+	e.Coord = &coord.Coordinator{
+		Links: e.Links, ResubmitDelay: time.Duration(p.cfg.ResubmitMS) * time.Millisecond,
+		Trace: p.log.Trace, Count: p.counters.Count, Observe: p.counters.Observe,
+	}
 	p.counters.Declare(cause.EntryCounters())
 	p.counters.Gauge("jobs.running", func() int64 { return int64(e.Coord.Running()) })
 	p.counters.Gauge("config.version", e.Config.Version)
--- a/internal/disp/coord/admit.go
+++ b/internal/disp/coord/admit.go
@@ -8,6 +8,7 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/link"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/pick"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/rsrc"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/triage"
 )
 
 const (
@@ -74,7 +75,8 @@
 func (c *Coordinator) admit(e *execution) Answer {
 	for i, s := range e.Steps {
 		expectedRunTime := c.runTimes.Estimate(e.Route.Name, s.DeclaredRunTime)
-		slack := e.Route.LatencyBudget(expectedRunTime) - expectedRunTime
+		timing := c.timing(e, expectedRunTime)
+		slack := timing.StartBy().Sub(c.now())
 		cands := c.findCandidates(e.Route.Service, s)
 		longestWait, fits := cands.longestWait(s, expectedRunTime)
 		reason := ""
@@ -82,11 +84,11 @@
 		case len(cands.gates) == 0:
 		case !fits:
 			reason = cause.TooLarge
-		case len(s.DependsOn) == 0 && longestWait > slack*maxWaitPercent/100:
+		case len(s.DependsOn) == 0 && longestWait > max(0, slack*maxWaitPercent/100):
 			reason = cause.Overload
 		}
 		c.trace("step_admitted", "job", e.ID, "route", e.Route.Name, "config", e.ConfigVersion, "step", i, "tasks", s.Count,
-			"cpu", s.Size.CPU, "expected", expectedRunTime, "slack", slack, "gates", len(cands.gates), "wait", longestWait, "refused", reason)
+			"cpu", s.Size.CPU, "expected", expectedRunTime, "waited", c.now().Sub(timing.FirstSubmitted()), "slack", slack, "gates", len(cands.gates), "wait", longestWait, "refused", reason)
 		switch reason {
 		case cause.TooLarge:
 			return Answer{State: Refused, Reason: reason}
@@ -97,6 +99,14 @@
 	return Answer{}
 }
 
+// timing returns the timing of e if its tasks have the given expected run time.
+func (c *Coordinator) timing(e *execution, expectedRunTime time.Duration) triage.Job {
+	return triage.Job{
+		Arrived: e.Arrived, WaitsUntil: e.WaitsUntil, LatencyBudget: e.Route.LatencyBudget(expectedRunTime),
+		RunTime: expectedRunTime, ResubmitDelay: c.ResubmitDelay,
+	}
+}
+
 // longestWait returns the longest expected wait for capacity of any task of s if all
 // of them are placed now. It reports false if no target can run such a task.
 func (cands candidates) longestWait(s Step, expectedRunTime time.Duration) (time.Duration, bool) {
--- a/internal/disp/coord/coord.go
+++ b/internal/disp/coord/coord.go
@@ -27,6 +27,9 @@
 type Coordinator struct {
 	// Links returns the links to all known gates.
 	Links func() []*link.Link
+	// ResubmitDelay is the delay after which callers repeat a job whose answer was
+	// lost; 0 if they don't.
+	ResubmitDelay time.Duration
 	// Now returns the current time; nil means boot.Now.
 	Now func() boot.Time
 	// Trace logs a decision about a job, with its details as alternating keys and
--- a/internal/disp/coord/job.go
+++ b/internal/disp/coord/job.go
@@ -29,6 +29,7 @@
 	ConfigVersion int64 // version of the configuration that Route comes from
 	Steps         []Step
 	Arrived       boot.Time // when the entry received the request
+	WaitsUntil    boot.Time // when the caller stops waiting for the answer; 0 if unknown
 }
 
 // State is the state of a job.
--- a/internal/disp/coord/task.go
+++ b/internal/disp/coord/task.go
@@ -128,13 +128,12 @@
 	c.trace("task_placed", "job", e.ID, "task", ts.name, "gate", gate.Addr, "target", view.Load.TargetIncarnation,
 		"used", view.Used.CPU, "of", view.Load.CPU, "speed", int(100*view.Load.Speed), "age", c.now().Sub(view.LastAnswer),
 		"wait", choice.Wait, "finish", choice.Finish, "gates", len(cands.gates), "failures", ts.failures, "insist", choice.IgnoreBreaker)
-	latencyBudget := e.Route.LatencyBudget(expectedRunTime)
 	return gate, view.Load.TargetIncarnation, msgs.Task{
 		ID: c.nextTaskID.Add(1), Name: ts.name, Job: e.ID, Service: e.Route.Service, Spec: e.Spec,
 		CPU: s.Size.CPU, Memory: s.Size.Memory, GPU: s.Size.GPU,
 		ExpectedRunTime: expectedRunTime.Milliseconds(),
 		MaxQueueTime:    queueTimeLimit(choice).Milliseconds(),
-		StartWithin:     e.Arrived.Add(latencyBudget - expectedRunTime).Sub(c.now()).Milliseconds(),
+		StartWithin:     c.timing(e, expectedRunTime).StartBy().Sub(c.now()).Milliseconds(),
 		Failures:        ts.failures,
 		IgnoreBreaker:   choice.IgnoreBreaker,
 	}, true
@@ -198,7 +197,8 @@
 	for _, s := range e.Steps {
 		expectedRunTime = max(expectedRunTime, c.runTimes.Estimate(e.Route.Name, s.DeclaredRunTime))
 	}
-	if c.now().Sub(e.Arrived) < e.Route.LatencyBudget(expectedRunTime)*maxStartWaitPercent/100 {
+	waited := c.now().Sub(c.timing(e, expectedRunTime).FirstSubmitted())
+	if waited < e.Route.LatencyBudget(expectedRunTime)*maxStartWaitPercent/100 {
 		return false
 	}
 	return e.refuse(Answer{State: Refused, Reason: reason, RetryAfter: retryAfter})
--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -13,6 +13,7 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/lease"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/rsrc"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/targ"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/triage"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
@@ -55,7 +56,7 @@
 	leaseEnd     boot.Time       // latest time at which the target's lease lapses
 	runs         map[string]*run // by task name: all that may run at the target
 	tasks        map[taskID]*run // all known tasks, with recent results
-	queue        []*run          // by latest desired start, then arrival
+	queue        []*run          // in no order; startQueued sorts it
 	entryLeases  lease.Table
 	breaker      cbreak.Breaker
 	speed        estim.Speed
@@ -196,7 +197,6 @@
 		return r, msgs.TaskReply{}
 	}
 	g.queue = append(g.queue, r)
-	sort.SliceStable(g.queue, func(i, j int) bool { return g.queue[i].startBy < g.queue[j].startBy })
 	g.startQueued()
 	if r.phase == queued && m.MaxQueueTime <= 0 {
 		g.dequeue(r)
@@ -240,11 +240,12 @@
 	return ""
 }
 
-// startQueued starts the queued tasks that fit into the free resources, most
-// urgent first, and refuses those that startRefusal rejects. A task that doesn't
-// fit blocks all behind it, so that tasks with a large demand are not starved.
+// startQueued starts the queued tasks that fit into the free resources, in the
+// order of package triage, and refuses those that startRefusal rejects. A task that
+// doesn't fit blocks all behind it, so that tasks with a large demand are not starved.
 func (g *Gate) startQueued() {
 	now := g.now()
+	sort.SliceStable(g.queue, func(i, j int) bool { return triage.Before(g.queue[i].startBy, g.queue[j].startBy, now) })
 	for len(g.queue) > 0 && g.targetReady() {
 		r := g.queue[0]
 		if reason := g.startRefusal(r, now); reason != "" {
