Learn how long to wait for a target's answer to an order

Change: the timeout of orders follows from earlier answers as in RFC 6298, 20 to 60 ms, doubled after a loss until the next answer. A task whose start was excluded is placed at another gate at once.

--- a/internal/disp/coord/task.go
+++ b/internal/disp/coord/task.go
@@ -19,8 +19,9 @@
 	// placed again. A random time of up to the same length is added.
 	placementPause = 8 * time.Millisecond
 	// immediateRetries is the number of refusals by full gates after which a task
-	// pauses before its next placement. After fewer it is placed again at once, since
-	// each refusal brings the known load of that gate up to date.
+	// pauses before its next placement. After fewer, or after a start that the target
+	// did not answer, it is placed again at once: at another gate, since
+	// each refusal brings the known load of the gate up to date.
 	immediateRetries = 3
 	// maxQueueTime is how long a task may wait in the queue of a full gate. After
 	// that it is placed again, since another gate may have free capacity by then.
@@ -100,7 +101,7 @@
 				return false
 			}
 			ts.refusals++
-			if ts.refusals%immediateRetries == 0 || reply.Reason != cause.NoCapacity {
+			if ts.refusals%immediateRetries == 0 || reply.Reason != cause.NoCapacity && reply.Reason != cause.Unanswered {
 				pause(e, placementPause)
 			}
 		}
--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -60,6 +60,7 @@
 	entryLeases  lease.Table
 	breaker      cbreak.Breaker
 	speed        estim.Speed
+	replyTimes   estim.ReplyTimes
 	nextLoadLog  boot.Time     // when the load is logged next
 	wake         chan struct{} // wakes pollLoop; use wakeChan
 }
--- a/internal/disp/gate/order.go
+++ b/internal/disp/gate/order.go
@@ -12,7 +12,8 @@
 )
 
 const (
-	callTimeout     = 60 * time.Millisecond // of a start, a stop, or a poll that resolves a start
+	minCallTimeout  = 20 * time.Millisecond // of a start, a stop, or a poll that resolves a start
+	maxCallTimeout  = 60 * time.Millisecond // the same, for a target that replies slowly
 	stopInterval    = 60 * time.Millisecond // between attempts to stop a run
 	maxStartOrders  = 8                     // orders to start a run that the target refuses for its number, token or deadline
 	runNumberStep   = 4                     // added to a run number that the target refuses as stale
@@ -27,11 +28,11 @@
 		if !ok {
 			return
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		ctx, cancel := g.callContext()
 		sentAt := g.now()
 		clock, err := g.Start(ctx, incarnation, o)
 		cancel()
-		g.observe(OrderHistogram, g.now().Sub(sentAt))
+		g.recordReply(g.now().Sub(sentAt), err)
 		if g.handleStartReply(r, incarnation, clock, err) {
 			if errors.Is(err, targ.ErrUnanswered) {
 				g.resolve(r)
@@ -44,6 +45,28 @@
 	g.refuse(r, cause.OutdatedOrder)
 }
 
+// callContext returns the context of a short call to the target, whose timeout follows
+// from how quickly the target has answered before.
+func (g *Gate) callContext() (context.Context, context.CancelFunc) {
+	g.mu.Lock()
+	timeout := g.replyTimes.Timeout(minCallTimeout, maxCallTimeout)
+	g.mu.Unlock()
+	return context.WithTimeout(context.Background(), timeout)
+}
+
+// recordReply records the answer to a start order, or that there was none.
+func (g *Gate) recordReply(took time.Duration, err error) {
+	g.observe(OrderHistogram, took)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case errors.Is(err, targ.ErrUnanswered):
+		g.replyTimes.RecordLoss()
+	case err == nil:
+		g.replyTimes.Observe(took)
+	}
+}
+
 // prepareStart returns the order to start r and the incarnation to send it to. If
 // r must not start now, it refuses r, unless r has finished already, and reports
 // false.
@@ -137,7 +160,7 @@
 	g.mu.Lock()
 	incarnation, renewal := g.incarnation, targ.Renewal{Fence: g.fence, Seen: g.lastEndSeq}
 	g.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	ctx, cancel := g.callContext()
 	defer cancel()
 	l, err := g.Poll(ctx, incarnation, renewal)
 	g.mu.Lock()
@@ -177,7 +200,7 @@
 	g.mu.Lock()
 	incarnation, o := g.incarnation, targ.Order{Task: r.msg.Name, Run: r.number, Fence: g.fence}
 	g.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	ctx, cancel := g.callContext()
 	defer cancel()
 	clock, err := g.Stop(ctx, incarnation, o)
 	g.handleStopReply(r, incarnation, clock, err)
--- a/internal/disp/gate/poll.go
+++ b/internal/disp/gate/poll.go
@@ -51,7 +51,7 @@
 	g.reconciled, g.silent, g.missedPolls = false, false, 0
 	g.clock, g.lastEndSeq, g.ackedEndSeq = targ.ClockBound{}, 0, 0
 	g.lastEndClock, g.lastEnds = 0, nil
-	g.breaker, g.speed = cbreak.Breaker{}, estim.Speed{}
+	g.breaker, g.speed, g.replyTimes = cbreak.Breaker{}, estim.Speed{}, estim.ReplyTimes{}
 	if g.fence == 0 {
 		g.fence = time.Now().UnixMilli()
 	}
--- a/internal/disp/rules/target_test.go
+++ b/internal/disp/rules/target_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/rsrc"
@@ -26,6 +27,7 @@
 	failRuns     bool          // runs end as failed
 	stallRuns    bool          // runs make no progress
 	unhealthy    bool          // starts are refused with targ.ErrUnhealthy
+	dropStarts   *atomic.Int32 // number of orders to start a run that are dropped; nil means none
 }
 
 // target is a simulated target. It carries out orders by the rules of the platform,
@@ -40,7 +42,6 @@
 	faultMode    targetFaults
 	incarnation  targ.Incarnation
 	startedAt    time.Time             // of the current incarnation
-	gone         bool                  // not used
 	leavingSince time.Time             // time at which it announced to leave, or zero
 	fence        int64                 // highest fencing token received
 	leaseEnd     int64                 // on the target's clock, ms
@@ -161,6 +162,9 @@
 	if t.faultMode.unhealthy {
 		return 0, targ.ErrUnhealthy
 	}
+	if d := t.faultMode.dropStarts; d != nil && d.Add(-1) >= 0 {
+		return 0, t.leaveUnanswered(ctx)
+	}
 	if err := t.receive(ctx, l, func() { _ = t.startRun(o) }); err != nil {
 		return 0, err
 	}
