Recall the target after a restart of its node

The same holds for each node that is killed alone.

Change: package recall keeps the target's incarnation in the platform's table, one write when a target is new and one when it leaves. A restarted node reads it and asks the target itself, which rejects calls for another incarnation. A heartbeat has to confirm it within 2 s, or nothing more is started there; what runs is left to run. A heartbeat of any incarnation replaces a recalled one.

All properties of rules restart their gates with recalled targets now and get heartbeats every 1.5 s.

--- a/cmd/gypsumlanding/process.go
+++ b/cmd/gypsumlanding/process.go
@@ -133,7 +133,10 @@
 	p.counters.Declare(cause.NodeCounters())
 	p.counters.Gauge("tasks.running", func() int64 { return int64(g.State().Running) })
 	p.counters.Gauge("tasks.queued", func() int64 { return int64(g.State().Queued) })
-	n := &proc.Node{Gate: g, Addr: p.cfg.InternalAddr, Register: store.Register, Event: p.log.Event}
+	n := &proc.Node{
+		Gate: g, Addr: p.cfg.InternalAddr, Register: store.Register, Event: p.log.Event,
+		Recall: platform.NewRecallKeeper(store, p.cfg, p.log.Event),
+	}
 	n.SetSeeds(p.cfg.Seeds)
 	go p.watchSettings(n.SetSeeds)
 	rpcServer, err := peer.Listen(p.cfg.InternalAddr, map[string]any{proc.GateServiceName: n.Service()})
@@ -145,7 +148,7 @@
 		return err
 	}
 	heartbeatServer.HandlePrefix("/", &platform.HeartbeatHandler{
-		Service: p.cfg.Service, OnHeartbeat: g.HandleHeartbeat, OnDeregister: g.HandleDeregistration,
+		Service: p.cfg.Service, OnHeartbeat: n.HandleHeartbeat, OnDeregister: n.HandleDeregistration,
 		OnInvalid: func(id string, err error) { p.log.Event("heartbeat_refused", "target", id, "err", err) },
 	})
 	servers := p.addMetricsServer([]transport.Server{rpcServer, heartbeatServer}, report.Process{Gate: g})
--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -42,6 +42,7 @@
 	mu           sync.Mutex
 	incarnation  targ.Incarnation // of the target
 	targetKnown  bool             // incarnation is set
+	confirmBy    boot.Time        // a heartbeat has to confirm the recalled incarnation until then; 0 if one has
 	stopping     bool             // this process is stopping
 	reconciled   bool             // no unknown run is at the target
 	fence        int64            // fencing token of orders and polls
@@ -281,9 +282,13 @@
 
 // targetReady reports whether tasks can be started at the target.
 func (g *Gate) targetReady() bool {
-	return g.targetKnown && g.reconciled && !g.silent && !g.incarnation.Leaving && g.clock.HasReading
+	return g.targetKnown && g.reconciled && !g.silent && !g.incarnation.Leaving && g.clock.HasReading && !g.unconfirmed()
 }
 
+// unconfirmed reports whether the target is known only from a record that no heartbeat
+// has confirmed in time.
+func (g *Gate) unconfirmed() bool { return g.confirmBy > 0 && g.now() >= g.confirmBy }
+
 // used returns the sum of the demands of all runs.
 func (g *Gate) used() rsrc.Vector {
 	var sum rsrc.Vector
@@ -338,7 +343,7 @@
 		l.QueuedWork += int64(r.demand.CPU) * r.msg.ExpectedRunTime / 1000
 	}
 	l.BlockedReason = g.breaker.OpenReason(now)
-	if g.silent || !g.reconciled {
+	if g.silent || !g.reconciled || g.unconfirmed() {
 		l.BlockedReason = cause.Silent
 	}
 	return l
--- a/internal/disp/gate/poll.go
+++ b/internal/disp/gate/poll.go
@@ -26,14 +26,18 @@
 	idleTickInterval   = 100 * time.Millisecond // while there are no tasks
 	resultRetention    = 5 * time.Second        // how long results are kept for a repeated task message
 	loadLogInterval    = 5 * time.Second        // between log lines with the load
+	// confirmPeriod is how long a recalled target is used without a heartbeat. It is
+	// longer than a heartbeat interval and not longer than a leaving target goes on.
+	confirmPeriod = 2 * time.Second
 )
 
 // HandleHeartbeat processes a heartbeat of the target. It reports false, and does
-// nothing, if the heartbeat is of an incarnation older than the current one.
+// nothing, if the heartbeat is of an incarnation older than the current one. A recalled
+// incarnation gives way to any other: its record may be of another machine's target.
 func (g *Gate) HandleHeartbeat(inc targ.Incarnation) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.targetKnown && inc.Born < g.incarnation.Born {
+	if g.targetKnown && g.confirmBy == 0 && inc.Born < g.incarnation.Born {
 		return false
 	}
 	if g.targetKnown && inc.Same(g.incarnation) {
@@ -41,12 +45,32 @@
 			g.event("target_leaving", "target", inc.ID)
 		}
 		leaving := g.incarnation.Leaving || inc.Leaving
-		g.incarnation = inc
+		g.incarnation, g.confirmBy = inc, 0
 		g.incarnation.Leaving = leaving
 		g.refuseQueueIfLeaving()
 		return true
 	}
 	g.endIncarnation(cause.TargetRestarted)
+	g.adopt(inc)
+	g.confirmBy = 0
+	return true
+}
+
+// Recall makes the gate use a target that an earlier incarnation of this process knew,
+// if that still answers. It does nothing if a heartbeat has arrived already.
+func (g *Gate) Recall(inc targ.Incarnation) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.incarnation.ID != "" {
+		return
+	}
+	g.event("target_recalled", "target", inc.ID)
+	g.adopt(inc)
+	g.confirmBy = g.now().Add(confirmPeriod)
+}
+
+// adopt starts to use an incarnation of the target.
+func (g *Gate) adopt(inc targ.Incarnation) {
 	g.incarnation, g.targetKnown = inc, true
 	g.reconciled, g.silent, g.missedPolls = false, false, 0
 	g.clock, g.lastEndSeq, g.ackedEndSeq = targ.ClockBound{}, 0, 0
@@ -57,7 +81,6 @@
 	}
 	g.event("target", "target", inc.ID, "service", inc.Service, "cpu", inc.Capacity.CPU, "memory", inc.Capacity.Memory)
 	g.wakePollLoop()
-	return true
 }
 
 // HandleDeregistration processes the deregistration of the target incarnation with this ID.
--- a/internal/disp/proc/node.go
+++ b/internal/disp/proc/node.go
@@ -8,6 +8,8 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/gate"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/memb"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/recall"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/targ"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/peer"
 )
@@ -27,6 +29,8 @@
 	Addr string // at which entries call this node
 	// Register writes this node's row in the platform's table; nil does nothing.
 	Register func(context.Context, memb.Member) error
+	// Recall keeps the record of the target over restarts of this process; nil keeps none.
+	Recall *recall.Keeper
 	// Event logs an event with pairs of keys and values.
 	Event func(event string, pairs ...any)
 
@@ -49,6 +53,9 @@
 // until ctx ends.
 func (n *Node) Run(ctx context.Context) {
 	go n.Gate.Run(ctx)
+	if n.Recall != nil {
+		go n.Recall.Run(ctx, n.Gate.Recall)
+	}
 	go register(ctx, n.Register, memb.Member{Role: memb.Gate, Addr: n.Addr}, n.Event)
 	for ctx.Err() == nil {
 		if n.service.sinceLastCall() > maxQuiet {
@@ -58,6 +65,26 @@
 	}
 }
 
+// HandleHeartbeat processes a heartbeat of the target. It reports false if the
+// heartbeat is of an incarnation older than the current one.
+func (n *Node) HandleHeartbeat(inc targ.Incarnation) bool {
+	if !n.Gate.HandleHeartbeat(inc) {
+		return false
+	}
+	if n.Recall != nil {
+		n.Recall.Observe(inc)
+	}
+	return true
+}
+
+// HandleDeregistration processes the deregistration of the target incarnation with this ID.
+func (n *Node) HandleDeregistration(id string) {
+	n.Gate.HandleDeregistration(id)
+	if n.Recall != nil && !n.Gate.State().TargetKnown {
+		n.Recall.Forget()
+	}
+}
+
 // announce sends this node's address to all seeds without waiting for replies.
 func (n *Node) announce(ctx context.Context) {
 	seeds := n.seeds.Load()
--- a/internal/disp/rules/cluster_test.go
+++ b/internal/disp/rules/cluster_test.go
@@ -23,6 +23,7 @@
 	oneWayDelay   = time.Millisecond        // latency between processes, one way
 	brokenTimeout = 700 * time.Millisecond  // time after which a call without a reply fails as broken
 	resubmitDelay = 1300 * time.Millisecond // from a lost answer to the next submission of the job
+	heartbeatTime = 1500 * time.Millisecond // between heartbeats of a target
 	bootInterval  = 40 * time.Minute        // between the boots of the machines of consecutive entries
 )
 
@@ -36,6 +37,7 @@
 
 	mu              sync.Mutex
 	gates           []*gateProcess
+	records         []*targ.Incarnation // of the targets, as the gates last recorded them; nil for none
 	entries         []*entryProcess
 	connections     map[[2]int]connState          // by indices of entry and gate
 	lastIncarnation uint64                        // incarnations of gates and entries are numbered together
@@ -73,13 +75,14 @@
 	c := &cluster{
 		checker: newChecker(), startedAt: time.Now(), done: make(chan struct{}),
 		connections: map[[2]int]connState{}, abandonFuncs: map[string]context.CancelFunc{}, disconnects: map[string]context.CancelFunc{},
-		gates: make([]*gateProcess, gates), entries: make([]*entryProcess, entries),
+		gates: make([]*gateProcess, gates), records: make([]*targ.Incarnation, gates), entries: make([]*entryProcess, entries),
 	}
 	for i := range gates {
 		t := newTarget(fmt.Sprintf("t%d", i), 0.985+0.015*float64(i), c.checker)
 		c.targets = append(c.targets, t)
 		go t.run(c.done)
 		c.startGate(i)
+		go c.sendHeartbeats(i)
 	}
 	for i := range entries {
 		c.startEntry(i)
@@ -94,8 +97,35 @@
 // entries have booted at different times, so no decision may compare their clocks.
 func (c *cluster) entryNow(i int) boot.Time { return c.now().Add(time.Duration(i) * bootInterval) }
 
-// startGate replaces gate i by a new incarnation, to which its target announces
-// itself at once.
+// sendHeartbeats sends the heartbeats of target i until the cluster is finished.
+func (c *cluster) sendHeartbeats(i int) {
+	for {
+		c.heartbeat(i, c.targets[i].current())
+		select {
+		case <-c.done:
+			return
+		case <-time.After(heartbeatTime):
+		}
+	}
+}
+
+// heartbeat sends a heartbeat of target i to its gate, which records the target unless
+// it leaves.
+func (c *cluster) heartbeat(i int, inc targ.Incarnation) {
+	p := c.gateAt(i)
+	if p.ctx.Err() != nil || !p.gate.HandleHeartbeat(inc) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.records[i] = &inc
+	if inc.Leaving {
+		c.records[i] = nil
+	}
+}
+
+// startGate replaces gate i by a new incarnation, which recalls the target that the
+// previous one recorded.
 func (c *cluster) startGate(i int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -118,10 +148,9 @@
 			return callFrom(ctx, p, func(ctx context.Context) (targ.Listing, error) { return t.Hold(ctx, l, r) })
 		},
 	}
-	t.mu.Lock()
-	incarnation := t.incarnation
-	t.mu.Unlock()
-	p.gate.HandleHeartbeat(incarnation)
+	if record := c.records[i]; record != nil {
+		p.gate.Recall(*record)
+	}
 	go p.gate.Run(p.ctx)
 	c.gates[i] = p
 }
--- a/internal/disp/rules/rules_test.go
+++ b/internal/disp/rules/rules_test.go
@@ -127,12 +127,12 @@
 	case cutReplies:
 		return c.degrade(i, g, dropsReplies)
 	case restartTarget:
-		c.gateAt(g).gate.HandleHeartbeat(c.targets[g].restart())
+		c.heartbeat(g, c.targets[g].restart())
 	case drainTarget:
-		c.gateAt(g).gate.HandleHeartbeat(c.targets[g].startLeaving())
+		c.heartbeat(g, c.targets[g].startLeaving())
 		return func() {
 			time.Sleep(drainGrace)
-			c.gateAt(g).gate.HandleHeartbeat(c.targets[g].restart())
+			c.heartbeat(g, c.targets[g].restart())
 		}
 	case silenceTarget:
 		return withFaults(targetFaults{unresponsive: true})
--- a/internal/disp/rules/target_test.go
+++ b/internal/disp/rules/target_test.go
@@ -92,6 +92,13 @@
 	return t.incarnation
 }
 
+// current returns the current incarnation.
+func (t *target) current() targ.Incarnation {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.incarnation
+}
+
 // clockMS returns the reading of the target's clock in milliseconds. It starts at 1
 // with each incarnation.
 func (t *target) clockMS() int64 {
