Let requests wait for the first configuration at the start of an entry

Requests now wait for it, at most until 250 ms after the start of the process; after that they are refused at once as before, since the sources are down.

--- a/cmd/gypsumlanding/process.go
+++ b/cmd/gypsumlanding/process.go
@@ -37,6 +37,9 @@
 	// acceptJobsPeriod is how long an entry still accepts jobs on open connections
 	// after the signal to stop.
 	acceptJobsPeriod = 2900 * time.Millisecond
+	// configWait is how long after its start an entry lets requests wait for the first
+	// configuration. A store that answers delivers it sooner.
+	configWait = 250 * time.Millisecond
 )
 
 // process is a running entry or node.
@@ -78,7 +81,7 @@
 	p.counters.Gauge("gates", func() int64 { return int64(len(e.Links())) })
 	callers := &platform.CallerHandler{
 		Config: &e.Config, Submit: e.Coord.Submit, State: e.State, Cancel: e.Cancel, Pending: e.Pending,
-		Count: p.counters.Count, Trace: p.log.Trace,
+		Count: p.counters.Count, Trace: p.log.Trace, AwaitConfigUntil: p.startTime.Add(configWait),
 	}
 	rpcServer, err := peer.Listen(p.cfg.InternalAddr, map[string]any{proc.EntryServiceName: e.Service()})
 	if err != nil {
--- a/internal/disp/route/route.go
+++ b/internal/disp/route/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -61,7 +62,12 @@
 
 // Current holds the newest table that was stored. The zero value holds none. It is
 // safe for concurrent use.
-type Current struct{ newest atomic.Pointer[Table] }
+type Current struct {
+	newest atomic.Pointer[Table]
+
+	mu    sync.Mutex
+	first chan struct{} // closed when the first table is stored; use firstChan
+}
 
 // Get returns the newest table, or nil if none was stored.
 func (c *Current) Get() *Table { return c.newest.Load() }
@@ -75,11 +81,26 @@
 			return false
 		}
 		if c.newest.CompareAndSwap(current, t) {
+			if current == nil {
+				close(c.firstChan())
+			}
 			return true
 		}
 	}
 }
 
+// First returns a channel that is closed once a table has been stored.
+func (c *Current) First() <-chan struct{} { return c.firstChan() }
+
+func (c *Current) firstChan() chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.first == nil {
+		c.first = make(chan struct{})
+	}
+	return c.first
+}
+
 // Version returns the version of the newest table, or 0 if none was stored.
 func (c *Current) Version() int64 {
 	if t := c.Get(); t != nil {
