Tell refused callers when capacity is expected, in turn

Before, every refusal said one second, so callers that were refused together came back together. Package retry promises each caller a time: when the queues have capacity for its job (queued work and speeds as the entry knows them), after the callers of the same or a higher priority that were refused before it, spread by a quarter; callers that ask again go before others of their priority. An entry counts on its share of the gates.

--- a/cmd/gypsumlanding/process.go
+++ b/cmd/gypsumlanding/process.go
@@ -72,7 +72,7 @@
 	e.SetSeeds(p.cfg.Seeds)
 	go p.watchSettings(e.SetSeeds)
 	e.Coord = &coord.Coordinator{
-		Links: e.Links, ResubmitDelay: time.Duration(p.cfg.ResubmitMS) * time.Millisecond,
+		Links: e.Links, Entries: func() int { return len(e.Entries()) + 1 }, ResubmitDelay: time.Duration(p.cfg.ResubmitMS) * time.Millisecond,
 		Trace: p.log.Trace, Count: p.counters.Count, Observe: p.counters.Observe,
 	}
 	p.counters.Declare(cause.EntryCounters())
--- a/internal/disp/coord/admit.go
+++ b/internal/disp/coord/admit.go
@@ -79,6 +79,7 @@
 		slack := timing.StartBy().Sub(c.now())
 		cands := c.findCandidates(e.Route.Service, s)
 		longestWait, fits := cands.longestWait(s, expectedRunTime)
+		c.outage(cands.usableCapacity() > 0, c.now())
 		reason := ""
 		switch {
 		case len(cands.gates) == 0:
@@ -93,7 +94,7 @@
 		case cause.TooLarge:
 			return Answer{State: Refused, Reason: reason}
 		case cause.Overload:
-			return Answer{State: Refused, Reason: reason, RetryAfter: retryAfter}
+			return Answer{State: Refused, Reason: reason, RetryAfter: c.retryDelay(e, s, cands, longestWait)}
 		}
 	}
 	return Answer{}
--- a/internal/disp/coord/coord.go
+++ b/internal/disp/coord/coord.go
@@ -10,6 +10,7 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/estim"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/link"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/retry"
 )
 
 const (
@@ -17,9 +18,6 @@
 	// it is refused, in percent of its latency budget, as long as none of its
 	// tasks has started. An answer that late is of little use to the caller.
 	maxStartWaitPercent = 200
-	// retryAfter is the delay after which a refused caller may retry. It is about
-	// the time in which running tasks free resources.
-	retryAfter = time.Second
 )
 
 // Coordinator runs the jobs of one entry. Set the exported fields before use.
@@ -30,6 +28,8 @@
 	// ResubmitDelay is the delay after which callers repeat a job whose answer was
 	// lost; 0 if they don't.
 	ResubmitDelay time.Duration
+	// Entries returns the number of entries that share the gates; nil means 1.
+	Entries func() int
 	// Now returns the current time; nil means boot.Now.
 	Now func() boot.Time
 	// Trace logs a decision about a job, with its details as alternating keys and
@@ -41,10 +41,12 @@
 	Observe func(name string, d time.Duration)
 
 	runTimes   estim.RunTimes
+	retries    retry.Planner
 	nextTaskID atomic.Uint64
 
-	mu   sync.Mutex
-	jobs map[string]*execution
+	mu          sync.Mutex
+	jobs        map[string]*execution
+	outageSince boot.Time // since when no gate can start tasks; 0 if one can
 }
 
 // Submit runs a job and returns its answer once the job has ended. If ctx ends
--- /dev/null
+++ b/internal/disp/coord/refuse.go
@@ -0,0 +1,79 @@
+package coord
+
+import (
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/retry"
+)
+
+// refuseIfOverdue refuses the job if it has waited too long and none of its tasks may
+// have started. It reports whether it refused the job.
+func (c *Coordinator) refuseIfOverdue(e *execution, reason string) bool {
+	longest := e.Steps[0]
+	expectedRunTime := time.Duration(0)
+	for _, s := range e.Steps {
+		if t := c.runTimes.Estimate(e.Route.Name, s.DeclaredRunTime); t > expectedRunTime {
+			longest, expectedRunTime = s, t
+		}
+	}
+	waited := c.now().Sub(c.timing(e, expectedRunTime).FirstSubmitted())
+	if waited < e.Route.LatencyBudget(expectedRunTime)*maxStartWaitPercent/100 {
+		return false
+	}
+	cands := c.findCandidates(e.Route.Service, longest)
+	wait, _ := cands.longestWait(longest, expectedRunTime)
+	return e.refuse(Answer{State: Refused, Reason: reason, RetryAfter: c.retryDelay(e, longest, cands, wait)})
+}
+
+// retryDelay returns the delay after which the caller of e shall come back, given its
+// largest step and the expected wait for capacity.
+func (c *Coordinator) retryDelay(e *execution, s Step, cands candidates, wait time.Duration) time.Duration {
+	now := c.now()
+	expectedRunTime := c.runTimes.Estimate(e.Route.Name, s.DeclaredRunTime)
+	capacity := cands.usableCapacity()
+	r := retry.Refusal{
+		Now: now, Wait: wait, Priority: e.Route.Priority, Outage: c.outage(capacity > 0, now),
+		Repeated: c.timing(e, expectedRunTime).FirstSubmitted() < e.Arrived,
+	}
+	if capacity > 0 {
+		share := capacity / float64(c.entries())
+		r.Work = time.Duration(float64(s.Count) * float64(s.Size.CPU) / share * float64(expectedRunTime))
+	}
+	return c.retries.Delay(r)
+}
+
+// outage returns how long no gate has been able to start tasks, given whether one can
+// now.
+func (c *Coordinator) outage(usable bool, now boot.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case usable:
+		c.outageSince = 0
+		return 0
+	case c.outageSince == 0:
+		c.outageSince = now
+	}
+	return now.Sub(c.outageSince)
+}
+
+// entries returns the number of entries that share the gates, this one included.
+func (c *Coordinator) entries() int {
+	if c.Entries == nil {
+		return 1
+	}
+	return max(1, c.Entries())
+}
+
+// usableCapacity returns the CPU of all candidates that can start tasks, in thousandths
+// of a core of a target of speed 1.
+func (cands candidates) usableCapacity() float64 {
+	sum := 0.0
+	for _, g := range cands.gates {
+		if !g.Unavailable {
+			sum += float64(g.Capacity.CPU) * g.Speed
+		}
+	}
+	return sum
+}
--- a/internal/disp/coord/task.go
+++ b/internal/disp/coord/task.go
@@ -191,20 +191,6 @@
 		"after", elapsed)
 }
 
-// refuseIfOverdue refuses the job if it has waited too long and none of its tasks may
-// have started. It reports whether it refused the job.
-func (c *Coordinator) refuseIfOverdue(e *execution, reason string) bool {
-	expectedRunTime := time.Duration(0)
-	for _, s := range e.Steps {
-		expectedRunTime = max(expectedRunTime, c.runTimes.Estimate(e.Route.Name, s.DeclaredRunTime))
-	}
-	waited := c.now().Sub(c.timing(e, expectedRunTime).FirstSubmitted())
-	if waited < e.Route.LatencyBudget(expectedRunTime)*maxStartWaitPercent/100 {
-		return false
-	}
-	return e.refuse(Answer{State: Refused, Reason: reason, RetryAfter: retryAfter})
-}
-
 // stepTargetKey returns the key under which tasks of a step at a target are counted.
 func stepTargetKey(stepIndex int, target string) string {
 	return strconv.Itoa(stepIndex) + "/" + target
