--- a/internal/disp/coord/coord.go
+++ b/internal/disp/coord/coord.go
@@ -193,7 +193,7 @@
 	retries := e.retries
 	e.mu.Unlock()
 	c.trace("job", "job", e.ID, "route", e.Route.Name, "state", stateNames[a.State], "reason", a.Reason,
-		"ms", took.Milliseconds(), "retries", retries)
+		"ms", took.Milliseconds(), "retries", retries, "delay", a.RetryAfter)
 }
 
 func (c *Coordinator) now() boot.Time {
