Adapt the longest wait for admission to what accepted tasks wait

Change: package admit lowers the limit, to a quarter of the slack at least, while more than one task in twenty waits for longer than its job can afford, and raises it again slowly. Test: a tenth more load than the capacity for 20 s, waits underestimated by half: under a third of the accepted jobs start in time without it, over three quarters with it, and as many are accepted.

--- a/internal/disp/coord/admit.go
+++ b/internal/disp/coord/admit.go
@@ -7,10 +7,6 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/triage"
 )
 
-// maxWaitPercent is the share of a job's slack, in percent, that the expected wait
-// for capacity may take. The slack is the time until the job's latest start.
-const maxWaitPercent = 100
-
 // admit decides whether to accept a job. It returns a refusal if no target is large
 // enough for one of the tasks, or if the steps without dependencies would wait for
 // capacity so long that the answer would be late. Otherwise it returns the zero
@@ -39,7 +35,7 @@
 	case len(cands.gates) == 0:
 	case !fits:
 		reason = cause.TooLarge
-	case len(s.DependsOn) == 0 && longestWait > max(0, slack*maxWaitPercent/100):
+	case len(s.DependsOn) == 0 && longestWait > c.limiter.MaxWait(slack):
 		reason = cause.Overload
 	}
 	c.trace("step_admitted", "job", e.ID, "route", e.Route.Name, "config", e.ConfigVersion, "step", i, "tasks", s.Count,
--- a/internal/disp/coord/coord.go
+++ b/internal/disp/coord/coord.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/admit"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/estim"
@@ -42,6 +43,7 @@
 
 	runTimes   estim.RunTimes
 	retries    retry.Planner
+	limiter    admit.Limiter
 	nextTaskID atomic.Uint64
 
 	candidatePool sync.Pool // of *candidates
--- a/internal/disp/coord/task.go
+++ b/internal/disp/coord/task.go
@@ -88,7 +88,9 @@
 		c.recordRetry(e, ts, target, reply, c.now().Sub(sentAt))
 		switch reply.Result {
 		case msgs.Done:
-			c.runTimes.Observe(e.Route.Name, time.Duration(reply.RunTime)*time.Millisecond, reply.Load.Speed)
+			runTime := time.Duration(reply.RunTime) * time.Millisecond
+			c.runTimes.Observe(e.Route.Name, runTime, reply.Load.Speed)
+			c.recordWait(e, s, runTime)
 			return true
 		case msgs.Failed:
 			ts.failures++
@@ -109,6 +111,16 @@
 	return false
 }
 
+// recordWait records how long a task that is done has waited, if it belongs to a step
+// without dependencies.
+func (c *Coordinator) recordWait(e *execution, s Step, runTime time.Duration) {
+	if len(s.DependsOn) > 0 {
+		return
+	}
+	timing := c.timing(e, c.runTimes.Estimate(e.Route.Name, s.DeclaredRunTime))
+	c.limiter.Observe(c.now().Sub(e.Arrived)-runTime, timing.StartBy().Sub(e.Arrived))
+}
+
 // place chooses a gate for a task. It returns the link to the gate, the ID of the
 // gate's target and the message to send. It reports false if no gate can run the
 // task.
