--- a/internal/disp/coord/coord_test.go
+++ b/internal/disp/coord/coord_test.go
@@ -188,15 +188,7 @@
 }
 
 func TestOverloadIsRefusedAtOnce(t *testing.T) {
-	f := newFakeGates(t, 2)
-	f.mu.Lock()
-	for i := range f.loads {
-		f.loads[i].UsedCPU, f.loads[i].QueuedWork = 1000, 900
-	}
-	f.mu.Unlock()
-	for _, l := range f.links {
-		waitUntil(t, "the load is known", func() bool { return l.View(boot.Now()).Load.QueuedWork > 0 })
-	}
+	f := overloaded(t)
 	a := f.coordinator().Submit(context.Background(), newTestJob(1, 100))
 	if a.State != Refused || a.Reason != "overload" || a.RetryAfter == 0 || f.receivedCount() != 0 {
 		t.Errorf("got %+v", a)
--- a/internal/disp/gate/doc.go
+++ b/internal/disp/gate/doc.go
@@ -20,6 +20,9 @@
 //     refused.
 //   - A run at the target that this gate did not start is stopped before anything
 //     else is started.
+//   - A target that is known from a record of an earlier incarnation of the process is
+//     used only if it answers as that incarnation, and without a heartbeat for
+//     confirmPeriod at most.
 //
 // The package does no I/O: the calls to the target are function fields.
 package gate
--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sort"
 	"sync"
 	"time"
 
@@ -13,7 +12,6 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/lease"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/rsrc"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/targ"
-	"github.com/gypsumlanding/gypsumlanding/internal/disp/triage"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
@@ -242,53 +240,6 @@
 	return ""
 }
 
-// startQueued starts the queued tasks that fit into the free resources, in the
-// order of package triage, and refuses those that startRefusal rejects. A task that
-// doesn't fit blocks all behind it, so that tasks with a large demand are not starved.
-func (g *Gate) startQueued() {
-	now := g.now()
-	sort.SliceStable(g.queue, func(i, j int) bool { return triage.Before(g.queue[i].startBy, g.queue[j].startBy, now) })
-	for len(g.queue) > 0 && g.targetReady() {
-		r := g.queue[0]
-		if reason := g.startRefusal(r, now); reason != "" {
-			g.queue = g.queue[1:]
-			g.finish(r, msgs.Refused, reason)
-			continue
-		}
-		if !g.used().Plus(r.demand).Within(g.incarnation.Capacity) {
-			return
-		}
-		g.queue = g.queue[1:]
-		g.breaker.RecordStart(now)
-		g.observeWait(r, now)
-		r.phase = ordered
-		g.runs[r.msg.Name] = r
-		g.wakePollLoop()
-		go g.orderStart(r)
-	}
-}
-
-// startRefusal returns the reason to refuse a queued task instead of starting
-// it, or the empty string.
-func (g *Gate) startRefusal(r *run, now boot.Time) string {
-	switch {
-	case g.runs[r.msg.Name] != nil:
-		return cause.Duplicate
-	case !r.msg.IgnoreBreaker && g.breaker.OpenReason(now) != "":
-		return cause.BreakerOpen
-	}
-	return ""
-}
-
-// targetReady reports whether tasks can be started at the target.
-func (g *Gate) targetReady() bool {
-	return g.targetKnown && g.reconciled && !g.silent && !g.incarnation.Leaving && g.clock.HasReading && !g.unconfirmed()
-}
-
-// unconfirmed reports whether the target is known only from a record that no heartbeat
-// has confirmed in time.
-func (g *Gate) unconfirmed() bool { return g.confirmBy > 0 && g.now() >= g.confirmBy }
-
 // used returns the sum of the demands of all runs.
 func (g *Gate) used() rsrc.Vector {
 	var sum rsrc.Vector
@@ -298,16 +249,6 @@
 	return sum
 }
 
-// dequeue removes r from the queue.
-func (g *Gate) dequeue(r *run) {
-	for i, q := range g.queue {
-		if q == r {
-			g.queue = append(g.queue[:i:i], g.queue[i+1:]...)
-			return
-		}
-	}
-}
-
 // finish records the result of r and frees its resources. It does nothing if r
 // has a result.
 func (g *Gate) finish(r *run, result msgs.Result, reason string) {
--- /dev/null
+++ b/internal/disp/gate/incarnation.go
@@ -0,0 +1,113 @@
+package gate
+
+import (
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/cbreak"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/estim"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/targ"
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
+)
+
+// confirmPeriod is how long a recalled target is used without a heartbeat. It is
+// longer than a heartbeat interval and not longer than a leaving target goes on.
+const confirmPeriod = 2 * time.Second
+
+// HandleHeartbeat processes a heartbeat of the target. It reports false, and does
+// nothing, if the heartbeat is of an incarnation older than the current one. A recalled
+// incarnation gives way to any other: its record may be of another machine's target.
+func (g *Gate) HandleHeartbeat(inc targ.Incarnation) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.targetKnown && g.confirmBy == 0 && inc.Born < g.incarnation.Born {
+		return false
+	}
+	if g.targetKnown && inc.Same(g.incarnation) {
+		if inc.Leaving && !g.incarnation.Leaving {
+			g.event("target_leaving", "target", inc.ID)
+		}
+		leaving := g.incarnation.Leaving || inc.Leaving
+		g.incarnation, g.confirmBy = inc, 0
+		g.incarnation.Leaving = leaving
+		g.refuseQueueIfLeaving()
+		return true
+	}
+	g.endIncarnation(cause.TargetRestarted)
+	g.adopt(inc)
+	g.confirmBy = 0
+	return true
+}
+
+// Recall makes the gate use a target that an earlier incarnation of this process knew,
+// if that still answers. It does nothing if a heartbeat has arrived already.
+func (g *Gate) Recall(inc targ.Incarnation) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.incarnation.ID != "" {
+		return
+	}
+	g.event("target_recalled", "target", inc.ID)
+	g.adopt(inc)
+	g.confirmBy = g.now().Add(confirmPeriod)
+}
+
+// adopt starts to use an incarnation of the target.
+func (g *Gate) adopt(inc targ.Incarnation) {
+	g.incarnation, g.targetKnown = inc, true
+	g.reconciled, g.silent, g.missedPolls = false, false, 0
+	g.clock, g.lastEndSeq, g.ackedEndSeq = targ.ClockBound{}, 0, 0
+	g.lastEndClock, g.lastEnds = 0, nil
+	g.breaker, g.speed, g.replyTimes = cbreak.Breaker{}, estim.Speed{}, estim.ReplyTimes{}
+	if g.fence == 0 {
+		g.fence = time.Now().UnixMilli()
+	}
+	g.event("target", "target", inc.ID, "service", inc.Service, "cpu", inc.Capacity.CPU, "memory", inc.Capacity.Memory)
+	g.wakePollLoop()
+}
+
+// HandleDeregistration processes the deregistration of the target incarnation with this ID.
+func (g *Gate) HandleDeregistration(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.targetKnown && g.incarnation.ID == id {
+		g.endIncarnation(cause.Departed)
+	}
+}
+
+// refuseQueueIfLeaving refuses all queued tasks once the target takes no more.
+func (g *Gate) refuseQueueIfLeaving() {
+	if !g.incarnation.Leaving {
+		return
+	}
+	for _, r := range g.queue {
+		g.finish(r, msgs.Refused, cause.Leaving)
+	}
+	g.queue = nil
+}
+
+// endIncarnation records that the target's incarnation has ended: its runs are lost, and the
+// queued tasks are refused.
+func (g *Gate) endIncarnation(reason string) {
+	if !g.targetKnown {
+		return
+	}
+	g.event("target_gone", "target", g.incarnation.ID, "reason", reason, "running", len(g.runs))
+	for _, r := range g.runs {
+		g.finish(r, msgs.Lost, reason)
+	}
+	for _, r := range g.queue {
+		g.finish(r, msgs.Refused, reason)
+	}
+	g.queue = nil
+	g.targetKnown, g.reconciled = false, false
+}
+
+// targetReady reports whether tasks can be started at the target.
+func (g *Gate) targetReady() bool {
+	return g.targetKnown && g.reconciled && !g.silent && !g.incarnation.Leaving && g.clock.HasReading && !g.unconfirmed()
+}
+
+// unconfirmed reports whether the target is known only from a record that no heartbeat
+// has confirmed in time.
+func (g *Gate) unconfirmed() bool { return g.confirmBy > 0 && g.now() >= g.confirmBy }
