--- a/internal/disp/rules/cluster_test.go
+++ b/internal/disp/rules/cluster_test.go
@@ -82,6 +82,8 @@
 		c.targets = append(c.targets, t)
 		go t.run(c.done)
 		c.startGate(i)
+	}
+	for i := range gates {
 		go c.sendHeartbeats(i)
 	}
 	for i := range entries {
