Keep a recalled target against delayed heartbeats of an older one

Found when the change was read again: a gate that had recalled its target accepted any heartbeat until the first one had confirmed the record. A heartbeat that was delayed and comes from an incarnation before would have made it give up the runs of the recalled one, which goes on: they would have been started again elsewhere while they ran. Now a recalled incarnation gives way to an older one only if it has never answered. Failed first: TestDelayedHeartbeatDoesNotReplaceRecalledTarget.

--- a/internal/disp/gate/incarnation.go
+++ b/internal/disp/gate/incarnation.go
@@ -16,11 +16,12 @@
 
 // HandleHeartbeat processes a heartbeat of the target. It reports false, and does
 // nothing, if the heartbeat is of an incarnation older than the current one. A recalled
-// incarnation gives way to any other: its record may be of another machine's target.
+// incarnation that has never answered gives way to any other: its record may be of
+// another machine's target.
 func (g *Gate) HandleHeartbeat(inc targ.Incarnation) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.targetKnown && g.confirmBy == 0 && inc.Born < g.incarnation.Born {
+	if g.targetKnown && inc.Born < g.incarnation.Born && (g.confirmBy == 0 || g.clock.HasReading) {
 		return false
 	}
 	if g.targetKnown && inc.Same(g.incarnation) {
--- a/internal/disp/gate/recall_test.go
+++ b/internal/disp/gate/recall_test.go
@@ -97,3 +97,35 @@
 		cancel()
 	})
 }
+
+// A heartbeat that was delayed may come from an incarnation before the recalled one. Once
+// the recalled one has answered, its runs must not be given up for that: they would
+// be started again elsewhere while they run.
+func TestDelayedHeartbeatDoesNotReplaceRecalledTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		f := newFakeTarget(1000)
+		f.incarnation.Born = 2
+		f.stallRuns = true
+		o := recallGate(ctx, t, f, f.incarnation)
+		m := o.task("long", 10)
+		m.EchoedTimestamp = int64(o.Now())
+		replies := make(chan msgs.TaskReply, 1)
+		go func() { replies <- o.take(m) }()
+		time.Sleep(100 * time.Millisecond)
+		older := f.incarnation
+		older.ID, older.Born = "older", 1
+		if o.HandleHeartbeat(older) {
+			t.Error("the heartbeat of an older incarnation was accepted")
+		}
+		time.Sleep(100 * time.Millisecond)
+		select {
+		case reply := <-replies:
+			t.Errorf("the run was given up: %v %q", reply.Result, reply.Reason)
+		default:
+		}
+		cancel()
+		o.sync(m.ID)
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/disp/rules/rules_test.go
+++ b/internal/disp/rules/rules_test.go
@@ -40,6 +40,7 @@
 	cutReplies
 	restartTarget
 	drainTarget
+	delayHeartbeat
 	silenceTarget
 	loseOrders
 	delayOrders
@@ -52,7 +53,7 @@
 )
 
 var kindNames = [kindCount]string{
-	"kill gate", "kill entry", "connection cut", "replies cut", "target restarts", "target leaves", "target silent", "orders lost",
+	"kill gate", "kill entry", "connection cut", "replies cut", "target restarts", "target leaves", "heartbeat delayed", "target silent", "orders lost",
 	"orders delayed", "target fails", "target stuck", "target unhealthy", "caller abandons job", "callers cut",
 }
 
@@ -134,6 +135,8 @@
 			time.Sleep(drainGrace)
 			c.heartbeat(g, c.targets[g].restart())
 		}
+	case delayHeartbeat:
+		c.heartbeat(g, c.targets[g].outdated())
 	case silenceTarget:
 		return withFaults(targetFaults{unresponsive: true})
 	case loseOrders:
@@ -289,7 +292,7 @@
 // TestRulesHoldWhenProcessesDie does the same with restarts of processes, broken
 // connections and callers that abandon their jobs only.
 func TestRulesHoldWhenProcessesDie(t *testing.T) {
-	checkRules(t, []int{killGate, killEntry, cutConnection, cutReplies, restartTarget, callerAbandons, cutCallers})
+	checkRules(t, []int{killGate, killEntry, cutConnection, cutReplies, restartTarget, delayHeartbeat, callerAbandons, cutCallers})
 }
 
 // TestRulesHoldWhenTargetsMisbehave does the same with events of targets, and with
--- a/internal/disp/rules/target_test.go
+++ b/internal/disp/rules/target_test.go
@@ -41,6 +41,7 @@
 	mu           sync.Mutex
 	faultMode    targetFaults
 	incarnation  targ.Incarnation
+	previous     targ.Incarnation      // the one before
 	startedAt    time.Time             // of the current incarnation
 	leavingSince time.Time             // time at which it announced to leave, or zero
 	fence        int64                 // highest fencing token received
@@ -83,6 +84,7 @@
 		t.checker.runEnded(task, t.name, targ.EndedOther)
 	}
 	t.startedAt = time.Now()
+	t.previous = t.incarnation
 	t.incarnation = targ.Incarnation{
 		ID: fmt.Sprintf("%s-%d", t.name, t.startedAt.UnixMilli()), Born: t.startedAt.UnixMilli(), Addr: t.name, Service: "s",
 		Capacity: rsrc.Vector{CPU: targetCapacity, Memory: targetCapacity},
@@ -99,6 +101,18 @@
 	return t.incarnation
 }
 
+// outdated returns an incarnation that has ended, or that is older than any.
+func (t *target) outdated() targ.Incarnation {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.previous.ID != "" {
+		return t.previous
+	}
+	older := t.incarnation
+	older.ID, older.Born = older.ID+"-before", older.Born-1
+	return older
+}
+
 // clockMS returns the reading of the target's clock in milliseconds. It starts at 1
 // with each incarnation.
 func (t *target) clockMS() int64 {
