--- a/internal/disp/admit/admit.go
+++ b/internal/disp/admit/admit.go
@@ -12,13 +12,17 @@
 	step = 0.04
 	// minShare is the least share of the slack that the limit falls to.
 	minShare = 0.25
+	// startShare is the share before the first observation. An entry that has just
+	// started does not know yet how fast the targets are, and often many callers wait
+	// for it.
+	startShare = 0.5
 )
 
 // Limiter adapts the longest wait with which jobs are accepted. The zero value accepts
-// waits up to the whole slack. It is safe for concurrent use.
+// waits up to startShare of the slack. It is safe for concurrent use.
 type Limiter struct {
-	mu        sync.Mutex
-	reduction float64 // 1 minus the share of the slack that a wait may take
+	mu      sync.Mutex
+	adapted float64 // what observations have added to startShare
 }
 
 // MaxWait returns the longest expected wait with which a job may be accepted that has
@@ -27,7 +31,7 @@
 func (l *Limiter) MaxWait(slack time.Duration) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return time.Duration((1 - l.reduction) * float64(max(0, slack)))
+	return time.Duration((startShare + l.adapted) * float64(max(0, slack)))
 }
 
 // Observe records how long a task of an accepted job waited until it started, and the
@@ -38,9 +42,9 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	change := -targetShare * step
+	change := targetShare * step
 	if waited > slack {
-		change = (1 - targetShare) * step
+		change = -(1 - targetShare) * step
 	}
-	l.reduction = min(max(0, l.reduction+change), 1-minShare)
+	l.adapted = min(max(minShare-startShare, l.adapted+change), 1-startShare)
 }
