--- a/test/mutant_test.go
+++ b/test/mutant_test.go
@@ -95,7 +95,7 @@
 	{rule: "P7 drain before the end", file: "internal/node/node.go", old: "Drain: n.drain,", new: "", test: "scenario rolling"},
 
 	// The platform path.
-	{rule: "LIMIT room", file: dispGate + "gate.go", old: "if !g.used().Plus(r.demand).Within(g.incarnation.Capacity) {", new: "if false {", test: "internal/disp/gate TestGateKeepsToCapacity"},
+	{rule: "LIMIT room", file: dispGate + "queue.go", old: "if !g.used().Plus(r.demand).Within(g.incarnation.Capacity) {", new: "if false {", test: "internal/disp/gate TestGateKeepsToCapacity"},
 	{
 		rule: "TWICE unanswered start", file: dispGate + "apply.go", test: "internal/disp/gate TestGateExcludesLateStart",
 		old: "r.stopAckClock > 0 && clock > r.stopAckClock || clock > r.startDeadline", new: "clock > 0",
@@ -112,11 +112,14 @@
 	{rule: "LOST planned stop", file: "platform/caller.go", old: "if h.refusing(arrived) {", new: "if false {", test: "platform TestCallerHandlerRefusesJobsThatItCannotFinish"},
 	{rule: "ROUTE most per target", file: dispCoord + "job.go", old: "if limit > 0 && e.tasksByTarget[key] >= limit {", new: "if false {", test: "internal/disp/coord TestMaxTasksPerTarget", more: []edit{{dispCoord + "job.go", "return limit == 0 || e.tasksByTarget[key] < limit", "return true"}}},
 	{rule: "CONFIG never back", file: "internal/disp/route/route.go", old: "if current != nil && current.Version >= t.Version {", new: "if false {", test: "internal/disp/route TestCurrentNeverGoesBack"},
-	{rule: "DRAIN leaving target", file: dispGate + "gate.go", old: "case g.incarnation.Leaving:\n\t\treturn cause.Leaving\n", new: "", test: "internal/disp/gate TestGateRefusesTasksOfLeavingTarget", more: []edit{{dispGate + "gate.go", "!g.silent && !g.incarnation.Leaving && g.clock.HasReading", "!g.silent && g.clock.HasReading"}}},
+	{rule: "DRAIN leaving target", file: dispGate + "gate.go", old: "case g.incarnation.Leaving:\n\t\treturn cause.Leaving\n", new: "", test: "internal/disp/gate TestGateRefusesTasksOfLeavingTarget", more: []edit{{dispGate + "incarnation.go", "!g.silent && !g.incarnation.Leaving && g.clock.HasReading", "!g.silent && g.clock.HasReading"}}},
 	{rule: "UNASKED cancel", file: dispCoord + "task.go", old: "l.Cancel(m.ID)\n", new: "", test: "internal/disp/coord TestAbandonedJobCancelsItsTasks"},
 	{rule: "UNASKED cancel until answered", file: dispLink, old: "if err != nil {\n\t\tl.recordFailure(err)\n\t\treturn", new: "if err != nil {\n\t\tl.confirmCancels(cancels)\n\t\tl.recordFailure(err)\n\t\treturn", test: "internal/disp/link TestCancelIsSentUntilAnswered"},
+	{rule: "TWICE heartbeat held up", file: dispGate + "incarnation.go", old: " && (g.confirmBy == 0 || g.clock.HasReading)", new: " && g.confirmBy == 0", test: "internal/disp/gate TestDelayedHeartbeatDoesNotReplaceRecalledTarget"},
+	{rule: "DRAIN recalled target", file: dispGate + "incarnation.go", old: " && !g.unconfirmed()", new: "", test: "internal/disp/gate TestRecalledTargetNeedsHeartbeat"},
+	{rule: "RECOVER lost order", file: dispGate + "order.go", old: "g.replyTimes.Timeout(minCallTimeout, maxCallTimeout)", new: "maxCallTimeout", test: "internal/disp/rules TestLostOrderCostsLittle"},
 	{rule: "RECOVER set aside", file: dispGate + "order.go", old: "case !g.targetReady():", new: "case !g.targetReady() || g.breaker.OpenReason(now) != \"\":", test: "internal/disp/gate TestGateProbesTargetAfterFailures"},
-	{rule: "LIMIT room, whatever fails", file: dispGate + "gate.go", old: "if !g.used().Plus(r.demand).Within(g.incarnation.Capacity) {", new: "if false {", test: rulesTest},
+	{rule: "LIMIT room, whatever fails", file: dispGate + "queue.go", old: "if !g.used().Plus(r.demand).Within(g.incarnation.Capacity) {", new: "if false {", test: rulesTest},
 	{rule: "TWICE silent gate, whatever fails", file: dispLink, old: "return l.now() >= l.echoedReceived.Add(gate.MaxOrphanTime)", new: "return true", test: rulesTest},
 	{rule: "REFUSED nothing started, whatever fails", file: dispCoord + "job.go", old: "if e.started || e.inFlight > 0 || e.answer != nil {", new: "if e.answer != nil {", test: rulesTest},
 	{rule: "LOST all attempts, whatever fails", file: dispCoord + "task.go", old: "if ts.failures >= max(1, e.Route.MaxAttempts) {", new: "if ts.failures >= 1 {", test: rulesTest},
@@ -126,7 +129,7 @@
 	{rule: "TWICE message held up", file: dispGate + "gate.go", old: " || g.now() >= boot.Time(m.EchoedTimestamp).Add(EntryLease)", new: "", test: "internal/disp/gate TestGateRefusesDelayedMessage"},
 	{rule: "UNASKED cancelled before", file: dispGate + "gate.go", old: "		g.addTask(r)\n\t}\n\tg.abandon", new: "		return\n\t}\n\tg.abandon", test: "internal/disp/gate TestGateRefusesTaskCancelledBeforeArrival"},
 	{rule: "RECOVER most set aside", file: dispGate + "gate.go", old: "case !m.IgnoreBreaker && g.breaker", new: "case g.breaker", test: "internal/disp/rules TestFailingJobsLeaveTargetsInUse"},
-	{rule: "LIMIT strangers", file: dispGate + "gate.go", old: "g.targetKnown && g.reconciled && !g.silent", new: "g.targetKnown && !g.silent", test: "internal/disp/gate TestGateStartsNothingBesideUnknownRun"},
+	{rule: "LIMIT strangers", file: dispGate + "incarnation.go", old: "g.targetKnown && g.reconciled && !g.silent", new: "g.targetKnown && !g.silent", test: "internal/disp/gate TestGateStartsNothingBesideUnknownRun"},
 }
 
 // propertyTimeout ends a test that hangs because of a mutant, which counts as a failure
