Report targets that contradict a result

Two runs at once begin with a gate that takes a run for ended while it goes on. Nothing in the logs told that case from a run of another process (`target_list strangers`), and `unanswered` did not say whether a stop or the deadline had excluded the start. The gate now logs and counts each run that its target lists although the gate has concluded, without a report of the end, that it is over (`result_contradicted`, `results.contradicted`), logs what a start without an answer was resolved by, and says in `task_ended` whether the target has reported the end.

TestGateReportsContradictedResult: 0 while the target is silent, 1 or more when it goes on.

--- a/cmd/gypsumlanding/process.go
+++ b/cmd/gypsumlanding/process.go
@@ -133,7 +133,7 @@
 		IncarnationID: p.incarnation, Start: target.Start, Stop: target.Stop, Poll: target.Poll,
 		Event: p.log.Event, Trace: p.log.Trace, Count: p.counters.Count, Observe: p.counters.Observe,
 	}
-	p.counters.Declare(cause.NodeCounters())
+	p.counters.Declare(append(cause.NodeCounters(), gate.Contradicted))
 	p.counters.Gauge("tasks.running", func() int64 { return int64(g.State().Running) })
 	p.counters.Gauge("tasks.queued", func() int64 { return int64(g.State().Queued) })
 	n := &proc.Node{
--- a/internal/disp/gate/apply.go
+++ b/internal/disp/gate/apply.go
@@ -70,8 +70,10 @@
 	g.lastEndSeq = e.Seq
 	r := g.runs[e.Task]
 	if r == nil || r.number != e.Run {
+		g.checkEnd(e, now)
 		return false
 	}
+	r.endReported = true
 	r.runTime = max(0, time.Duration(clock-r.startClock)*time.Millisecond)
 	if r.startClock == 0 {
 		r.runTime = 0
@@ -124,6 +126,7 @@
 	switch {
 	case r.phase == ordered && !r.inDoubt:
 	case r.phase == ordered && (r.stopAckClock > 0 && clock > r.stopAckClock || clock > r.startDeadline):
+		g.traceResolved(r, clock)
 		g.refuse(r, cause.Unanswered)
 	case r.phase == running && clock > r.startClock && (r.startClock > 0 || clock > r.startDeadline):
 		g.count("target.vanished")
@@ -149,8 +152,10 @@
 	}
 }
 
-// stopUnknownRun stops a run that this process did not start.
+// stopUnknownRun stops a run that this process did not start, or whose task has a
+// result already.
 func (g *Gate) stopUnknownRun(row targ.Running) {
+	g.checkUnknownRun(row, g.now())
 	g.count(cause.StoppedPrefix + cause.Foreign)
 	r := &run{msg: msgs.Task{Name: row.Task}, number: row.Run}
 	g.stopNow(r, g.now())
--- a/internal/disp/gate/fake_test.go
+++ b/internal/disp/gate/fake_test.go
@@ -32,6 +32,7 @@
 	unresponsive     bool // no call is answered
 	failRuns         bool // runs end as failed
 	stallRuns        bool // runs never end
+	keepLapsed       bool // runs go on after their lease
 	unhealthy        bool // starts are refused
 	droppedStarts    []targ.Order
 	demands          map[string]rsrc.Vector // by task name; set by openGate.task
@@ -198,7 +199,7 @@
 func (f *fakeTarget) endDueRuns() {
 	for task, r := range f.runs {
 		switch {
-		case f.until > 0 && f.clock() > f.until:
+		case f.until > 0 && f.clock() > f.until && !f.keepLapsed:
 			f.end(task, r, targ.EndedOther)
 		case !time.Now().Before(r.endsAt):
 			outcome := targ.EndedDone
--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -103,6 +103,7 @@
 	percent       int       // progress that the target last reported
 	progressedAt  boot.Time // when percent last rose
 	endedAt       boot.Time
+	endReported   bool // the target has reported the end
 	result        msgs.Result
 	reason        string        // why the task was refused or its run lost; otherwise empty
 	runTime       time.Duration // by the target's clock; 0 if unknown
--- a/internal/disp/gate/observe.go
+++ b/internal/disp/gate/observe.go
@@ -65,7 +65,7 @@
 	}
 	g.trace("task_ended", "job", r.msg.Job, "task", r.msg.Name, "run", r.number, "target", g.incarnation.ID,
 		"entry", r.msg.Entry, "was", phaseNames[previous], "result", r.result, "reason", r.reason,
-		"percent", r.percent, "ran", r.runTime, "after", r.endedAt.Sub(r.arrivedAt))
+		"percent", r.percent, "ran", r.runTime, "after", r.endedAt.Sub(r.arrivedAt), "reported", r.endReported)
 }
 
 func (g *Gate) event(event string, pairs ...any) {
--- /dev/null
+++ b/internal/disp/gate/verify.go
@@ -0,0 +1,56 @@
+package gate
+
+import (
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/targ"
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
+)
+
+// Contradicted is the counter of results that the target contradicts: the gate has
+// concluded, without a report of the end, that a run has ended or never started, and
+// then the target lists it. Any other value than 0 is a fault, since the task may have
+// been started elsewhere.
+const Contradicted = "results.contradicted"
+
+// checkUnknownRun reports a run in progress whose end the gate has concluded.
+func (g *Gate) checkUnknownRun(row targ.Running, now boot.Time) {
+	if r := g.finishedRun(row.Task, row.Run); r != nil {
+		g.reportContradiction(r, now, "running", row.Percent)
+	}
+}
+
+// checkEnd reports the end of a run that was refused, which means that it never started.
+func (g *Gate) checkEnd(e targ.Ended, now boot.Time) {
+	if r := g.finishedRun(e.Task, e.Run); r != nil && r.result == msgs.Refused {
+		g.reportContradiction(r, now, "ended", 0)
+	}
+}
+
+// finishedRun returns the newest run of a task with this number that was ordered and
+// whose end the gate has concluded without a report of it, or nil if none is known.
+func (g *Gate) finishedRun(task string, number int) *run {
+	var newest *run
+	for _, r := range g.tasks {
+		if r.phase != over || r.endReported || r.startDeadline == 0 || r.msg.Name != task || r.number != number {
+			continue
+		}
+		if newest == nil || r.endedAt > newest.endedAt {
+			newest = r
+		}
+	}
+	return newest
+}
+
+// reportContradiction logs and counts that the target contradicts the result of r.
+func (g *Gate) reportContradiction(r *run, now boot.Time, listed string, percent int) {
+	g.count(Contradicted)
+	g.event("result_contradicted", "job", r.msg.Job, "task", r.msg.Name, "run", r.number, "target", g.incarnation.ID,
+		"result", r.result, "reason", r.reason, "listed", listed, "percent", percent, "after", now.Sub(r.endedAt))
+}
+
+// traceResolved logs why a start in doubt is known never to take effect, given the
+// target's time of the listing that lacks the run.
+func (g *Gate) traceResolved(r *run, clock int64) {
+	g.trace("start_resolved", "job", r.msg.Job, "task", r.msg.Name, "run", r.number,
+		"excluded", r.stopAckClock > 0 && clock > r.stopAckClock, "clock", clock, "deadline", r.startDeadline)
+}
