Resolve the runs of a target that restarts under its ID at the new incarnation

What callers can see: a task runs at two targets at once, and its effect comes twice.

Cause: a target may restart under the ID that it had. Calls name the ID only, so the new incarnation carries out an order that was sent to the one before; it knows of no stop and no fencing token, and its clock starts anew, so the order's deadline is no limit either. The answer to a start doesn't say whose it is. The gate learned of the restart from the next poll, counted all its runs as lost, and entries started them elsewhere, while those that had been ordered after the restart ran there, for up to the second that a target grants. An answer that did name the new incarnation was even taken for 'no effect'.

Change: the gate follows such a restart. Its runs are in doubt: each is stopped at the new incarnation, which also excludes orders still on their way, and is reported as lost when that lists without it, or goes on if it is listed. Nothing is started before a heartbeat tells the new capacity. The fencing token rises with each incarnation.

--- a/internal/disp/gate/apply.go
+++ b/internal/disp/gate/apply.go
@@ -127,19 +127,34 @@
 	case r.phase == ordered && !r.inDoubt:
 	case r.phase == ordered && (r.stopAckClock > 0 && clock > r.stopAckClock || clock > r.startDeadline):
 		g.traceResolved(r, clock)
-		g.refuse(r, cause.Unanswered)
+		g.finishExcluded(r)
 	case r.phase == running && clock > r.startClock && (r.startClock > 0 || clock > r.startDeadline):
 		g.count("target.vanished")
 		g.finish(r, msgs.Lost, cause.Missing)
 	}
 }
 
+// finishExcluded finishes a run that is certainly not at the target and can't start any
+// more.
+func (g *Gate) finishExcluded(r *run) {
+	if r.mayHaveRun {
+		g.finish(r, msgs.Lost, cause.TargetRestarted)
+		return
+	}
+	g.refuse(r, cause.Unanswered)
+}
+
 // checkRuns repeats stops that have had no effect and stops runs that make no
 // progress.
 func (g *Gate) checkRuns(now boot.Time) {
 	for _, r := range g.runs {
 		switch {
-		case r.phase != running || g.silent:
+		case g.silent:
+		case r.phase == ordered && r.inDoubt && r.mayHaveRun:
+			if now >= r.nextStop {
+				g.stopNow(r, now)
+			}
+		case r.phase != running:
 		case r.stopWanted:
 			if now >= r.nextStop {
 				g.stopNow(r, now)
--- a/internal/disp/gate/doc.go
+++ b/internal/disp/gate/doc.go
@@ -18,6 +18,8 @@
 //   - A task that was refused or cancelled never starts, whenever a copy of its
 //     message arrives; a message whose echoed timestamp is older than EntryLease is
 //     refused.
+//   - A target that restarts under its ID may carry out orders for its previous
+//     incarnation. The gate's runs are in doubt then, until they are excluded there.
 //   - A run at the target that this gate did not start is stopped before anything
 //     else is started.
 //   - A target that is known from a record of an earlier incarnation of the process is
--- a/internal/disp/gate/fake_test.go
+++ b/internal/disp/gate/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
@@ -126,6 +127,25 @@
 	return f.clock(), nil
 }
 
+// restartInPlace starts a new incarnation under the same ID, which knows nothing of the
+// previous one, and returns it.
+func (f *fakeTarget) restartInPlace() targ.Incarnation {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.incarnation.Born++
+	f.startTime, f.fence, f.until = time.Now(), 0, 0
+	f.runs, f.highestRuns, f.ended = map[string]fakeRun{}, map[string]int{}, nil
+	return f.incarnation
+}
+
+// running returns the number of runs in progress.
+func (f *fakeTarget) running() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.endDueRuns()
+	return len(f.runs)
+}
+
 // executeDroppedStarts executes the start orders that were dropped.
 func (f *fakeTarget) executeDroppedStarts() {
 	f.mu.Lock()
@@ -175,7 +195,7 @@
 	end := time.Now().Add(time.Duration(r.Wait) * time.Millisecond)
 	for {
 		f.endDueRuns()
-		list := targ.Listing{Clock: f.clock()}
+		list := targ.Listing{Clock: f.clock(), Born: f.incarnation.Born}
 		for _, e := range f.ended {
 			if e.Seq > r.Seen {
 				list.Ended = append(list.Ended, e)
@@ -252,6 +272,24 @@
 	return o
 }
 
+// inVirtualTime runs a test of g as the gate of a target, in virtual time.
+func inVirtualTime(t *testing.T, f *fakeTarget, g *Gate, test func(t *testing.T, o *openGate)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		f.startTime = time.Now()
+		started := time.Now()
+		g.IncarnationID, g.Start, g.Stop, g.Poll = 7, f.Start, f.Stop, f.Poll
+		g.Now = func() boot.Time { return boot.Time(time.Hour).Add(time.Since(started)) }
+		g.HandleHeartbeat(f.incarnation)
+		go g.Run(ctx)
+		time.Sleep(100 * time.Millisecond)
+		test(t, &openGate{Gate: g, t: t, target: f})
+		cancel()
+		time.Sleep(5 * time.Second) // until the calls in progress have ended
+	})
+}
+
 // openStuck opens a gate for a target whose runs never end, and starts a task there
 // by the given method, whose reply arrives on the channel.
 func openStuck(t *testing.T, f *fakeTarget, take func(*openGate, msgs.Task) msgs.TaskReply) (*openGate, msgs.Task, <-chan msgs.TaskReply) {
@@ -295,7 +333,7 @@
 	o.target.update(func(f *fakeTarget) { f.demands[name] = rsrc.Vector{CPU: cpu} })
 	o.nextID++
 	return msgs.Task{
-		Sender: msgs.Sender{Entry: "e", Incarnation: 1, GateIncarnation: 7, EchoedTimestamp: int64(boot.Now())},
+		Sender: msgs.Sender{Entry: "e", Incarnation: 1, GateIncarnation: 7, EchoedTimestamp: int64(o.now())},
 		ID:     o.nextID, Name: name, Job: name, Service: "s", CPU: cpu, ExpectedRunTime: 60_000, MaxQueueTime: 5000,
 	}
 }
--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -88,7 +88,8 @@
 	demand        rsrc.Vector // resources that the task requires
 	number        int         // run number, which the target compares with earlier runs of the task
 	phase         phase
-	inDoubt       bool   // the start had no answer, and its outcome is being resolved
+	inDoubt       bool   // whether the run is at the target is not known, and is being resolved
+	mayHaveRun    bool   // inDoubt is set since the target has restarted, maybe after the run had started
 	stopWanted    bool   // the run is to be stopped
 	stopReason    string // why stopWanted is set
 	stopAckClock  int64  // target's clock when it acknowledged a stop, ms; 0 before
@@ -154,10 +155,7 @@
 func (g *Gate) Drain(ctx context.Context) {
 	g.mu.Lock()
 	g.stopping = true
-	for _, r := range g.queue {
-		g.finish(r, msgs.Refused, cause.Stopping)
-	}
-	g.queue = nil
+	g.refuseQueue(cause.Stopping)
 	g.mu.Unlock()
 	for ctx.Err() == nil && g.busy() {
 		boot.Sleep(ctx, tickInterval)
--- a/internal/disp/gate/incarnation.go
+++ b/internal/disp/gate/incarnation.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"math"
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
@@ -34,12 +35,54 @@
 		g.refuseQueueIfLeaving()
 		return true
 	}
-	g.endIncarnation(cause.TargetRestarted)
-	g.adopt(inc)
+	if g.targetKnown && inc.ID == g.incarnation.ID {
+		g.followRestart(inc)
+	} else {
+		g.endIncarnation(cause.TargetRestarted)
+		g.adopt(inc)
+	}
 	g.confirmBy = 0
 	return true
 }
 
+// followRestart goes on with a target that has restarted under its ID. Orders for the
+// incarnation before may take effect at the new one, so whether its runs have ended is in
+// doubt until the new one has excluded them.
+func (g *Gate) followRestart(inc targ.Incarnation) {
+	g.event("target_gone", "target", g.incarnation.ID, "reason", cause.TargetRestarted, "running", len(g.runs), "sameid", true)
+	g.refuseQueue(cause.TargetRestarted)
+	g.adopt(inc)
+	// Deadlines for the previous clock are no limit for the new one.
+	g.leaseEnd = g.now().Add(maxGrantedLease * 100 / 98)
+	for _, r := range g.runs {
+		r.doubt()
+		go g.resolve(r)
+	}
+}
+
+// doubt puts in doubt whether r, which was at an incarnation that has ended, is at the one
+// that has replaced it.
+func (r *run) doubt() {
+	r.phase, r.inDoubt, r.mayHaveRun = ordered, true, true
+	r.percent = 0
+	r.startClock, r.stopAckClock = 0, 0
+	r.startDeadline = math.MaxInt64 // a deadline of the previous clock never passes
+}
+
+// checkIncarnation reports whether a listing is of the current incarnation. A later one
+// with the same ID is followed; nothing is started there before its heartbeat, since its
+// capacity is not known.
+func (g *Gate) checkIncarnation(l targ.Listing) bool {
+	if l.Born == 0 || l.Born == g.incarnation.Born {
+		return true
+	}
+	inc := g.incarnation
+	inc.Born = l.Born
+	g.followRestart(inc)
+	g.confirmBy = g.now()
+	return false
+}
+
 // Recall makes the gate use a target that an earlier incarnation of this process knew,
 // if that still answers. It does nothing if a heartbeat has arrived already.
 func (g *Gate) Recall(inc targ.Incarnation) {
@@ -63,6 +106,7 @@
 	if g.fence == 0 {
 		g.fence = time.Now().UnixMilli()
 	}
+	g.fence++ // so that orders for previous incarnations have no effect at this one
 	g.event("target", "target", inc.ID, "service", inc.Service, "cpu", inc.Capacity.CPU, "memory", inc.Capacity.Memory)
 	g.wakePollLoop()
 }
@@ -81,14 +125,19 @@
 	if !g.incarnation.Leaving {
 		return
 	}
+	g.refuseQueue(cause.Leaving)
+}
+
+// refuseQueue refuses all queued tasks.
+func (g *Gate) refuseQueue(reason string) {
 	for _, r := range g.queue {
-		g.finish(r, msgs.Refused, cause.Leaving)
+		g.finish(r, msgs.Refused, reason)
 	}
 	g.queue = nil
 }
 
-// endIncarnation records that the target's incarnation has ended: its runs are lost, and the
-// queued tasks are refused.
+// endIncarnation records that the target's incarnation has ended, and that no other has
+// its ID: its runs are lost, and the queued tasks are refused.
 func (g *Gate) endIncarnation(reason string) {
 	if !g.targetKnown {
 		return
@@ -97,10 +146,7 @@
 	for _, r := range g.runs {
 		g.finish(r, msgs.Lost, reason)
 	}
-	for _, r := range g.queue {
-		g.finish(r, msgs.Refused, reason)
-	}
-	g.queue = nil
+	g.refuseQueue(reason)
 	g.targetKnown, g.reconciled = false, false
 }
 
--- a/internal/disp/gate/lease.go
+++ b/internal/disp/gate/lease.go
@@ -15,6 +15,9 @@
 	// TargetLease is the duration of the lease on the runs at the target, by the
 	// target's clock. Deadlines of orders lie as far ahead.
 	TargetLease = 600 * time.Millisecond
+	// maxGrantedLease is the longest lease that a target grants, by its own clock,
+	// whatever deadline an order asks for.
+	maxGrantedLease = time.Second
 	// stopSlack covers the tick that detects a lapsed lease and three attempts to
 	// stop a run.
 	stopSlack = 150 * time.Millisecond
--- a/internal/disp/gate/order.go
+++ b/internal/disp/gate/order.go
@@ -75,7 +75,7 @@
 	defer g.mu.Unlock()
 	now := g.now()
 	switch {
-	case r.phase != ordered:
+	case r.phase != ordered || r.inDoubt:
 		return targ.Incarnation{}, targ.Order{}, false
 	case r.stopWanted:
 		g.refuse(r, r.stopReason)
@@ -165,7 +165,7 @@
 	l, err := g.Poll(ctx, incarnation, renewal)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if err == nil && g.targetKnown && incarnation.Same(g.incarnation) {
+	if err == nil && g.targetKnown && incarnation.Same(g.incarnation) && g.checkIncarnation(l) {
 		g.applyListing(l, g.now())
 		g.startQueued()
 	}
--- a/internal/disp/gate/poll.go
+++ b/internal/disp/gate/poll.go
@@ -129,6 +129,9 @@
 			g.event("target_answers", "target", incarnation.ID)
 		}
 		g.silent, g.missedPolls = false, 0
+		if !g.checkIncarnation(l) {
+			return true
+		}
 		g.ackedEndSeq = max(g.ackedEndSeq, renewal.Seen)
 		g.applyListing(l, now)
 		g.startQueued()
--- /dev/null
+++ b/internal/disp/gate/restart_test.go
@@ -0,0 +1,49 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
+)
+
+// An order that reaches a target after it has restarted under its ID takes effect. The
+// gate must not report the task as over while it runs there.
+func TestGateKeepsRunOfTargetThatRestartedUnderItsID(t *testing.T) {
+	f := newFakeTarget(1000)
+	f.stallRuns = true
+	inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
+		restarted := f.restartInPlace()
+		time.AfterFunc(time.Second, func() { o.HandleHeartbeat(restarted) })
+		m := o.task("a", 10)
+		time.AfterFunc(2*time.Second, func() { o.sync(m.ID) })
+		reply := o.take(m)
+		if n := f.running(); n > 0 {
+			t.Errorf("got %v %q while the task runs", reply.Result, reply.Reason)
+		}
+		f.update(func(f *fakeTarget) { f.stallRuns = false })
+		if reply := o.take(o.task("b", 10)); reply.Result != msgs.Done {
+			t.Errorf("after the heartbeat: got %v %q", reply.Result, reply.Reason)
+		}
+	})
+}
+
+// What ran at the incarnation before is lost, which the gate reports as soon as the new
+// one has excluded it.
+func TestGateLosesRunsOfTargetThatRestartedUnderItsID(t *testing.T) {
+	f := newFakeTarget(1000)
+	f.stallRuns = true
+	inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
+		replies := make(chan msgs.TaskReply, 1)
+		go func() { replies <- o.take(o.task("a", 10)) }()
+		time.Sleep(50 * time.Millisecond)
+		o.HandleHeartbeat(f.restartInPlace())
+		restarted := time.Now()
+		if reply := <-replies; reply.Result != msgs.Lost {
+			t.Errorf("got %v %q", reply.Result, reply.Reason)
+		}
+		if took := time.Since(restarted); took > minCallTimeout {
+			t.Errorf("reported after %v", took)
+		}
+	})
+}
--- a/internal/disp/gate/verify_test.go
+++ b/internal/disp/gate/verify_test.go
@@ -1,13 +1,9 @@
 package gate
 
 import (
-	"context"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
-
-	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 )
 
 // contradictions counts the results that a target contradicts.
@@ -22,22 +18,11 @@
 
 // A target that goes on with a run that its gate has given up is reported.
 func TestGateReportsContradictedResult(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
-		defer cancel()
-		f := newFakeTarget(1000)
-		f.stallRuns, f.keepLapsed = true, true
-		var seen contradictions
-		g := &Gate{IncarnationID: 7, Start: f.Start, Stop: f.Stop, Poll: f.Poll, Count: seen.count}
-		started := time.Now()
-		g.Now = func() boot.Time { return boot.Time(time.Hour).Add(time.Since(started)) }
-		g.HandleHeartbeat(f.incarnation)
-		go g.Run(ctx)
-		time.Sleep(100 * time.Millisecond)
-		o := &openGate{Gate: g, t: t, target: f}
-		m := o.task("a", 10)
-		m.EchoedTimestamp = int64(g.now())
-		go o.take(m)
+	f := newFakeTarget(1000)
+	f.stallRuns, f.keepLapsed = true, true
+	var seen contradictions
+	inVirtualTime(t, f, &Gate{Count: seen.count}, func(t *testing.T, o *openGate) {
+		go o.take(o.task("a", 10))
 		time.Sleep(100 * time.Millisecond)
 		f.update(func(f *fakeTarget) { f.unresponsive = true })
 		time.Sleep(2 * time.Second)
--- a/internal/disp/rules/rules_test.go
+++ b/internal/disp/rules/rules_test.go
@@ -39,6 +39,7 @@
 	cutConnection
 	cutReplies
 	restartTarget
+	restartTargetInPlace
 	drainTarget
 	delayHeartbeat
 	silenceTarget
@@ -53,7 +54,7 @@
 )
 
 var kindNames = [kindCount]string{
-	"kill gate", "kill entry", "connection cut", "replies cut", "target restarts", "target leaves", "heartbeat delayed", "target silent", "orders lost",
+	"kill gate", "kill entry", "connection cut", "replies cut", "target restarts", "target restarts under its ID", "target leaves", "heartbeat delayed", "target silent", "orders lost",
 	"orders delayed", "target fails", "target stuck", "target unhealthy", "caller abandons job", "callers cut",
 }
 
@@ -129,6 +130,8 @@
 		return c.degrade(i, g, dropsReplies)
 	case restartTarget:
 		c.heartbeat(g, c.targets[g].restart())
+	case restartTargetInPlace:
+		c.targets[g].restartInPlace()
 	case drainTarget:
 		c.heartbeat(g, c.targets[g].startLeaving())
 		return func() {
@@ -298,7 +301,7 @@
 // TestRulesHoldWhenTargetsMisbehave does the same with events of targets, and with
 // gates that are killed, only.
 func TestRulesHoldWhenTargetsMisbehave(t *testing.T) {
-	checkRules(t, []int{restartTarget, drainTarget, silenceTarget, loseOrders, delayOrders, failTargetRuns, stallTargetRuns, makeTargetUnhealthy, killGate})
+	checkRules(t, []int{restartTarget, restartTargetInPlace, drainTarget, silenceTarget, loseOrders, delayOrders, failTargetRuns, stallTargetRuns, makeTargetUnhealthy, killGate})
 }
 
 // TestFailingJobsLeaveTargetsInUse checks that jobs are still done while two thirds
@@ -327,3 +330,10 @@
 func TestRulesHoldWhenConnectionsBreak(t *testing.T) {
 	checkRules(t, []int{cutCallers, cutConnection, cutReplies, silenceTarget, loseOrders})
 }
+
+// TestRulesHoldWhenTargetsKeepTheirID has targets restart under their ID, as often as
+// anything else. A call that was meant for the incarnation before takes effect at the new
+// one, which has no memory of stops and whose clock starts anew.
+func TestRulesHoldWhenTargetsKeepTheirID(t *testing.T) {
+	checkRules(t, []int{restartTargetInPlace, restartTargetInPlace, delayOrders, loseOrders, silenceTarget, killGate})
+}
--- a/internal/disp/rules/target_test.go
+++ b/internal/disp/rules/target_test.go
@@ -75,18 +75,30 @@
 	return t
 }
 
-// restart ends all runs and starts a new incarnation of the target, which keeps no
-// state of the previous one. It returns the new incarnation.
+// restart ends all runs and starts a new incarnation of the target under a new ID,
+// which keeps no state of the previous one. It returns the new incarnation.
 func (t *target) restart() targ.Incarnation {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.restartAs(fmt.Sprintf("%s-%d", t.name, time.Now().UnixMilli()))
+}
+
+// restartInPlace does the same under the previous ID.
+func (t *target) restartInPlace() targ.Incarnation {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.restartAs(t.incarnation.ID)
+}
+
+// restartAs restarts the target under an ID. t.mu must be held.
+func (t *target) restartAs(id string) targ.Incarnation {
 	for task := range t.runs {
 		t.checker.runEnded(task, t.name, targ.EndedOther)
 	}
 	t.startedAt = time.Now()
 	t.previous = t.incarnation
 	t.incarnation = targ.Incarnation{
-		ID: fmt.Sprintf("%s-%d", t.name, t.startedAt.UnixMilli()), Born: t.startedAt.UnixMilli(), Addr: t.name, Service: "s",
+		ID: id, Born: t.startedAt.UnixMilli(), Addr: t.name, Service: "s",
 		Capacity: rsrc.Vector{CPU: targetCapacity, Memory: targetCapacity},
 	}
 	t.leavingSince, t.fence, t.leaseEnd, t.orderCount = time.Time{}, 0, 0, 0
@@ -155,11 +167,11 @@
 		return t.leaveUnanswered(ctx)
 	}
 	if t.faultMode.lateBy > 0 {
-		incarnation := t.incarnation.ID
+		incarnation := t.incarnation
 		time.AfterFunc(t.faultMode.lateBy, func() {
 			t.mu.Lock()
 			defer t.mu.Unlock()
-			if t.incarnation.ID == incarnation {
+			if t.incarnation.Same(incarnation) {
 				order()
 			}
 		})
@@ -276,14 +288,11 @@
 	}
 	renew()
 	limit := time.Now().Add(time.Duration(r.Wait) * time.Millisecond)
-	for incarnation := t.incarnation.ID; ; {
+	for incarnation := t.incarnation; ; {
 		t.endDueRuns()
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || !t.incarnation.Same(incarnation) {
 			return targ.Listing{}, targ.ErrUnanswered
 		}
-		if t.incarnation.ID != incarnation {
-			return targ.Listing{}, targ.ErrRestarted
-		}
 		if listing := t.listing(r.Seen); len(listing.Ended) > 0 || !time.Now().Before(limit) {
 			return listing, nil
 		}
@@ -296,7 +305,7 @@
 // listing returns all runs in progress and the ended runs with numbers above seen.
 // t.mu must be held.
 func (t *target) listing(seen int64) targ.Listing {
-	l := targ.Listing{Clock: t.clockMS()}
+	l := targ.Listing{Clock: t.clockMS(), Born: t.incarnation.Born}
 	for task, r := range t.runs {
 		percent := 0
 		if !t.faultMode.stallRuns {
--- a/internal/disp/targ/targ.go
+++ b/internal/disp/targ/targ.go
@@ -24,13 +24,15 @@
 	ErrNoCapacity = merry.Sentinel("target has no free capacity")
 	// ErrUnhealthy means that the target refuses all work.
 	ErrUnhealthy = merry.Sentinel("target refuses work")
-	// ErrRestarted means that another incarnation of the target answered.
+	// ErrRestarted means that a target with another ID answered.
 	ErrRestarted = merry.Sentinel("another incarnation of the target answered")
 	// ErrRejected means that the target found the order invalid.
 	ErrRejected = merry.Sentinel("target rejected the order")
 )
 
-// Incarnation is one execution of a target's process, from its start to its end.
+// Incarnation is one execution of a target's process, from its start to its end. A
+// target that restarts may keep its ID. Calls name the ID only, so the new incarnation
+// carries out calls that were meant for the one before.
 type Incarnation struct {
 	ID       string
 	Born     int64  // start of the process, Unix ms
@@ -65,6 +67,7 @@
 // Listing is a target's report on its runs.
 type Listing struct {
 	Clock   int64 // target's clock, ms
+	Born    int64 // start of the process that answered, Unix ms; 0 if unknown
 	Running []Running
 	Ended   []Ended // ends that the poll did not acknowledge
 }
--- a/test/mutant_test.go
+++ b/test/mutant_test.go
@@ -116,6 +116,10 @@
 	{rule: "UNASKED cancel", file: dispCoord + "task.go", old: "l.Cancel(m.ID)\n", new: "", test: "internal/disp/coord TestAbandonedJobCancelsItsTasks"},
 	{rule: "UNASKED cancel until answered", file: dispLink, old: "if err != nil {\n\t\tl.recordFailure(err)\n\t\treturn", new: "if err != nil {\n\t\tl.confirmCancels(cancels)\n\t\tl.recordFailure(err)\n\t\treturn", test: "internal/disp/link TestCancelIsSentUntilAnswered"},
 	{rule: "TWICE heartbeat held up", file: dispGate + "incarnation.go", old: " && (g.confirmBy == 0 || g.clock.HasReading)", new: " && g.confirmBy == 0", test: "internal/disp/gate TestDelayedHeartbeatDoesNotReplaceRecalledTarget"},
+	{
+		rule: "TWICE target restarted under its ID", file: dispGate + "incarnation.go", test: "internal/disp/gate TestGateKeepsRunOfTargetThatRestartedUnderItsID",
+		old: "g.followRestart(inc)\n\tg.confirmBy = g.now()", new: "g.endIncarnation(cause.TargetRestarted)",
+	},
 	{rule: "DRAIN recalled target", file: dispGate + "incarnation.go", old: " && !g.unconfirmed()", new: "", test: "internal/disp/gate TestRecalledTargetNeedsHeartbeat"},
 	{rule: "RECOVER lost order", file: dispGate + "order.go", old: "g.replyTimes.Timeout(minCallTimeout, maxCallTimeout)", new: "maxCallTimeout", test: "internal/disp/rules TestLostOrderCostsLittle"},
 	{rule: "RECOVER set aside", file: dispGate + "order.go", old: "case !g.targetReady():", new: "case !g.targetReady() || g.breaker.OpenReason(now) != \"\":", test: "internal/disp/gate TestGateProbesTargetAfterFailures"},
