Acknowledge a deregistration when the target's runs have ended

What callers can see: a task runs at two targets at once.

Cause: a target that deregisters ends when it has the acknowledgement, and some seconds later if it gets none. Its gate took the message for the end and reported all that ran there as lost at once, before it had even answered. If the answer was late or lost, the runs went on, for 612 ms if nothing renewed their lease, beside those that their entries had started elsewhere.

Change: the gate refuses what waits, stops what runs, and answers when the target has listed the ends, or after 500 ms of the second that targets wait. What has not ended by then is resolved like the runs of any other target that stops to answer.

Evidence: TestGateKeepsRunOfDeregisteredTarget got 'lost' while the task ran, and the properties' new event (a target deregisters and its acknowledgement is lost) found two runs at once within 100 cases of TestRulesHoldWhateverFails and of TestRulesHoldWhenTargetsMisbehave; both pass now, 40 cases each.

--- a/internal/disp/cause/cause.go
+++ b/internal/disp/cause/cause.go
@@ -95,7 +95,7 @@
 func NodeCounters() []string {
 	return slices.Concat(
 		withPrefix(RefusedPrefix, GateRefusals()),
-		withPrefix(StoppedPrefix, []string{Cancelled, LeaseExpired, Foreign, Stuck}),
+		withPrefix(StoppedPrefix, []string{Cancelled, Departed, LeaseExpired, Foreign, Stuck}),
 		withPrefix(BreakerOpenedPrefix, []string{TargetFailing, Stuck, Unhealthy}),
 	)
 }
--- /dev/null
+++ b/internal/disp/gate/depart_test.go
@@ -0,0 +1,53 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
+)
+
+// A target that deregisters goes on until it has the acknowledgement, and for seconds if
+// that gets lost. The gate must not report a task as over while it runs there.
+func TestGateKeepsRunOfDeregisteredTarget(t *testing.T) {
+	f := newFakeTarget(1000)
+	f.stallRuns = true
+	inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
+		replies := make(chan msgs.TaskReply, 1)
+		go func() { replies <- o.take(o.task("a", 10)) }()
+		time.Sleep(50 * time.Millisecond)
+		go o.HandleDeregistration(f.incarnation.ID)
+		reply := <-replies
+		if n := f.running(); n > 0 {
+			t.Errorf("got %v %q while the task runs", reply.Result, reply.Reason)
+		}
+		if reply.Result != msgs.Lost {
+			t.Errorf("got %v %q", reply.Result, reply.Reason)
+		}
+		if reply := o.take(o.task("b", 10)); reply.Result != msgs.Refused {
+			t.Errorf("after the deregistration: got %v %q", reply.Result, reply.Reason)
+		}
+	})
+}
+
+// The deregistration of a target whose runs do not end is acknowledged nevertheless, and
+// they are given up with their lease.
+func TestGateAcknowledgesDeregistrationOfSilentTarget(t *testing.T) {
+	f := newFakeTarget(1000)
+	f.stallRuns = true
+	inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
+		replies := make(chan msgs.TaskReply, 1)
+		go func() { replies <- o.take(o.task("a", 10)) }()
+		time.Sleep(50 * time.Millisecond)
+		f.update(func(f *fakeTarget) { f.unresponsive = true })
+		began := time.Now()
+		o.HandleDeregistration(f.incarnation.ID)
+		if took := time.Since(began); took > departTimeout+tickInterval {
+			t.Errorf("acknowledged after %v", took)
+		}
+		reply := <-replies
+		if n := f.running(); n > 0 {
+			t.Errorf("got %v %q while the task runs", reply.Result, reply.Reason)
+		}
+	})
+}
--- a/internal/disp/gate/incarnation.go
+++ b/internal/disp/gate/incarnation.go
@@ -15,6 +15,13 @@
 // longer than a heartbeat interval and not longer than a leaving target goes on.
 const confirmPeriod = 2 * time.Second
 
+const (
+	// departTimeout is how long the acknowledgement of a deregistration waits for the
+	// target's runs to end. Targets wait for a second.
+	departTimeout       = 500 * time.Millisecond
+	departCheckInterval = 5 * time.Millisecond
+)
+
 // HandleHeartbeat processes a heartbeat of the target. It reports false, and does
 // nothing, if the heartbeat is of an incarnation older than the current one. A recalled
 // incarnation that has never answered gives way to any other: its record may be of
@@ -111,13 +118,49 @@
 	g.wakePollLoop()
 }
 
-// HandleDeregistration processes the deregistration of the target incarnation with this ID.
+// HandleDeregistration processes the deregistration of the target incarnation with this
+// ID. The target may go on until it has the acknowledgement, so HandleDeregistration stops
+// its runs and returns once they have ended, or after departTimeout. Runs that have not
+// ended by then are resolved like those of any other target that stops to answer.
 func (g *Gate) HandleDeregistration(id string) {
+	if !g.stopDeparting(id) {
+		return
+	}
+	limit := g.now().Add(departTimeout)
+	for !g.endDeparted(id) && g.now() < limit {
+		time.Sleep(departCheckInterval)
+	}
+}
+
+// stopDeparting stops all runs at the target with this ID, which takes no more tasks. It
+// reports false if that is not the current target.
+func (g *Gate) stopDeparting(id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.targetKnown || g.incarnation.ID != id {
+		return false
+	}
+	g.incarnation.Leaving = true
+	g.refuseQueueIfLeaving()
+	for _, r := range g.runs {
+		g.abandon(r, cause.Departed)
+	}
+	return true
+}
+
+// endDeparted ends the incarnation with this ID if nothing runs there. It reports whether
+// it is, or was, over.
+func (g *Gate) endDeparted(id string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.targetKnown && g.incarnation.ID == id {
-		g.endIncarnation(cause.Departed)
+	if !g.targetKnown || g.incarnation.ID != id {
+		return true
 	}
+	if len(g.runs) > 0 {
+		return false
+	}
+	g.endIncarnation(cause.Departed)
+	return true
 }
 
 // refuseQueueIfLeaving refuses all queued tasks once the target takes no more.
--- a/internal/disp/rules/rules_test.go
+++ b/internal/disp/rules/rules_test.go
@@ -41,6 +41,7 @@
 	restartTarget
 	restartTargetInPlace
 	drainTarget
+	deregisterTarget
 	delayHeartbeat
 	silenceTarget
 	loseOrders
@@ -54,7 +55,7 @@
 )
 
 var kindNames = [kindCount]string{
-	"kill gate", "kill entry", "connection cut", "replies cut", "target restarts", "target restarts under its ID", "target leaves", "heartbeat delayed", "target silent", "orders lost",
+	"kill gate", "kill entry", "connection cut", "replies cut", "target restarts", "target restarts under its ID", "target leaves", "target deregisters", "heartbeat delayed", "target silent", "orders lost",
 	"orders delayed", "target fails", "target stuck", "target unhealthy", "caller abandons job", "callers cut",
 }
 
@@ -138,6 +139,11 @@
 			time.Sleep(drainGrace)
 			c.heartbeat(g, c.targets[g].restart())
 		}
+	case deregisterTarget:
+		departing := c.targets[g].startLeaving()
+		c.heartbeat(g, departing)
+		go c.gateAt(g).gate.HandleDeregistration(departing.ID) // the acknowledgement is lost
+		return func() { c.heartbeat(g, c.targets[g].restart()) }
 	case delayHeartbeat:
 		c.heartbeat(g, c.targets[g].outdated())
 	case silenceTarget:
@@ -301,7 +307,7 @@
 // TestRulesHoldWhenTargetsMisbehave does the same with events of targets, and with
 // gates that are killed, only.
 func TestRulesHoldWhenTargetsMisbehave(t *testing.T) {
-	checkRules(t, []int{restartTarget, restartTargetInPlace, drainTarget, silenceTarget, loseOrders, delayOrders, failTargetRuns, stallTargetRuns, makeTargetUnhealthy, killGate})
+	checkRules(t, []int{restartTarget, restartTargetInPlace, drainTarget, deregisterTarget, silenceTarget, loseOrders, delayOrders, failTargetRuns, stallTargetRuns, makeTargetUnhealthy, killGate})
 }
 
 // TestFailingJobsLeaveTargetsInUse checks that jobs are still done while two thirds
