Withhold the target's lease while a run has outlived its entry's

What callers can see: a task runs at two targets at once.

Cause: an entry that loses its gate, or a caller that loses its entry, counts on the gate to stop the tasks within 150 ms after the entry's lease has lapsed. That is an order taken for its effect: while orders to stop a run get lost, the gate polls, which renews the lease of all that runs at the target, the orphaned run included, without end.

Change: the gate does not renew the target's lease, and starts nothing, while a run has outlived its entry's lease or its cancellation by 150 ms. MaxOrphanTime allowed for that sum all along; now it holds whatever gets lost. The price is that the other runs at that target end as well if all stop orders of another 600 ms get lost.

--- a/internal/disp/gate/doc.go
+++ b/internal/disp/gate/doc.go
@@ -15,6 +15,8 @@
 //     target's clock.
 //   - An entry's tasks run only while the entry renews its lease on them, by
 //     echoing a timestamp of this gate's clock that is younger than EntryLease.
+//   - The target's lease is not renewed, and nothing is started, while a run has outlived
+//     its entry's lease or its cancellation by stopSlack.
 //   - A task that was refused or cancelled never starts, whenever a copy of its
 //     message arrives; a message whose echoed timestamp is older than EntryLease is
 //     refused.
--- a/internal/disp/gate/fake_test.go
+++ b/internal/disp/gate/fake_test.go
@@ -31,6 +31,7 @@
 	loseStartReplies int  // number of starts to execute without an answer
 	dropStarts       int  // number of starts neither to execute nor to answer
 	unresponsive     bool // no call is answered
+	dropStops        bool // stops are neither executed nor answered
 	failRuns         bool // runs end as failed
 	stallRuns        bool // runs never end
 	keepLapsed       bool // runs go on after their lease
@@ -159,7 +160,7 @@
 // Stop stops a run, or excludes a start that has not arrived.
 func (f *fakeTarget) Stop(ctx context.Context, _ targ.Incarnation, o targ.Order) (int64, error) {
 	f.mu.Lock()
-	if f.unresponsive {
+	if f.unresponsive || f.dropStops {
 		f.mu.Unlock()
 		<-ctx.Done()
 		return 0, targ.ErrUnanswered
--- a/internal/disp/gate/incarnation.go
+++ b/internal/disp/gate/incarnation.go
@@ -195,7 +195,8 @@
 
 // targetReady reports whether tasks can be started at the target.
 func (g *Gate) targetReady() bool {
-	return g.targetKnown && g.reconciled && !g.silent && !g.incarnation.Leaving && g.clock.HasReading && !g.unconfirmed()
+	return g.targetKnown && g.reconciled && !g.silent && !g.incarnation.Leaving && g.clock.HasReading && !g.unconfirmed() &&
+		!g.hasOverdueRun(g.now())
 }
 
 // unconfirmed reports whether the target is known only from a record that no heartbeat
--- a/internal/disp/gate/lease.go
+++ b/internal/disp/gate/lease.go
@@ -18,8 +18,9 @@
 	// maxGrantedLease is the longest lease that a target grants, by its own clock,
 	// whatever deadline an order asks for.
 	maxGrantedLease = time.Second
-	// stopSlack covers the tick that detects a lapsed lease and three attempts to
-	// stop a run.
+	// stopSlack is how long the target's lease may still be renewed beside a run that has
+	// to end. It covers the tick that detects a lapsed lease and two attempts to stop the
+	// run.
 	stopSlack = 150 * time.Millisecond
 	// MaxOrphanTime is the longest time that an entry's task can keep running after
 	// the entry received the newest timestamp that it has echoed, whatever happens
@@ -55,6 +56,9 @@
 // abandon refuses r if it is queued, and otherwise stops its run. It does nothing
 // if r has finished or is being stopped already.
 func (g *Gate) abandon(r *run, reason string) {
+	if r.orphanedAt == 0 && (reason == cause.LeaseExpired || reason == cause.Cancelled) {
+		r.orphanedAt = g.now()
+	}
 	switch {
 	case r.phase == over || r.stopWanted:
 	case r.phase == queued:
@@ -70,6 +74,21 @@
 	}
 }
 
+// hasOverdueRun reports whether a run has outlived its entry's lease, or its cancellation,
+// by stopSlack. Its task may soon be started elsewhere, so it has to end with the target's
+// lease if the orders to stop it get lost, even though that ends all other runs too.
+func (g *Gate) hasOverdueRun(now boot.Time) bool {
+	for _, r := range g.runs {
+		if r.orphanedAt > 0 && now.Sub(r.orphanedAt) >= stopSlack {
+			return true
+		}
+		if g.entryLeases.LapsedFor(r.msg.Entry, r.msg.Incarnation, now) >= stopSlack {
+			return true
+		}
+	}
+	return false
+}
+
 // extendTargetLease returns the deadline of an order or renewal sent at now, in ms
 // of the target's clock. It raises leaseEnd to the time by which that clock has
 // reached the deadline at the latest.
--- a/internal/disp/gate/poll.go
+++ b/internal/disp/gate/poll.go
@@ -83,7 +83,7 @@
 		return targ.Incarnation{}, targ.Renewal{}, idlePollInterval - now.Sub(g.clock.ReadAt)
 	}
 	renewal := targ.Renewal{Fence: g.fence, Seen: g.lastEndSeq}
-	if g.clock.HasReading && !g.silent && len(g.runs) > 0 {
+	if g.clock.HasReading && !g.silent && len(g.runs) > 0 && !g.hasOverdueRun(now) {
 		renewal.Deadline = g.extendTargetLease(now)
 	}
 	if len(g.runs) > 0 && !g.awaitingStop() && g.missedPolls == 0 && g.reconciled {
--- a/internal/disp/lease/lease.go
+++ b/internal/disp/lease/lease.go
@@ -51,6 +51,16 @@
 	return h != nil && h.incarnation == incarnation && now < h.expiry
 }
 
+// LapsedFor returns how long the lease of a holder's incarnation has lapsed at now. It is
+// not positive while the lease lasts, and 0 if the incarnation is not in the table.
+func (t *Table) LapsedFor(name string, incarnation uint64, now boot.Time) time.Duration {
+	h := t.holders[name]
+	if h == nil || h.incarnation != incarnation {
+		return 0
+	}
+	return now.Sub(h.expiry)
+}
+
 // NewlyLapsed returns the leases that have lapsed by now and that no earlier call
 // has returned, and removes holders whose leases lapsed more than retention ago.
 func (t *Table) NewlyLapsed(now boot.Time) []Lapse {
--- a/internal/disp/rules/rules_test.go
+++ b/internal/disp/rules/rules_test.go
@@ -45,6 +45,7 @@
 	delayHeartbeat
 	silenceTarget
 	loseOrders
+	loseStops
 	delayOrders
 	failTargetRuns
 	stallTargetRuns
@@ -56,7 +57,7 @@
 
 var kindNames = [kindCount]string{
 	"kill gate", "kill entry", "connection cut", "replies cut", "target restarts", "target restarts under its ID", "target leaves", "target deregisters", "heartbeat delayed", "target silent", "orders lost",
-	"orders delayed", "target fails", "target stuck", "target unhealthy", "caller abandons job", "callers cut",
+	"stops lost", "orders delayed", "target fails", "target stuck", "target unhealthy", "caller abandons job", "callers cut",
 }
 
 // event is a failure, restart or departure that begins at a given time and, for most
@@ -150,6 +151,8 @@
 		return withFaults(targetFaults{unresponsive: true})
 	case loseOrders:
 		return withFaults(targetFaults{loseEvery: 3})
+	case loseStops:
+		return withFaults(targetFaults{loseStops: true})
 	case delayOrders:
 		return withFaults(targetFaults{loseEvery: 2, lateBy: time.Duration(e.DurationMS) * time.Millisecond / 2})
 	case failTargetRuns:
@@ -343,3 +346,9 @@
 func TestRulesHoldWhenTargetsKeepTheirID(t *testing.T) {
 	checkRules(t, []int{restartTargetInPlace, restartTargetInPlace, delayOrders, loseOrders, silenceTarget, killGate})
 }
+
+// TestRulesHoldWhenStopsGetLost has orders to stop a run get lost while entries die or lose
+// their gates and callers. The runs must end nevertheless before they are started elsewhere.
+func TestRulesHoldWhenStopsGetLost(t *testing.T) {
+	checkRules(t, []int{loseStops, loseStops, killEntry, cutConnection, cutReplies, cutCallers})
+}
--- a/internal/disp/rules/target_test.go
+++ b/internal/disp/rules/target_test.go
@@ -22,6 +22,7 @@
 // targetFaults are the faults that a target simulates. The zero value simulates none.
 type targetFaults struct {
 	unresponsive bool          // no order is answered
+	loseStops    bool          // orders to stop a run are dropped
 	loseEvery    int           // every loseEvery-th order is unanswered: in turn dropped and carried out; 0 means none
 	lateBy       time.Duration // if positive, dropped orders are carried out this much later
 	failRuns     bool          // runs end as failed
@@ -259,6 +260,9 @@
 		}
 		t.highestRun[o.Task] = max(t.highestRun[o.Task], o.Run)
 	}
+	if t.faultMode.loseStops {
+		return 0, t.leaveUnanswered(ctx)
+	}
 	if err := t.receive(ctx, l, stop); err != nil {
 		return 0, err
 	}
--- a/test/mutant_test.go
+++ b/test/mutant_test.go
@@ -124,6 +124,7 @@
 		rule: "TWICE deregistered target", file: dispGate + "incarnation.go", test: "internal/disp/gate TestGateKeepsRunOfDeregisteredTarget",
 		old: "if len(g.runs) > 0 {\n\t\treturn false", new: "if false {\n\t\treturn false",
 	},
+	{rule: "TWICE stops lost", file: dispGate + "poll.go", old: " && !g.hasOverdueRun(now)", new: "", test: "internal/disp/gate TestGateEndsRunOfSilentEntryWhoseStopsGetLost"},
 	{rule: "DRAIN recalled target", file: dispGate + "incarnation.go", old: " && !g.unconfirmed()", new: "", test: "internal/disp/gate TestRecalledTargetNeedsHeartbeat"},
 	{rule: "RECOVER lost order", file: dispGate + "order.go", old: "g.replyTimes.Timeout(minCallTimeout, maxCallTimeout)", new: "maxCallTimeout", test: "internal/disp/rules TestLostOrderCostsLittle"},
 	{rule: "RECOVER set aside", file: dispGate + "order.go", old: "case !g.targetReady():", new: "case !g.targetReady() || g.breaker.OpenReason(now) != \"\":", test: "internal/disp/gate TestGateProbesTargetAfterFailures"},
