Do not extend an entry's lease that has lapsed unnoticed

What callers can see: a task runs at two targets at once, or starts after it was given up.

Cause: a lapse was only noticed by the gate's tick. A gate whose machine was suspended for longer than MaxOrphanTime may answer an entry, and get the lease renewed, within a millisecond, before the tick. The renewal extended the old lease, so tasks that the entry had given up and placed elsewhere started from the queue, or ran on.

Change: a renewal of a lapsed lease first abandons the tasks that the lease covered.

--- a/internal/disp/gate/fake_test.go
+++ b/internal/disp/gate/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -262,6 +263,9 @@
 	t      *testing.T
 	target *fakeTarget
 	nextID uint64
+	// suspended is the time, in ns, for which the gate's machine was suspended: its boot
+	// clock went on while its timers stood still. Only in virtual time.
+	suspended atomic.Int64
 }
 
 // open starts a gate for a target, waits until it is ready to start tasks, and
@@ -281,11 +285,14 @@
 		f.startTime = time.Now()
 		started := time.Now()
 		g.IncarnationID, g.Start, g.Stop, g.Poll = 7, f.Start, f.Stop, f.Poll
-		g.Now = func() boot.Time { return boot.Time(time.Hour).Add(time.Since(started)) }
+		o := &openGate{Gate: g, t: t, target: f}
+		g.Now = func() boot.Time {
+			return boot.Time(time.Hour).Add(time.Since(started) + time.Duration(o.suspended.Load()))
+		}
 		g.HandleHeartbeat(f.incarnation)
 		go g.Run(ctx)
 		time.Sleep(100 * time.Millisecond)
-		test(t, &openGate{Gate: g, t: t, target: f})
+		test(t, o)
 		cancel()
 		time.Sleep(5 * time.Second) // until the calls in progress have ended
 	})
--- a/internal/disp/gate/lease.go
+++ b/internal/disp/gate/lease.go
@@ -29,8 +29,12 @@
 )
 
 // renewEntryLease extends the sender's lease to EntryLease after the timestamp that
-// it echoes.
+// it echoes. A lease that has lapsed is not extended but begins anew: the tasks that it
+// covered are abandoned first.
 func (g *Gate) renewEntryLease(s msgs.Sender) {
+	if now := g.now(); g.entryLeases.LapsedFor(s.Entry, s.Incarnation, now) > 0 {
+		g.expireEntries(now)
+	}
 	if g.entryLeases.Renew(s.Entry, s.Incarnation, boot.Time(s.EchoedTimestamp).Add(EntryLease), g.now()) {
 		g.event("sender", "entry", s.Entry, "life", s.Incarnation)
 	}
--- /dev/null
+++ b/internal/disp/gate/suspension_test.go
@@ -0,0 +1,67 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
+)
+
+// send sends a task with a lease from now on, and returns the channel of its reply.
+func (o *openGate) send(name string, cpu int) <-chan msgs.TaskReply {
+	m := o.task(name, cpu)
+	m.MaxQueueTime = 60
+	replies := make(chan msgs.TaskReply, 1)
+	go func() { replies <- o.takeUnrenewed(m) }()
+	time.Sleep(2 * time.Millisecond)
+	return replies
+}
+
+// An entry that renews its lease right after a suspension, before the gate's next tick, has
+// given up its tasks: the lease that they were given has lapsed though nobody looked.
+func TestGateEndsTasksWhoseLeaseLapsedDuringSuspension(t *testing.T) {
+	const suspension = MaxOrphanTime + 740*time.Millisecond
+	t.Run("a queued task does not start", func(t *testing.T) {
+		f := newFakeTarget(1000)
+		f.stallRuns = true
+		inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
+			o.send("busy", 900)
+			replies := o.send("queued", 500)
+			o.suspended.Add(int64(suspension))
+			// The target was not suspended: its lease has lapsed, which ended what ran.
+			f.update(func(f *fakeTarget) { f.startTime = f.startTime.Add(-suspension) })
+			for range 10 {
+				o.sync()
+				time.Sleep(20 * time.Millisecond)
+			}
+			f.update(func(f *fakeTarget) {
+				if _, runs := f.runs["queued"]; runs || f.startCalls != 1 {
+					t.Errorf("the task that the entry has given up was started: %d starts, want 1", f.startCalls)
+				}
+			})
+			o.sync(1, 2)
+			<-replies
+			time.Sleep(time.Second)
+		})
+	})
+	t.Run("a running task is stopped", func(t *testing.T) {
+		f := newFakeTarget(1000)
+		f.stallRuns = true
+		inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
+			o.send("a", 10)
+			// The target was suspended too, and so was its steady clock.
+			o.suspended.Add(int64(suspension))
+			for range 10 {
+				o.sync()
+				time.Sleep(20 * time.Millisecond)
+			}
+			f.update(func(f *fakeTarget) {
+				if len(f.runs) != 0 {
+					t.Error("the task that the entry has given up runs on 200 ms after the suspension")
+				}
+			})
+			o.sync(1)
+			time.Sleep(time.Second)
+		})
+	})
+}
--- a/test/mutant_test.go
+++ b/test/mutant_test.go
@@ -124,6 +124,7 @@
 		rule: "TWICE deregistered target", file: dispGate + "incarnation.go", test: "internal/disp/gate TestGateKeepsRunOfDeregisteredTarget",
 		old: "if len(g.runs) > 0 {\n\t\treturn false", new: "if false {\n\t\treturn false",
 	},
+	{rule: "TWICE lapsed lease", file: dispGate + "lease.go", old: "g.entryLeases.LapsedFor(s.Entry, s.Incarnation, now) > 0", new: "now < 0", test: "internal/disp/gate TestGateEndsTasksWhoseLeaseLapsedDuringSuspension"},
 	{rule: "TWICE stops lost", file: dispGate + "poll.go", old: " && !g.hasOverdueRun(now)", new: "", test: "internal/disp/gate TestGateEndsRunOfSilentEntryWhoseStopsGetLost"},
 	{rule: "DRAIN recalled target", file: dispGate + "incarnation.go", old: " && !g.unconfirmed()", new: "", test: "internal/disp/gate TestRecalledTargetNeedsHeartbeat"},
 	{rule: "RECOVER lost order", file: dispGate + "order.go", old: "g.replyTimes.Timeout(minCallTimeout, maxCallTimeout)", new: "maxCallTimeout", test: "internal/disp/rules TestLostOrderCostsLittle"},
