Take a heartbeat of another target for a hint, not for the end of the current one

What callers can see: a task runs at two targets at once.

Cause: a heartbeat that may have been held up for seconds ended the current incarnation, and with it all its runs, unless it said that it was born earlier. That need not show: the time of day may have been set back between the two starts, and a heartbeat without the time of birth counts as born at 0, as the current one may.

Change: a gate with runs notes the other target and polls the current one. It goes over when the current one no longer answers under its ID, or when the lease of its runs has lapsed; if the current one answers, the heartbeat is dropped. Without runs nothing changes.

The mutant of the older rule for recalled targets is now caught only with this rule taken out too, and says so.

--- a/internal/disp/gate/fake_test.go
+++ b/internal/disp/gate/fake_test.go
@@ -129,12 +129,17 @@
 	return f.clock(), nil
 }
 
-// restartInPlace starts a new incarnation under the same ID, which knows nothing of the
-// previous one, and returns it.
+// restartInPlace starts a new incarnation under the same ID and returns it.
 func (f *fakeTarget) restartInPlace() targ.Incarnation {
+	return f.restartAs(f.incarnation.ID, f.incarnation.Born+1)
+}
+
+// restartAs starts a new incarnation, which knows nothing of the previous one, and returns
+// it.
+func (f *fakeTarget) restartAs(id string, born int64) targ.Incarnation {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.incarnation.Born++
+	f.incarnation.ID, f.incarnation.Born = id, born
 	f.startTime, f.fence, f.until = time.Now(), 0, 0
 	f.runs, f.highestRuns, f.ended = map[string]fakeRun{}, map[string]int{}, nil
 	return f.incarnation
@@ -195,8 +200,12 @@
 	f.fence = r.Fence
 	f.until = max(f.until, r.Deadline)
 	end := time.Now().Add(time.Duration(r.Wait) * time.Millisecond)
-	for {
+	for current := f.incarnation; ; {
 		f.endDueRuns()
+		if !current.Same(f.incarnation) {
+			f.mu.Unlock()
+			return targ.Listing{}, targ.ErrUnanswered
+		}
 		list := targ.Listing{Clock: f.clock(), Born: f.incarnation.Born}
 		for _, e := range f.ended {
 			if e.Seq > r.Seen {
--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -40,6 +40,7 @@
 	mu           sync.Mutex
 	incarnation  targ.Incarnation // of the target
 	targetKnown  bool             // incarnation is set
+	successor    targ.Incarnation // announced by a heartbeat while incarnation has runs; zero if none
 	confirmBy    boot.Time        // a heartbeat has to confirm the recalled incarnation until then; 0 if one has
 	stopping     bool             // this process is stopping
 	reconciled   bool             // no unknown run is at the target
--- /dev/null
+++ b/internal/disp/gate/heartbeat_test.go
@@ -0,0 +1,75 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
+)
+
+// A delayed heartbeat of an earlier incarnation must not end the current one, which
+// answers and has a run. That it was born earlier need not show.
+func TestDelayedHeartbeatDoesNotEndAnsweringTarget(t *testing.T) {
+	for name, born := range map[string]struct{ earlier, current int64 }{
+		"the time of day was set back": {earlier: 1_000_000, current: 2},
+		"the target does not say":      {earlier: 0, current: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFakeTarget(1000)
+			f.incarnation.ID, f.incarnation.Born = "current", born.current
+			f.stallRuns = true
+			inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
+				m := o.task("long", 10)
+				replies := make(chan msgs.TaskReply, 1)
+				go func() { replies <- o.take(m) }()
+				time.Sleep(100 * time.Millisecond)
+				earlier := f.incarnation
+				earlier.ID, earlier.Born = "earlier", born.earlier
+				o.HandleHeartbeat(earlier)
+				time.Sleep(100 * time.Millisecond)
+				select {
+				case reply := <-replies:
+					t.Errorf("got %v %q with %d runs at the target", reply.Result, reply.Reason, f.running())
+				default:
+				}
+				o.sync(m.ID)
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
+// A target that restarted while the time of day was set back is followed, although it
+// seems to be born earlier.
+func TestRestartedTargetIsFollowedWhateverTheTimeOfDay(t *testing.T) {
+	f := newFakeTarget(1000)
+	f.incarnation.Born = 1_000_000
+	inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
+		f.restartAs("i-2", 2)
+		for range 3 { // heartbeats
+			o.HandleHeartbeat(f.incarnation)
+			time.Sleep(1500 * time.Millisecond)
+		}
+		if reply := o.take(o.task("a", 10)); reply.Result != msgs.Done {
+			t.Errorf("got %v %q", reply.Result, reply.Reason)
+		}
+	})
+}
+
+// A target that restarts with runs is used again as soon as it answers, not only after its
+// next heartbeat.
+func TestSuccessorIsUsedOnceThePreviousTargetHasEnded(t *testing.T) {
+	f := newFakeTarget(1000)
+	f.stallRuns = true
+	inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
+		go o.take(o.task("long", 10))
+		time.Sleep(100 * time.Millisecond)
+		f.restartAs("i-2", 2)
+		f.update(func(f *fakeTarget) { f.stallRuns = false })
+		o.HandleHeartbeat(f.incarnation)
+		time.Sleep(pollWait + pollTimeout)
+		if reply := o.take(o.task("a", 10)); reply.Result != msgs.Done {
+			t.Errorf("got %v %q", reply.Result, reply.Reason)
+		}
+	})
+}
--- a/internal/disp/gate/incarnation.go
+++ b/internal/disp/gate/incarnation.go
@@ -22,10 +22,10 @@
 	departCheckInterval = 5 * time.Millisecond
 )
 
-// HandleHeartbeat processes a heartbeat of the target. It reports false, and does
-// nothing, if the heartbeat is of an incarnation older than the current one. A recalled
-// incarnation that has never answered gives way to any other: its record may be of
-// another machine's target.
+// HandleHeartbeat processes a heartbeat of the target. It reports whether the heartbeat is
+// of the incarnation that is current afterwards. One of an older incarnation has no effect,
+// but a recalled incarnation that has never answered gives way to any other: its record
+// may be of another machine's target.
 func (g *Gate) HandleHeartbeat(inc targ.Incarnation) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -42,9 +42,14 @@
 		g.refuseQueueIfLeaving()
 		return true
 	}
-	if g.targetKnown && inc.ID == g.incarnation.ID {
+	switch {
+	case g.targetKnown && inc.ID == g.incarnation.ID:
 		g.followRestart(inc)
-	} else {
+	case g.targetKnown && len(g.runs) > 0:
+		g.awaitEnd(inc)
+		return false
+	default:
+		g.successor = targ.Incarnation{}
 		g.endIncarnation(cause.TargetRestarted)
 		g.adopt(inc)
 	}
@@ -52,6 +57,24 @@
 	return true
 }
 
+// awaitEnd notes a heartbeat of a target with another ID. A delayed heartbeat proves no
+// end, so the current incarnation keeps its runs until it no longer answers under its ID,
+// or until their lease has lapsed. If it answers, the heartbeat is dropped.
+func (g *Gate) awaitEnd(inc targ.Incarnation) {
+	g.event("target_announced", "target", inc.ID, "current", g.incarnation.ID, "running", len(g.runs))
+	g.successor = inc
+	g.wakePollLoop()
+}
+
+// adoptSuccessor starts to use the announced successor of an incarnation that has ended.
+func (g *Gate) adoptSuccessor() {
+	if g.successor.ID == "" || len(g.runs) > 0 {
+		return
+	}
+	g.adopt(g.successor)
+	g.confirmBy = 0
+}
+
 // followRestart goes on with a target that has restarted under its ID. Orders for the
 // incarnation before may take effect at the new one, so whether its runs have ended is in
 // doubt until the new one has excluded them.
@@ -105,7 +128,7 @@
 
 // adopt starts to use an incarnation of the target.
 func (g *Gate) adopt(inc targ.Incarnation) {
-	g.incarnation, g.targetKnown = inc, true
+	g.incarnation, g.targetKnown, g.successor = inc, true, targ.Incarnation{}
 	g.reconciled, g.silent, g.missedPolls = false, false, 0
 	g.clock, g.lastEndSeq, g.ackedEndSeq = targ.ClockBound{}, 0, 0
 	g.lastEndClock, g.lastEnds = 0, nil
@@ -191,6 +214,7 @@
 	}
 	g.refuseQueue(reason)
 	g.targetKnown, g.reconciled = false, false
+	g.adoptSuccessor()
 }
 
 // targetReady reports whether tasks can be started at the target.
--- a/internal/disp/gate/poll.go
+++ b/internal/disp/gate/poll.go
@@ -128,7 +128,7 @@
 		if g.silent {
 			g.event("target_answers", "target", incarnation.ID)
 		}
-		g.silent, g.missedPolls = false, 0
+		g.silent, g.missedPolls, g.successor = false, 0, targ.Incarnation{}
 		if !g.checkIncarnation(l) {
 			return true
 		}
@@ -165,6 +165,9 @@
 	for _, r := range g.runs {
 		g.finish(r, msgs.Lost, cause.Silent)
 	}
+	if g.successor.ID != "" {
+		g.endIncarnation(cause.TargetRestarted)
+	}
 }
 
 // tickLoop does the periodic work, such as expiry, until ctx is cancelled.
--- a/internal/disp/proc/node.go
+++ b/internal/disp/proc/node.go
@@ -65,8 +65,8 @@
 	}
 }
 
-// HandleHeartbeat processes a heartbeat of the target. It reports false if the
-// heartbeat is of an incarnation older than the current one.
+// HandleHeartbeat processes a heartbeat of the target. It reports whether the heartbeat is
+// of the incarnation that is current afterwards.
 func (n *Node) HandleHeartbeat(inc targ.Incarnation) bool {
 	if !n.Gate.HandleHeartbeat(inc) {
 		return false
--- a/test/mutant_test.go
+++ b/test/mutant_test.go
@@ -115,7 +115,7 @@
 	{rule: "DRAIN leaving target", file: dispGate + "gate.go", old: "case g.incarnation.Leaving:\n\t\treturn cause.Leaving\n", new: "", test: "internal/disp/gate TestGateRefusesTasksOfLeavingTarget", more: []edit{{dispGate + "incarnation.go", "!g.silent && !g.incarnation.Leaving && g.clock.HasReading", "!g.silent && g.clock.HasReading"}}},
 	{rule: "UNASKED cancel", file: dispCoord + "task.go", old: "l.Cancel(m.ID)\n", new: "", test: "internal/disp/coord TestAbandonedJobCancelsItsTasks"},
 	{rule: "UNASKED cancel until answered", file: dispLink, old: "if err != nil {\n\t\tl.recordFailure(err)\n\t\treturn", new: "if err != nil {\n\t\tl.confirmCancels(cancels)\n\t\tl.recordFailure(err)\n\t\treturn", test: "internal/disp/link TestCancelIsSentUntilAnswered"},
-	{rule: "TWICE heartbeat held up", file: dispGate + "incarnation.go", old: " && (g.confirmBy == 0 || g.clock.HasReading)", new: " && g.confirmBy == 0", test: "internal/disp/gate TestDelayedHeartbeatDoesNotReplaceRecalledTarget"},
+	{rule: "TWICE heartbeat held up", file: dispGate + "incarnation.go", old: " && (g.confirmBy == 0 || g.clock.HasReading)", new: " && g.confirmBy == 0", test: "internal/disp/gate TestDelayedHeartbeatDoesNotReplaceRecalledTarget", more: []edit{{dispGate + "incarnation.go", "case g.targetKnown && len(g.runs) > 0:\n\t\tg.awaitEnd(inc)", "case false:\n\t\tg.awaitEnd(inc)"}}},
 	{
 		rule: "TWICE target restarted under its ID", file: dispGate + "incarnation.go", test: "internal/disp/gate TestGateKeepsRunOfTargetThatRestartedUnderItsID",
 		old: "g.followRestart(inc)\n\tg.confirmBy = g.now()", new: "g.endIncarnation(cause.TargetRestarted)",
@@ -125,6 +125,7 @@
 		old: "if len(g.runs) > 0 {\n\t\treturn false", new: "if false {\n\t\treturn false",
 	},
 	{rule: "TWICE lapsed lease", file: dispGate + "lease.go", old: "g.entryLeases.LapsedFor(s.Entry, s.Incarnation, now) > 0", new: "now < 0", test: "internal/disp/gate TestGateEndsTasksWhoseLeaseLapsedDuringSuspension"},
+	{rule: "TWICE heartbeat of another target", file: dispGate + "incarnation.go", old: "case g.targetKnown && len(g.runs) > 0:\n\t\tg.awaitEnd(inc)", new: "case false:\n\t\tg.awaitEnd(inc)", test: "internal/disp/gate TestDelayedHeartbeatDoesNotEndAnsweringTarget"},
 	{rule: "TWICE stops lost", file: dispGate + "poll.go", old: " && !g.hasOverdueRun(now)", new: "", test: "internal/disp/gate TestGateEndsRunOfSilentEntryWhoseStopsGetLost"},
 	{rule: "DRAIN recalled target", file: dispGate + "incarnation.go", old: " && !g.unconfirmed()", new: "", test: "internal/disp/gate TestRecalledTargetNeedsHeartbeat"},
 	{rule: "RECOVER lost order", file: dispGate + "order.go", old: "g.replyTimes.Timeout(minCallTimeout, maxCallTimeout)", new: "maxCallTimeout", test: "internal/disp/rules TestLostOrderCostsLittle"},
