Judge a target's clock and lease by a clock that stands still in a suspension

What callers can see: a task runs at two targets at once.

Cause: a target measures its lease by its steady clock, which stands still while its machine is suspended; the gate beside it computed the least that this clock can show by one that goes on. After 3 s of suspension its deadlines lay 3.5 s ahead, so the target cut the lease to the longest that it grants, a second instead of 612 ms, and the time after which a silent target's runs have ended was too short, for minutes.

Change: the gate judges the target's clock and lease by CLOCK_MONOTONIC. If only the gate was suspended, the bound is lower and the lease is waited for longer than needed, which is safe.

Evidence: TestDeadlinesStayNearAfterSuspension saw deadlines 3,536 ms ahead, 600 allowed.

--- a/cmd/gypsumlanding/process.go
+++ b/cmd/gypsumlanding/process.go
@@ -130,7 +130,7 @@
 	store := platform.NewStore(p.cfg.StoreAddr)
 	target := platform.NewTargetClient()
 	g := &gate.Gate{
-		IncarnationID: p.incarnation, Start: target.Start, Stop: target.Stop, Poll: target.Poll,
+		IncarnationID: p.incarnation, Start: target.Start, Stop: target.Stop, Poll: target.Poll, Steady: boot.Steady,
 		Event: p.log.Event, Trace: p.log.Trace, Count: p.counters.Count, Observe: p.counters.Observe,
 	}
 	p.counters.Declare(append(cause.NodeCounters(), gate.Contradicted))
--- a/internal/disp/boot/boot.go
+++ b/internal/disp/boot/boot.go
@@ -20,6 +20,16 @@
 	return Time(ts.Nano())
 }
 
+// Steady returns the time since boot without the time during which the machine was
+// suspended.
+func Steady() Time {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &ts); err != nil {
+		panic(err) // all Linux machines have this clock
+	}
+	return Time(ts.Nano())
+}
+
 // Add returns the time d after t.
 func (t Time) Add(d time.Duration) Time { return t + Time(d) }
 
--- a/internal/disp/gate/apply.go
+++ b/internal/disp/gate/apply.go
@@ -19,7 +19,7 @@
 // applyListing updates the runs from a listing of the target that arrived at now.
 func (g *Gate) applyListing(l targ.Listing, now boot.Time) {
 	stale := g.clock.HasReading && l.Clock < g.clock.Reading
-	g.clock.Update(l.Clock, now)
+	g.clock.Update(l.Clock, g.steady())
 	for _, e := range l.Ended {
 		if g.applyEnd(e, l.Clock, now) {
 			g.recordEnd(e, l.Clock)
--- a/internal/disp/gate/fake_test.go
+++ b/internal/disp/gate/fake_test.go
@@ -298,6 +298,7 @@
 		g.Now = func() boot.Time {
 			return boot.Time(time.Hour).Add(time.Since(started) + time.Duration(o.suspended.Load()))
 		}
+		g.Steady = func() boot.Time { return boot.Time(time.Hour).Add(time.Since(started)) }
 		g.HandleHeartbeat(f.incarnation)
 		go g.Run(ctx)
 		time.Sleep(100 * time.Millisecond)
--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -28,6 +28,9 @@
 	Poll  func(context.Context, targ.Incarnation, targ.Renewal) (targ.Listing, error)
 	// Now returns the present time; nil means boot.Now.
 	Now func() boot.Time
+	// Steady returns the present time of a clock that stands still while the machine, and
+	// with it the target, is suspended; nil means Now.
+	Steady func() boot.Time
 	// Event logs a change of state; nil discards it.
 	Event func(event string, pairs ...any)
 	// Trace logs a decision about a task; nil discards it.
@@ -53,7 +56,7 @@
 	missedPolls  int             // consecutive polls without an answer
 	silent       bool            // missedPolls has reached maxMissedPolls, or the connection was refused
 	hedgeUntil   boot.Time       // end of the time during which a second poll is kept open
-	leaseEnd     boot.Time       // latest time at which the target's lease lapses
+	leaseEnd     boot.Time       // latest time at which the target's lease lapses, by Steady
 	runs         map[string]*run // by task name: all that may run at the target
 	tasks        map[taskID]*run // all known tasks, with recent results
 	queue        []*run          // in no order; startQueued sorts it
@@ -309,6 +312,14 @@
 	return boot.Now()
 }
 
+// steady returns the present time by which the target's clock and lease are judged.
+func (g *Gate) steady() boot.Time {
+	if g.Steady != nil {
+		return g.Steady()
+	}
+	return g.now()
+}
+
 // wakePollLoop makes the poll loop check the state without delay.
 func (g *Gate) wakePollLoop() {
 	select {
--- a/internal/disp/gate/incarnation.go
+++ b/internal/disp/gate/incarnation.go
@@ -83,7 +83,7 @@
 	g.refuseQueue(cause.TargetRestarted)
 	g.adopt(inc)
 	// Deadlines for the previous clock are no limit for the new one.
-	g.leaseEnd = g.now().Add(maxGrantedLease * 100 / 98)
+	g.leaseEnd = g.steady().Add(maxGrantedLease * 100 / 98)
 	for _, r := range g.runs {
 		r.doubt()
 		go g.resolve(r)
--- a/internal/disp/gate/lease.go
+++ b/internal/disp/gate/lease.go
@@ -93,10 +93,11 @@
 	return false
 }
 
-// extendTargetLease returns the deadline of an order or renewal sent at now, in ms
+// extendTargetLease returns the deadline of an order or renewal that is sent now, in ms
 // of the target's clock. It raises leaseEnd to the time by which that clock has
 // reached the deadline at the latest.
-func (g *Gate) extendTargetLease(now boot.Time) int64 {
+func (g *Gate) extendTargetLease() int64 {
+	now := g.steady()
 	g.leaseEnd = max(g.leaseEnd, now.Add(TargetLease*100/98))
 	return g.clock.At(now) + TargetLease.Milliseconds()
 }
--- a/internal/disp/gate/observe.go
+++ b/internal/disp/gate/observe.go
@@ -50,7 +50,7 @@
 // logStarted logs that the target has started r.
 func (g *Gate) logStarted(r *run, now boot.Time) {
 	g.trace("task_started", "job", r.msg.Job, "task", r.msg.Name, "run", r.number, "target", g.incarnation.ID,
-		"entry", r.msg.Entry, "after", now.Sub(r.arrivedAt), "deadline", r.startDeadline, "clock", g.clock.At(now))
+		"entry", r.msg.Entry, "after", now.Sub(r.arrivedAt), "deadline", r.startDeadline, "clock", g.clock.At(g.steady()))
 }
 
 // logEnded logs and counts the result of r, which was in the given phase before.
--- a/internal/disp/gate/order.go
+++ b/internal/disp/gate/order.go
@@ -73,7 +73,6 @@
 func (g *Gate) prepareStart(r *run) (targ.Incarnation, targ.Order, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := g.now()
 	switch {
 	case r.phase != ordered || r.inDoubt:
 		return targ.Incarnation{}, targ.Order{}, false
@@ -87,7 +86,7 @@
 		g.refuse(r, cause.Silent)
 		return targ.Incarnation{}, targ.Order{}, false
 	}
-	r.startDeadline = g.extendTargetLease(now)
+	r.startDeadline = g.extendTargetLease()
 	return g.incarnation, targ.Order{Task: r.msg.Name, Run: r.number, Spec: r.msg.Spec, Deadline: r.startDeadline, Fence: g.fence}, true
 }
 
@@ -101,7 +100,7 @@
 		return true
 	}
 	if clock > 0 {
-		g.clock.Update(clock, now)
+		g.clock.Update(clock, g.steady())
 	}
 	switch {
 	case err == nil:
@@ -216,7 +215,7 @@
 	switch {
 	case err == nil:
 		r.stopAckClock = clock
-		g.clock.Update(clock, g.now())
+		g.clock.Update(clock, g.steady())
 		g.wakePollLoop()
 	case errors.Is(err, targ.ErrFenced):
 		g.raiseFence()
--- a/internal/disp/gate/poll.go
+++ b/internal/disp/gate/poll.go
@@ -79,12 +79,12 @@
 		return targ.Incarnation{}, targ.Renewal{}, idlePollInterval
 	}
 	idle := len(g.runs) == 0 && g.ackedEndSeq == g.lastEndSeq && g.reconciled && !g.silent
-	if idle && g.clock.HasReading && now.Sub(g.clock.ReadAt) < idlePollInterval {
-		return targ.Incarnation{}, targ.Renewal{}, idlePollInterval - now.Sub(g.clock.ReadAt)
+	if age := g.steady().Sub(g.clock.ReadAt); idle && g.clock.HasReading && age < idlePollInterval {
+		return targ.Incarnation{}, targ.Renewal{}, idlePollInterval - age
 	}
 	renewal := targ.Renewal{Fence: g.fence, Seen: g.lastEndSeq}
 	if g.clock.HasReading && !g.silent && len(g.runs) > 0 && !g.hasOverdueRun(now) {
-		renewal.Deadline = g.extendTargetLease(now)
+		renewal.Deadline = g.extendTargetLease()
 	}
 	if len(g.runs) > 0 && !g.awaitingStop() && g.missedPolls == 0 && g.reconciled {
 		renewal.Wait = pollWait.Milliseconds()
@@ -151,15 +151,15 @@
 			g.event("target_silent", "target", incarnation.ID, "err", err)
 		}
 		g.silent = true
-		g.giveUpLapsedRuns(now)
+		g.giveUpLapsedRuns()
 	}
 	return false
 }
 
 // giveUpLapsedRuns gives up the runs at a silent target once its lease on them has
 // certainly lapsed.
-func (g *Gate) giveUpLapsedRuns(now boot.Time) {
-	if now < g.leaseEnd.Add(stopSlack) {
+func (g *Gate) giveUpLapsedRuns() {
+	if now := g.steady(); now < g.leaseEnd.Add(stopSlack) {
 		return
 	}
 	for _, r := range g.runs {
--- a/internal/disp/gate/suspension_test.go
+++ b/internal/disp/gate/suspension_test.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -65,3 +66,24 @@
 		})
 	})
 }
+
+// A target that was suspended with its gate has a clock that stood still. Deadlines must not
+// lie further ahead on it than TargetLease, since the entry counts on that.
+func TestDeadlinesStayNearAfterSuspension(t *testing.T) {
+	f := newFakeTarget(1000)
+	f.stallRuns = true
+	inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
+		o.suspended.Add(int64(3 * time.Second))
+		for i := range 3 {
+			replies := o.send(fmt.Sprint("t", i), 10)
+			f.update(func(f *fakeTarget) {
+				if ahead := f.until - f.clock(); ahead > TargetLease.Milliseconds() {
+					t.Errorf("deadline %d ms ahead", ahead)
+				}
+			})
+			o.sync(o.nextID)
+			<-replies
+			time.Sleep(2 * time.Second)
+		}
+	})
+}
--- a/internal/disp/targ/clock.go
+++ b/internal/disp/targ/clock.go
@@ -10,7 +10,8 @@
 // time.
 const MinRate = 0.98
 
-// ClockBound is a lower bound of a target's clock. The zero value has no reading.
+// ClockBound is a lower bound of a target's clock. Its times must be of a clock that stands
+// still while the machine is suspended, as the target's does. The zero value has no reading.
 type ClockBound struct {
 	HasReading bool
 	Reading    int64     // ms
