Recognise older listings by the newest one, not by the bound of the clock

With two polls open, a listing may be handled after a newer one. It counted as older only if the newer one had raised the bound of the target's clock, which most do not. A run that had just ended then counted as unknown: an order to stop it was sent, and nothing was started until the next listing.

TestGateIgnoresOlderListing failed before.

--- a/internal/disp/gate/apply.go
+++ b/internal/disp/gate/apply.go
@@ -18,7 +18,8 @@
 
 // applyListing updates the runs from a listing of the target that arrived at now.
 func (g *Gate) applyListing(l targ.Listing, now boot.Time) {
-	stale := g.clock.HasReading && l.Clock < g.clock.Reading
+	stale := l.Clock < g.lastListing
+	g.lastListing = max(g.lastListing, l.Clock)
 	g.clock.Update(l.Clock, g.steady())
 	for _, e := range l.Ended {
 		if g.applyEnd(e, l.Clock, now) {
--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -49,6 +49,7 @@
 	reconciled   bool             // no unknown run is at the target
 	fence        int64            // fencing token of orders and polls
 	clock        targ.ClockBound
+	lastListing  int64           // target's clock of the newest listing, ms
 	lastEndSeq   int64           // sequence number of the newest end received
 	ackedEndSeq  int64           // sequence number of the newest end acknowledged to the target
 	lastEndClock int64           // target's clock when the newest end was reported, ms
--- a/internal/disp/gate/gate_test.go
+++ b/internal/disp/gate/gate_test.go
@@ -383,3 +383,23 @@
 		t.Errorf("got %v %q", reply.Result, reply.Reason)
 	}
 }
+
+// A listing from before the end of a run may be handled after one that reports the end. The
+// run must not count as unknown, which would block all starts.
+func TestGateIgnoresOlderListing(t *testing.T) {
+	f := newFakeTarget(1000)
+	inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
+		if reply := o.take(o.task("a", 10)); reply.Result != msgs.Done {
+			t.Fatalf("got %v %q", reply.Result, reply.Reason)
+		}
+		time.Sleep(idlePollInterval / 2)
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		clock := o.clock.At(o.steady()) // raises no bound of the clock
+		o.applyListing(targ.Listing{Clock: clock}, o.now())
+		o.applyListing(targ.Listing{Clock: clock - 1, Running: []targ.Running{{Task: "a", Run: 1}}}, o.now())
+		if !o.reconciled {
+			t.Error("a run that has ended counts as unknown")
+		}
+	})
+}
--- a/internal/disp/gate/incarnation.go
+++ b/internal/disp/gate/incarnation.go
@@ -131,7 +131,7 @@
 	g.incarnation, g.targetKnown, g.successor = inc, true, targ.Incarnation{}
 	g.reconciled, g.silent, g.missedPolls = false, false, 0
 	g.clock, g.lastEndSeq, g.ackedEndSeq = targ.ClockBound{}, 0, 0
-	g.lastEndClock, g.lastEnds = 0, nil
+	g.lastListing, g.lastEndClock, g.lastEnds = 0, 0, nil
 	g.breaker, g.speed, g.replyTimes = cbreak.Breaker{}, estim.Speed{}, estim.ReplyTimes{}
 	if g.fence == 0 {
 		g.fence = time.Now().UnixMilli()
