Keep one link to a gate, open for as long as tasks need it

Callers could see one task run at two targets at once, and a cancelled task go on. Found by reading.

Cause: the deletion of a member's row closed the entry's link to the node although it had tasks there; updateLinks checked for tasks first, but a placement could send between the check and the close. The closed link made no more Sync calls, so it never sent its cancellations, and when the connection broke it took its tasks for lost after MaxOrphanTime. A second link, opened when the node was heard of again, renewed the same entry's lease meanwhile: the gate went on with tasks that were placed elsewhere.

Change: an entry has one link to an address. One that is not wanted any more is retired: it is not offered for placements, and its Run ends once it has no outstanding task and no unconfirmed cancellation. One that is wanted again before is taken back into use. A closed link refuses tasks (unreachable). A gate that never answers does not keep its link: its tasks are lost by MaxOrphanTime, and cancellations are dropped once no task can be running. A removed node that answers on a retired link becomes a member again, since nodes announce themselves only while no entry calls them.

Failed with the code before: TestTaskOfRemovedNodeIsNotLostWhileItRuns (lost "silent" after 1.27 s while the task ran and the second link renewed its lease), TestRemovedNodeKeepsItsOnlyLink (a second link; the cancellation not sent within 5 s) and TestRemovedNodeThatAnswersIsUsedAgain. The tests of Retire don't compile with the code before; each fails with a part taken out: TestRetiredLinkStaysOpenWhileItHasTasks and TestRetiredLinkSendsItsCancellations when a retired link closes at once, TestRetiredLinkOfSilentGateIsClosed when cancellations are kept for ever, TestResumedLinkStaysOpen when Resume has no effect, TestClosedLinkRefusesTasks when closed links send. Now all pass, and go test -race in internal/disp does. The three mutants are caught.

--- a/internal/disp/link/doc.go
+++ b/internal/disp/link/doc.go
@@ -7,4 +7,8 @@
 // made that timestamp. A timestamp is always made before it is received, so the
 // entry can tell by its own clock when all its tasks at the gate have ended,
 // whatever happened to the gate or the network.
+//
+// This holds as long as no other link renews the lease of the same entry, so there is
+// one Link for a gate. One that is not wanted any more is retired, and stays open until
+// the entry has no task there.
 package link
--- a/internal/disp/link/link.go
+++ b/internal/disp/link/link.go
@@ -67,7 +67,9 @@
 	cancels        map[uint64]struct{} // IDs of tasks to cancel, until the gate confirms
 	recent         []recentTask        // tasks that load may not include
 	outstanding    int                 // tasks sent whose outcome is unknown
-	wake           chan struct{}       // receives a value when Cancel requests a Sync call
+	retired        bool                // Run ends once no task or cancellation needs it
+	closed         bool                // Run has ended, or ends without another call; final
+	wake           chan struct{}       // receives a value when Run has to look at the state at once
 }
 
 // recentTask is a task that was sent so recently that the newest load may not
@@ -85,16 +87,62 @@
 	Available  bool        // Load is younger than MaxLoadAge and the gate accepts tasks
 }
 
-// Run renews the lease until ctx ends.
+// Run renews the lease until ctx ends, or until the link is retired and no task or
+// cancellation needs it. It closes the link before it returns.
 func (l *Link) Run(ctx context.Context) {
-	for ctx.Err() == nil {
+	defer l.close()
+	for ctx.Err() == nil && !l.closeIfUnneeded() {
 		l.sync(ctx)
 		l.waitUntilSyncDue(ctx)
 	}
 }
 
-// waitUntilSyncDue waits until the next Sync call is due, Cancel requests one, or
-// ctx ends.
+// Retire makes Run end once no task or cancellation needs the link. Tasks may be sent
+// until then.
+func (l *Link) Retire() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.retired = true
+	l.wakeRun()
+}
+
+// Resume undoes Retire. It reports false if the link is closed, which can't be undone.
+func (l *Link) Resume() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.retired = false
+	return !l.closed
+}
+
+func (l *Link) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+}
+
+// closeIfUnneeded closes a retired link that no task or cancellation needs, and reports
+// whether it did.
+func (l *Link) closeIfUnneeded() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.retired && !l.needed() {
+		l.closed = true
+	}
+	return l.closed
+}
+
+// needed reports whether a task may be at the gate, or a cancellation that the gate has
+// not confirmed may still have an effect. It has none once all tasks have ended, as at a
+// gate that does not answer. The caller holds mu.
+func (l *Link) needed() bool {
+	if l.outstanding > 0 {
+		return true
+	}
+	allEnded := max(l.previousEnd, l.echoedReceived.Add(gate.MaxOrphanTime))
+	return len(l.cancels) > 0 && l.now() < allEnded
+}
+
+// waitUntilSyncDue waits until the next Sync call is due, Run is woken, or ctx ends.
 func (l *Link) waitUntilSyncDue(ctx context.Context) {
 	for ctx.Err() == nil {
 		untilDue := l.untilDue()
@@ -113,10 +161,7 @@
 		l.cancels = map[uint64]struct{}{}
 	}
 	l.cancels[id] = struct{}{}
-	select {
-	case l.wakeChannel() <- struct{}{}:
-	default:
-	}
+	l.wakeRun()
 }
 
 // View returns what is known about the gate at now.
@@ -134,15 +179,18 @@
 
 // RunTask makes the gate run a task and returns the outcome. The result is Lost
 // if the outcome is still unknown when the task can no longer be running, or when
-// ctx ends; in the latter case the task may still run.
+// ctx ends; in the latter case the task may still run. On a closed link it is Refused,
+// since nothing would cancel the task or determine its end.
 func (l *Link) RunTask(ctx context.Context, m msgs.Task) msgs.TaskReply {
+	if !l.beginTask() {
+		return msgs.TaskReply{Result: msgs.Refused, Reason: cause.Unreachable}
+	}
+	defer l.endTask()
 	sender, ok := l.sender(0)
 	if !ok {
 		return msgs.TaskReply{Result: msgs.Refused, Reason: cause.Unreachable}
 	}
 	incarnation := sender.GateIncarnation
-	l.addOutstanding(1)
-	defer l.addOutstanding(-1)
 	l.reserve(m)
 	mayHaveArrived := false
 	for {
@@ -329,21 +377,26 @@
 	return max(min(l.lastEcho, l.loadReceived).Add(interval), l.lastSync.Add(minSyncInterval)).Sub(now)
 }
 
-// HasTasks reports whether tasks of this entry may be at the gate.
-func (l *Link) HasTasks() bool {
+// beginTask counts a task as outstanding, so that the link stays open until endTask. It
+// reports false, and counts nothing, if the link is closed.
+func (l *Link) beginTask() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.outstanding > 0
+	if l.closed {
+		return false
+	}
+	l.outstanding++
+	return true
 }
 
-func (l *Link) addOutstanding(delta int) {
+func (l *Link) endTask() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.outstanding += delta
+	l.outstanding--
 }
 
-// waitOrWake waits for d, until ctx ends or until Cancel requests a Sync call,
-// and reports whether Cancel did.
+// waitOrWake waits for d, until ctx ends or until Run is woken, and reports whether it
+// was woken.
 func (l *Link) waitOrWake(ctx context.Context, d time.Duration) bool {
 	l.mu.Lock()
 	wake := l.wakeChannel()
@@ -351,6 +404,14 @@
 	return boot.Await(ctx, wake, d)
 }
 
+// wakeRun makes Run look at the state and make a Sync call at once. The caller holds mu.
+func (l *Link) wakeRun() {
+	select {
+	case l.wakeChannel() <- struct{}{}:
+	default:
+	}
+}
+
 // wakeChannel returns wake, and makes it first if it is nil. The caller holds mu.
 func (l *Link) wakeChannel() chan struct{} {
 	if l.wake == nil {
--- a/internal/disp/proc/entry.go
+++ b/internal/disp/proc/entry.go
@@ -42,8 +42,8 @@
 
 	mu          sync.Mutex
 	ctx         context.Context           // of Run; nil before Run
-	links       map[string]*activeLink    // by the address of the node
-	linkList    []*link.Link              // the same links, for Links
+	links       map[string]*nodeLink      // by the address of the node, retired ones included
+	linkList    []*link.Link              // those that are not retired, for Links
 	peerPending map[string]map[string]int // jobs not begun, by the address of another entry and route
 	silentPeers map[string]bool           // addresses of other entries that do not answer
 	configSince boot.Time                 // since when the configuration has been active
@@ -120,8 +120,8 @@
 // Entries returns the addresses of the other known entries, in order.
 func (e *Entry) Entries() []string { return e.members.Addrs(memb.Entry) }
 
-// Links returns the links to the nodes that this entry uses. The caller must not
-// change the slice.
+// Links returns the links to the nodes that this entry uses for placements. The caller
+// must not change the slice.
 func (e *Entry) Links() []*link.Link {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -139,12 +139,12 @@
 	}
 }
 
-// RemoveMember removes a member, such as one whose row was deleted, and closes
-// the link to it.
+// RemoveMember removes a member, such as one whose row was deleted, and retires the link
+// to it.
 func (e *Entry) RemoveMember(m memb.Member) {
 	e.members.Remove(m)
 	if m.Role == memb.Gate {
-		e.disconnect(m.Addr)
+		e.retire(m.Addr)
 	}
 }
 
--- a/internal/disp/proc/links.go
+++ b/internal/disp/proc/links.go
@@ -16,22 +16,23 @@
 // entry selects a different set, so every node serves several entries.
 const maxLinks = 64
 
-// activeLink is a link and the function that ends its Run.
-type activeLink struct {
-	link   *link.Link
-	cancel context.CancelFunc
+// nodeLink is the only link to a node whose Run has not ended. A second one would renew
+// the lease on tasks that the first one reports as lost.
+type nodeLink struct {
+	link    *link.Link
+	retired bool // the link is not used for placements
 }
 
-// updateLinks connects to the nodes selected from the known members, and closes
-// links to other nodes that have no tasks of this entry.
+// updateLinks connects to the nodes selected from the known members, and retires the
+// links to other nodes.
 func (e *Entry) updateLinks() {
 	selected := selectNodes(e.Addr, e.members.Addrs(memb.Gate), maxLinks)
 	for _, addr := range selected {
 		e.connect(addr)
 	}
 	for _, l := range e.Links() {
-		if !slices.Contains(selected, l.Addr) && !l.HasTasks() {
-			e.disconnect(l.Addr)
+		if !slices.Contains(selected, l.Addr) {
+			e.retire(l.Addr)
 		}
 	}
 }
@@ -59,52 +60,104 @@
 	return selected
 }
 
-// recordGateContacts records when each linked node last answered.
+// recordGateContacts records when each linked node last answered. A removed node that
+// answers on its retired link becomes a member again: it does not announce itself while it
+// is called.
 func (e *Entry) recordGateContacts() {
 	now := boot.Now()
 	for _, l := range e.Links() {
-		if lastAnswer := l.View(now).LastAnswer; lastAnswer > 0 {
-			e.members.RecordContact(memb.Member{Role: memb.Gate, Addr: l.Addr}, lastAnswer)
+		e.recordGateContact(l.Addr, l.View(now).LastAnswer)
+	}
+	for _, l := range e.retiredLinks() {
+		if v := l.View(now); v.Available {
+			e.recordGateContact(l.Addr, v.LastAnswer)
 		}
 	}
 }
 
-// connect opens a link to a node unless there is one. It does nothing before Run.
+// recordGateContact records that a node last answered at lastAnswer, if it ever has.
+func (e *Entry) recordGateContact(addr string, lastAnswer boot.Time) {
+	if lastAnswer > 0 {
+		e.members.RecordContact(memb.Member{Role: memb.Gate, Addr: addr}, lastAnswer)
+	}
+}
+
+// retiredLinks returns the links that are still open but not used for placements.
+func (e *Entry) retiredLinks() []*link.Link {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var retired []*link.Link
+	for _, n := range e.links {
+		if n.retired {
+			retired = append(retired, n.link)
+		}
+	}
+	return retired
+}
+
+// connect makes the link to a node usable for placements. It opens one unless there is a
+// link already, in use or retired. It does nothing before Run.
 func (e *Entry) connect(addr string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.ctx == nil || e.links[addr] != nil {
+	n := e.links[addr]
+	switch {
+	case e.ctx == nil || n != nil && !n.retired:
 		return
+	case n != nil && n.link.Resume():
+		n.retired = false
+	default:
+		e.open(addr)
 	}
+	e.rebuildLinkList()
+}
+
+// open opens a link to a node that has none, or a closed one. The caller holds mu.
+func (e *Entry) open(addr string) {
 	if e.links == nil {
-		e.links = map[string]*activeLink{}
+		e.links = map[string]*nodeLink{}
 	}
-	ctx, cancel := context.WithCancel(e.ctx)
 	l := &link.Link{
 		Addr: addr, Entry: e.Name, Incarnation: e.Incarnation,
 		Call: e.pool.Call, Drop: e.pool.Drop, Event: e.Event,
 	}
-	e.links[addr] = &activeLink{l, cancel}
-	e.rebuildLinkList()
-	go l.Run(ctx)
+	e.links[addr] = &nodeLink{link: l}
+	go e.runLink(e.ctx, l)
 }
 
-func (e *Entry) disconnect(addr string) {
+// runLink runs a link until it is closed, and then removes it.
+func (e *Entry) runLink(ctx context.Context, l *link.Link) {
+	l.Run(ctx)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if active := e.links[addr]; active != nil {
-		active.cancel()
-		delete(e.links, addr)
+	if n := e.links[l.Addr]; n != nil && n.link == l {
+		delete(e.links, l.Addr)
 		e.rebuildLinkList()
 	}
 }
 
-// rebuildLinkList replaces linkList instead of changing it, so that callers of
-// Links can read the old one without a copy. The caller holds mu.
+// retire stops the use of the link to a node for placements. The link is closed once the
+// entry has no tasks there, since it cancels them and determines when they have ended.
+func (e *Entry) retire(addr string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := e.links[addr]
+	if n == nil || n.retired {
+		return
+	}
+	n.retired = true
+	n.link.Retire()
+	e.rebuildLinkList()
+}
+
+// rebuildLinkList replaces linkList by the links that are not retired. It does not change
+// the old list, so that callers of Links can read that without a copy. The caller holds mu.
 func (e *Entry) rebuildLinkList() {
 	linkList := make([]*link.Link, 0, len(e.links))
-	for _, active := range e.links {
-		linkList = append(linkList, active.link)
+	for _, n := range e.links {
+		if !n.retired {
+			linkList = append(linkList, n.link)
+		}
 	}
 	e.linkList = linkList
 }
--- a/test/mutant_test.go
+++ b/test/mutant_test.go
@@ -32,6 +32,7 @@
 	dispGate   = "internal/disp/gate/"
 	dispCoord  = "internal/disp/coord/"
 	dispLink   = "internal/disp/link/link.go"
+	dispProc   = "internal/disp/proc/"
 
 	rulesTest  = "internal/disp/rules TestRulesHoldWhateverFails"
 	ledgerTest = "internal/core/ledger TestKeyRunsAtMostOnce"
@@ -127,6 +128,9 @@
 	{rule: "TWICE lapsed lease", file: dispGate + "lease.go", old: "g.entryLeases.LapsedFor(s.Entry, s.Incarnation, now) > 0", new: "now < 0", test: "internal/disp/gate TestGateEndsTasksWhoseLeaseLapsedDuringSuspension"},
 	{rule: "TWICE heartbeat of another target", file: dispGate + "incarnation.go", old: "case g.targetKnown && len(g.runs) > 0:\n\t\tg.awaitEnd(inc)", new: "case false:\n\t\tg.awaitEnd(inc)", test: "internal/disp/gate TestDelayedHeartbeatDoesNotEndAnsweringTarget"},
 	{rule: "TWICE stops lost", file: dispGate + "poll.go", old: " && !g.hasOverdueRun(now)", new: "", test: "internal/disp/gate TestGateEndsRunOfSilentEntryWhoseStopsGetLost"},
+	{rule: "TWICE link closed early", file: dispLink, old: "if l.retired && !l.needed() {", new: "if l.retired {", test: "internal/disp/proc TestRemovedNodeKeepsItsOnlyLink"},
+	{rule: "TWICE task on a closed link", file: dispLink, old: "if l.closed {\n\t\treturn false", new: "if false {\n\t\treturn false", test: "internal/disp/link TestClosedLinkRefusesTasks"},
+	{rule: "TWICE second link", file: dispProc + "links.go", old: "n != nil && n.link.Resume()", new: "n != nil && n.link.Resume() && false", test: "internal/disp/proc TestRemovedNodeKeepsItsOnlyLink"},
 	{rule: "DRAIN recalled target", file: dispGate + "incarnation.go", old: " && !g.unconfirmed()", new: "", test: "internal/disp/gate TestRecalledTargetNeedsHeartbeat"},
 	{rule: "RECOVER lost order", file: dispGate + "order.go", old: "g.replyTimes.Timeout(minCallTimeout, maxCallTimeout)", new: "maxCallTimeout", test: "internal/disp/rules TestLostOrderCostsLittle"},
 	{rule: "RECOVER set aside", file: dispGate + "order.go", old: "case !g.targetReady():", new: "case !g.targetReady() || g.breaker.OpenReason(now) != \"\":", test: "internal/disp/gate TestGateProbesTargetAfterFailures"},
