Cancel with each message that renews an entry's lease

Callers could see one task run at two targets at once: an entry that had cancelled a task could keep it running, while the caller asked another entry.

Cause: a task renews the lease of its entry at the gate, but only Sync calls carried cancellations. While Sync calls failed one after the other and tasks got through, the gate went on with what its entry had given up.

Change: a task carries the cancellations that its entry has not had confirmed, all of them as Sync does, and the gate applies them before it admits the task. The list is a new last element of the message: older gates skip it, and a message of an older entry cancels nothing. Only the answer to a Sync call confirms.

TestTaskOfOlderProcessDecodes compares with reflect.DeepEqual, since a Task has a slice now, and also reads the message without cancellations.

--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -148,10 +148,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if m.GateIncarnation == g.IncarnationID {
-		g.renewEntryLease(m.Sender)
-		for _, id := range m.Cancel {
-			g.cancel(taskID{m.Entry, m.Incarnation, id})
-		}
+		g.renewEntry(m.Sender, m.Cancel)
 	}
 	return g.load()
 }
@@ -184,7 +181,7 @@
 	if m.GateIncarnation != g.IncarnationID {
 		return nil, msgs.TaskReply{Result: msgs.Foreign, Reason: cause.OtherIncarnation, Load: g.load()}
 	}
-	g.renewEntryLease(m.Sender)
+	g.renewEntry(m.Sender, m.Cancel)
 	id := taskID{m.Entry, m.Incarnation, m.ID}
 	if r := g.tasks[id]; r != nil {
 		return r, msgs.TaskReply{}
@@ -210,6 +207,15 @@
 	return r, msgs.TaskReply{}
 }
 
+// renewEntry renews the sender's lease and stops the tasks that it cancels. Nothing else
+// renews a lease, so an entry can't keep a task running that it has cancelled.
+func (g *Gate) renewEntry(s msgs.Sender, cancels []uint64) {
+	g.renewEntryLease(s)
+	for _, id := range cancels {
+		g.cancel(taskID{s.Entry, s.Incarnation, id})
+	}
+}
+
 // cancel stops a task. A task that has not arrived yet is refused once it does,
 // since the cancellation may have overtaken it on another connection.
 func (g *Gate) cancel(id taskID) {
--- a/internal/disp/gate/gate_test.go
+++ b/internal/disp/gate/gate_test.go
@@ -357,6 +357,35 @@
 	}
 }
 
+// An entry whose Sync calls fail renews its lease with each task that it sends, so a task
+// has to stop what its entry has cancelled.
+func TestGateStopsTaskThatNextTaskCancels(t *testing.T) {
+	f := newFakeTarget(1000)
+	f.stallRuns = true
+	inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
+		cancelled, replies := o.task("a", 10), make(chan msgs.TaskReply, 1)
+		go func() { replies <- o.takeUnrenewed(cancelled) }()
+		time.Sleep(50 * time.Millisecond)
+		next, nextReplies := o.task("b", 10), make(chan msgs.TaskReply, 1)
+		next.Cancel = []uint64{cancelled.ID}
+		go func() { nextReplies <- o.takeUnrenewed(next) }()
+		if reply := <-replies; reply.Result != msgs.Lost || reply.Reason != cause.Cancelled {
+			t.Errorf("got %v %q", reply.Result, reply.Reason)
+		}
+		<-nextReplies
+	})
+}
+
+// A message may be sent again after its task was cancelled, and be the first to arrive.
+func TestGateRefusesTaskThatItsMessageCancels(t *testing.T) {
+	o := open(t, newFakeTarget(1000))
+	m := o.task("a", 10)
+	m.Cancel = []uint64{m.ID}
+	if reply := o.take(m); reply.Result != msgs.Refused || reply.Reason != cause.Cancelled {
+		t.Errorf("got %v %q", reply.Result, reply.Reason)
+	}
+}
+
 // A delayed message must not start a task that its entry may have given up, even
 // though the entry still holds a lease.
 func TestGateRefusesDelayedMessage(t *testing.T) {
--- a/internal/disp/link/link.go
+++ b/internal/disp/link/link.go
@@ -152,8 +152,8 @@
 	}
 }
 
-// Cancel makes the gate stop the task with this ID. The request is repeated
-// until the gate answers.
+// Cancel makes the gate stop the task with this ID. The request is part of each message
+// that renews the lease, until the gate answers a Sync call.
 func (l *Link) Cancel(id uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -196,7 +196,7 @@
 	for {
 		// A failed call may still be reading its message, so each call gets a copy.
 		message := m
-		message.Sender = sender
+		message.Sender, message.Cancel = sender, l.cancelsToSend()
 		var reply msgs.TaskReply
 		err := l.Call(ctx, l.Addr, TakeMethod, &message, &reply)
 		switch {
@@ -342,10 +342,14 @@
 	l.recent = append(l.recent, recentTask{rsrc.Vector{CPU: m.CPU, Memory: m.Memory, GPU: m.GPU}, l.now()})
 }
 
-// cancelsToSend returns the IDs of the tasks to cancel.
+// cancelsToSend returns the IDs of the tasks to cancel. Call it after sender: a message
+// without a later cancellation then echoes a timestamp that was received before.
 func (l *Link) cancelsToSend() []uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if len(l.cancels) == 0 {
+		return nil
+	}
 	ids := make([]uint64, 0, len(l.cancels))
 	for id := range l.cancels {
 		ids = append(ids, id)
--- a/internal/disp/link/link_test.go
+++ b/internal/disp/link/link_test.go
@@ -226,6 +226,26 @@
 	}
 }
 
+// Each message that renews the lease has to cancel too: the Sync calls may fail one after
+// the other while tasks get through.
+func TestTaskCarriesUnconfirmedCancellations(t *testing.T) {
+	f, l := newFakeGate()
+	l.sync(context.Background())
+	l.Cancel(4)
+	f.silent = true
+	l.sync(context.Background())
+	f.silent = false
+	l.RunTask(context.Background(), msgs.Task{ID: 5})
+	l.RunTask(context.Background(), msgs.Task{ID: 6})
+	l.sync(context.Background())
+	l.RunTask(context.Background(), msgs.Task{ID: 7})
+	for i, want := range [][]uint64{{4}, {4}, nil} {
+		if got := f.tasks[i].Cancel; !slices.Equal(got, want) {
+			t.Errorf("task %d cancels %v, want %v", i, got, want)
+		}
+	}
+}
+
 func TestView(t *testing.T) {
 	f, l := newFakeGate()
 	if l.View(f.clock()).Available {
--- a/internal/disp/rules/checker_test.go
+++ b/internal/disp/rules/checker_test.go
@@ -117,6 +117,13 @@
 	return slices.Clone(c.startedRun)
 }
 
+// starts returns the number of runs of a job's tasks that have started.
+func (c *checker) starts(id string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.jobs[id].starts
+}
+
 // runEnded records that a run of a task has ended at a target, and how.
 func (c *checker) runEnded(task, targetName string, how targ.Outcome) {
 	c.mu.Lock()
--- a/internal/disp/rules/cluster_test.go
+++ b/internal/disp/rules/cluster_test.go
@@ -53,6 +53,7 @@
 	connected    connState = iota // calls and replies are delivered
 	dropsAll                      // neither calls nor replies are delivered
 	dropsReplies                  // calls are delivered, replies are not
+	dropsSyncs                    // Sync calls are not delivered, others and their replies are
 )
 
 // gateProcess is one incarnation of a gate.
@@ -214,14 +215,14 @@
 	time.Sleep(oneWayDelay)
 	to, conn := c.connection(entry, g)
 	switch {
-	case from.ctx.Err() != nil || conn == dropsAll:
+	case from.ctx.Err() != nil || conn == dropsAll || conn == dropsSyncs && method == link.SyncMethod:
 		return c.waitForTimeout(ctx)
 	case to.ctx.Err() != nil:
 		return peer.ErrRefused
 	}
 	err := deliver(to, method, args, reply)
 	time.Sleep(oneWayDelay)
-	if _, conn = c.connection(entry, g); conn != connected || from.ctx.Err() != nil {
+	if _, conn = c.connection(entry, g); conn == dropsAll || conn == dropsReplies || from.ctx.Err() != nil {
 		return c.waitForTimeout(ctx)
 	}
 	if out, ok := reply.(*msgs.TaskReply); ok && err == nil && out.Result == msgs.Failed {
--- a/internal/wire/msgs/msgs_test.go
+++ b/internal/wire/msgs/msgs_test.go
@@ -51,6 +51,7 @@
 		&Task{
 			Sender: Sender{Entry: "e", Incarnation: 1, GateIncarnation: 2, EchoedTimestamp: 3}, ID: 4, Name: "n", Job: "j", Service: "s", Spec: "x",
 			CPU: 5, Memory: 6, GPU: 7, ExpectedRunTime: 8, MaxQueueTime: 9, StartWithin: -10, Failures: 11, IgnoreBreaker: true,
+			Cancel: []uint64{12, 13},
 		},
 		&TaskReply{Result: Failed, Reason: "r", RunTime: 1, Load: load},
 		&Sync{Sender: Sender{Entry: "e", Incarnation: 1, GateIncarnation: 2, EchoedTimestamp: 3}, Cancel: []uint64{4, 5}},
@@ -99,20 +100,30 @@
 }
 
 // TestTaskOfOlderProcessDecodes reads a Task as processes sent it that ranked tasks by a
-// time since the boot of the sender's machine. The time is not taken for StartWithin.
+// time since the boot of the sender's machine, and as they sent it without cancellations.
+// The time is not taken for StartWithin.
 func TestTaskOfOlderProcessDecodes(t *testing.T) {
-	encoded, err := msgpack.Marshal([]any{
+	fields := []any{
 		"e", uint64(1), uint64(2), int64(3), uint64(4), "n", "j", "s", "x", 5, 6, 7, int64(8), int64(9), int64(3_600_000), 11, true,
-	})
-	if err != nil {
-		t.Fatal(err)
 	}
 	want := Task{
 		Sender: Sender{Entry: "e", Incarnation: 1, GateIncarnation: 2, EchoedTimestamp: 3}, ID: 4, Name: "n", Job: "j", Service: "s", Spec: "x",
 		CPU: 5, Memory: 6, GPU: 7, ExpectedRunTime: 8, MaxQueueTime: 9, Failures: 11, IgnoreBreaker: true,
 	}
+	expectTask(t, fields, want)
+	want.StartWithin = -10
+	expectTask(t, append(fields, int64(-10)), want)
+}
+
+// expectTask checks that a message of these fields decodes as want.
+func expectTask(t *testing.T, fields []any, want Task) {
+	t.Helper()
+	encoded, err := msgpack.Marshal(fields)
+	if err != nil {
+		t.Fatal(err)
+	}
 	var got Task
-	if err := msgpack.Unmarshal(encoded, &got); err != nil || got != want {
+	if err := msgpack.Unmarshal(encoded, &got); err != nil || !reflect.DeepEqual(got, want) {
 		t.Errorf("got %+v, %v, want %+v", got, err, want)
 	}
 }
--- a/internal/wire/msgs/task.go
+++ b/internal/wire/msgs/task.go
@@ -33,22 +33,24 @@
 }
 
 // Task is the argument of Gate.Take. It asks a gate to run a task and to return its
-// outcome. If the gate already knows the task, it only returns the outcome.
+// outcome. If the gate already knows the task, it only returns the outcome. Like Sync it
+// renews the sender's lease, and so also stops the tasks that Cancel lists.
 type Task struct {
 	Sender
 	ID              uint64 // unique in the incarnation of the sender
 	Name            string
 	Job             string // ID of the job, for logs
 	Service         string
-	Spec            string // opaque description of the work, for the target
-	CPU             int    // thousandths of a core
-	Memory          int    // MB
-	GPU             int    // devices
-	ExpectedRunTime int64  // expected run time on a target of speed 1, ms
-	MaxQueueTime    int64  // longest time in the gate's queue, ms
-	StartWithin     int64  // time left until the latest desired start, ms; not positive once it has passed
-	Failures        int    // number of times that the task has failed elsewhere
-	IgnoreBreaker   bool   // start the task even if the target's circuit breaker is open, since too many are
+	Spec            string   // opaque description of the work, for the target
+	CPU             int      // thousandths of a core
+	Memory          int      // MB
+	GPU             int      // devices
+	ExpectedRunTime int64    // expected run time on a target of speed 1, ms
+	MaxQueueTime    int64    // longest time in the gate's queue, ms
+	StartWithin     int64    // time left until the latest desired start, ms; not positive once it has passed
+	Failures        int      // number of times that the task has failed elsewhere
+	IgnoreBreaker   bool     // start the task even if the target's circuit breaker is open, since too many are
+	Cancel          []uint64 // IDs of tasks to stop before this one is admitted
 }
 
 // TaskReply is the reply to Task.
@@ -125,16 +127,16 @@
 func (m *Task) EncodeMsgpack(e *msgpack.Encoder) error {
 	return encodeArray(e, m.Entry, m.Incarnation, m.GateIncarnation, m.EchoedTimestamp, m.ID,
 		m.Name, m.Job, m.Service, m.Spec, m.CPU, m.Memory, m.GPU,
-		m.ExpectedRunTime, m.MaxQueueTime, int64(0), m.Failures, m.IgnoreBreaker, m.StartWithin)
+		m.ExpectedRunTime, m.MaxQueueTime, int64(0), m.Failures, m.IgnoreBreaker, m.StartWithin, m.Cancel)
 }
 
 // DecodeMsgpack reads the message. One without StartWithin, from an older process, is
-// due when it arrives.
+// due when it arrives; one without Cancel stops no task.
 func (m *Task) DecodeMsgpack(d *msgpack.Decoder) error {
 	var unused int64
 	return decodeArray(d, &m.Entry, &m.Incarnation, &m.GateIncarnation, &m.EchoedTimestamp, &m.ID,
 		&m.Name, &m.Job, &m.Service, &m.Spec, &m.CPU, &m.Memory, &m.GPU,
-		&m.ExpectedRunTime, &m.MaxQueueTime, &unused, &m.Failures, &m.IgnoreBreaker, &m.StartWithin)
+		&m.ExpectedRunTime, &m.MaxQueueTime, &unused, &m.Failures, &m.IgnoreBreaker, &m.StartWithin, &m.Cancel)
 }
 
 // EncodeMsgpack writes the message.
