End a job when its caller stops waiting

What callers saw: one task ran at two targets at once. The connection of a caller had gone silent, so its entry did not learn that it had left and went on with the job; 1.3 s later the caller submitted the job to another entry, which ran its tasks too.

Cause: the entry ended a job only when its connection ended, though the request says for how long the caller waits.

Change: a job ends at Job.WaitsUntil. Its tasks are cancelled, nothing is placed from then on, and the answer is Abandoned with the new reason cause.WaitOver. The boot clock is read before each placement and every 200 ms, since timers stand still while a machine is suspended.

--- a/internal/disp/cause/cause.go
+++ b/internal/disp/cause/cause.go
@@ -41,6 +41,7 @@
 	NoGates            = "nogates"    // no gate of the service is known that can run the task
 	NoRoute            = "noroute"    // no route matches the host and path
 	Overload           = "overload"   // the expected wait for capacity would make the answer late
+	WaitOver           = "waitover"   // the caller has stopped waiting for the answer
 )
 
 // Reasons for refusing jobs of kinds that are not supported.
@@ -56,6 +57,7 @@
 // Prefixes of counter names. The name of a counter is a prefix followed by a reason.
 const (
 	RefusedPrefix       = "refused."
+	AbandonedPrefix     = "abandoned."
 	RetriedPrefix       = "retried."
 	StoppedPrefix       = "stopped."
 	BreakerOpenedPrefix = "aside."
@@ -78,6 +80,9 @@
 	}
 }
 
+// Abandonments returns the reasons for which an entry abandons a job.
+func Abandonments() []string { return []string{CallerDisconnected, Cancelled, WaitOver} }
+
 // Retries returns the reasons for which an entry places a task again, in sorted order.
 func Retries() []string {
 	afterStart := []string{RunFailed, EndedByTarget, Stuck, Missing}
@@ -88,7 +93,11 @@
 
 // EntryCounters returns the names of the counters of reasons that an entry exposes.
 func EntryCounters() []string {
-	return slices.Concat(withPrefix(RefusedPrefix, EntryRefusals()), withPrefix(RetriedPrefix, Retries()))
+	return slices.Concat(
+		withPrefix(RefusedPrefix, EntryRefusals()),
+		withPrefix(AbandonedPrefix, Abandonments()),
+		withPrefix(RetriedPrefix, Retries()),
+	)
 }
 
 // NodeCounters returns the names of the counters of reasons that a node exposes.
--- a/internal/disp/coord/coord.go
+++ b/internal/disp/coord/coord.go
@@ -19,6 +19,10 @@
 	// it is refused, in percent of its latency budget, as long as none of its
 	// tasks has started. An answer that late is of little use to the caller.
 	maxStartWaitPercent = 200
+	// maxWaitCheckInterval is the longest time between two checks whether the caller
+	// of a job has stopped waiting. It bounds how late a check is after a suspension
+	// of the machine, during which timers stand still.
+	maxWaitCheckInterval = 200 * time.Millisecond
 )
 
 // Coordinator runs the jobs of one entry. Set the exported fields before use.
@@ -54,7 +58,8 @@
 }
 
 // Submit runs a job and returns its answer once the job has ended. If ctx ends
-// first, the job is abandoned and its tasks are cancelled. A job whose ID belongs
+// first, or the caller stops waiting at j.WaitsUntil, the job is abandoned and its
+// tasks are cancelled. A job whose ID belongs
 // to an unfinished job is not run; its answer has the reason cause.Duplicate.
 func (c *Coordinator) Submit(ctx context.Context, j Job) Answer {
 	e := newExecution(ctx, j)
@@ -63,7 +68,14 @@
 		c.report(e, a)
 		return a
 	}
+	if e.WaitsUntil != 0 {
+		go c.watchWait(e)
+	}
 	if !c.register(e) {
+		if e.hasEnded() {
+			c.report(e, *e.answer)
+			return *e.answer
+		}
 		c.count("jobs.twin")
 		c.trace("job_twin", "job", e.ID, "route", e.Route.Name)
 		return Answer{State: Abandoned, Reason: cause.Duplicate}
@@ -78,6 +90,17 @@
 	return *e.answer
 }
 
+// watchWait ends the job once its caller has stopped waiting for the answer. It returns
+// when the job has ended.
+func (c *Coordinator) watchWait(e *execution) {
+	for !e.finishIfUnawaited(c.now()) {
+		boot.Sleep(e.ctx, min(e.WaitsUntil.Sub(c.now()), maxWaitCheckInterval))
+		if e.ctx.Err() != nil {
+			return
+		}
+	}
+}
+
 // Cancel abandons the job with the given ID. It reports false if this entry runs
 // no unfinished job with that ID.
 func (c *Coordinator) Cancel(id string) bool {
@@ -189,6 +212,9 @@
 	if a.State == Refused {
 		c.count(cause.RefusedPrefix + a.Reason)
 	}
+	if a.State == Abandoned {
+		c.count(cause.AbandonedPrefix + a.Reason)
+	}
 	took := c.now().Sub(e.Arrived)
 	if c.Observe != nil {
 		c.Observe("job."+stateNames[a.State]+".ms", took)
--- a/internal/disp/coord/job.go
+++ b/internal/disp/coord/job.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/route"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/rsrc"
 )
@@ -47,8 +48,8 @@
 	Failed
 	// Refused means that no task has started and none will start.
 	Refused
-	// Abandoned means that the job was cancelled, that its caller has disconnected,
-	// or that an unfinished job had the same ID.
+	// Abandoned means that the job was cancelled, that its caller has disconnected or
+	// has stopped waiting, or that an unfinished job had the same ID.
 	Abandoned
 )
 
@@ -111,9 +112,25 @@
 	return true
 }
 
-// beginSend counts a task as in flight and outstanding before it is sent. It reports
-// false, and counts nothing, if the job has ended.
-func (e *execution) beginSend() bool {
+// finishIfUnawaited ends the job if its caller has stopped waiting for the answer by
+// now. It reports whether the job has ended.
+func (e *execution) finishIfUnawaited(now boot.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.answer == nil && e.WaitsUntil != 0 && now >= e.WaitsUntil {
+		e.answer = &Answer{State: Abandoned, Reason: cause.WaitOver}
+		e.cancel()
+	}
+	return e.answer != nil
+}
+
+// beginSend counts a task as in flight and outstanding before it is sent at now. It
+// reports false, and counts nothing, if the job has ended. It ends the job first if its
+// caller has stopped waiting.
+func (e *execution) beginSend(now boot.Time) bool {
+	if e.finishIfUnawaited(now) {
+		return false
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.answer != nil || e.ctx.Err() != nil {
--- a/internal/disp/coord/task.go
+++ b/internal/disp/coord/task.go
@@ -70,7 +70,7 @@
 // the job ends first.
 func (c *Coordinator) runTask(e *execution, s Step, stepIndex, taskIndex int) bool {
 	ts := &taskState{name: fmt.Sprintf("%s.0.%d.%d", e.ID, stepIndex, taskIndex), stepIndex: stepIndex, avoid: map[string]bool{}}
-	for e.ctx.Err() == nil {
+	for e.ctx.Err() == nil && !e.finishIfUnawaited(c.now()) {
 		l, target, m, ok := c.place(e, s, ts)
 		if !ok {
 			if c.refuseIfOverdue(e, cause.NoGates) {
@@ -167,7 +167,7 @@
 // send makes a gate run a task and returns the reply. If the job ends first, send
 // cancels the task and returns without waiting for the gate.
 func (c *Coordinator) send(e *execution, l *link.Link, m msgs.Task) msgs.TaskReply {
-	if !e.beginSend() {
+	if !e.beginSend(c.now()) {
 		return msgs.TaskReply{Result: msgs.Refused, Reason: cause.JobEnded}
 	}
 	replies := make(chan msgs.TaskReply, 1)
--- a/test/mutant_test.go
+++ b/test/mutant_test.go
@@ -133,6 +133,15 @@
 	{rule: "TWICE second link", file: dispProc + "links.go", old: "n != nil && n.link.Resume()", new: "n != nil && n.link.Resume() && false", test: "internal/disp/proc TestRemovedNodeKeepsItsOnlyLink"},
 	{rule: "TWICE task without cancellations", file: dispLink, old: "message.Sender, message.Cancel = sender, l.cancelsToSend()", new: "message.Sender = sender", test: "internal/disp/rules TestCancelledTaskEndsWhileSyncCallsFail"},
 	{rule: "TWICE cancellations of a task", file: dispGate + "gate.go", old: "g.renewEntry(m.Sender, m.Cancel)\n\tid := ", new: "g.renewEntry(m.Sender, nil)\n\tid := ", test: "internal/disp/gate TestGateStopsTaskThatNextTaskCancels"},
+	{
+		rule: "TWICE caller stopped waiting", file: dispCoord + "coord.go", test: "internal/disp/rules TestJobEndsWhenItsCallerStopsWaiting",
+		old: "\t\tgo c.watchWait(e)\n", new: "",
+	},
+	{
+		rule: "TWICE placement after the wait", file: dispCoord + "job.go", test: "internal/disp/coord TestNothingIsPlacedAfterSuspensionPastTheWait",
+		old: "if e.finishIfUnawaited(now) {", new: "if false {",
+		more: []edit{{dispCoord + "task.go", " && !e.finishIfUnawaited(c.now())", ""}},
+	},
 	{rule: "DRAIN recalled target", file: dispGate + "incarnation.go", old: " && !g.unconfirmed()", new: "", test: "internal/disp/gate TestRecalledTargetNeedsHeartbeat"},
 	{rule: "RECOVER lost order", file: dispGate + "order.go", old: "g.replyTimes.Timeout(minCallTimeout, maxCallTimeout)", new: "maxCallTimeout", test: "internal/disp/rules TestLostOrderCostsLittle"},
 	{rule: "RECOVER set aside", file: dispGate + "order.go", old: "case !g.targetReady():", new: "case !g.targetReady() || g.breaker.OpenReason(now) != \"\":", test: "internal/disp/gate TestGateProbesTargetAfterFailures"},
