Let a repeated submission take the job over

What callers saw: a caller whose connection had broken without the entry's knowledge submitted its job again at the same entry and got 502 (job_twin) until the old connection ended, and then another 1.3 s without an answer. Meanwhile the job ran for nobody.

Cause: the entry took the second submission of an unfinished job for a mistake, though its arrival proves that the earlier connection is dead or useless.

Change: such a submission joins the job and gets its answer, as does the earlier caller if it is still there. The job ends when its last caller has left, and its wait becomes the latest one (an unknown wait counts as later than any). A job that has ended but has tasks at gates is still waited for. A job is now registered before it is admitted, so that a repeated submission is not refused while its tasks run. job_twin and jobs.twin become job_joined and jobs.joined.

TestAbandonedJobCancelsItsTasks expected the 502; it now checks in its place that a second caller which leaves at once neither ends the job nor sends tasks.

With the change all pass, coord with -race. Two mutants, both caught.

--- a/internal/disp/cause/cause.go
+++ b/internal/disp/cause/cause.go
@@ -23,7 +23,7 @@
 	Stopping         = "stopping"    // the process is shutting down
 	Foreign          = "stranger"    // the process did not start the run, or the task is for another incarnation of the gate
 	Stuck            = "stuck"       // the run makes no progress
-	Duplicate        = "twin"        // a run of the same task, or a job with the same ID, is still unfinished
+	Duplicate        = "twin"        // a run of the same task is still unfinished
 	Unanswered       = "unanswered"  // the start had no answer, and the run turned out not to have started
 	Unhealthy        = "unhealthy"   // the target reports that it is unhealthy and refuses the start
 	Unreachable      = "unreachable" // no connection to the target, or to the gate, could be made
--- a/internal/disp/coord/coord.go
+++ b/internal/disp/coord/coord.go
@@ -59,45 +59,61 @@
 
 // Submit runs a job and returns its answer once the job has ended. If ctx ends
 // first, or the caller stops waiting at j.WaitsUntil, the job is abandoned and its
-// tasks are cancelled. A job whose ID belongs
-// to an unfinished job is not run; its answer has the reason cause.Duplicate.
+// tasks are cancelled. If the ID of j belongs to an unfinished job, j is a repeated
+// submission of it and is not run beside it: its caller gets that job's answer too.
+// Such a job is abandoned when the last of its callers has left or stopped waiting.
 func (c *Coordinator) Submit(ctx context.Context, j Job) Answer {
-	e := newExecution(ctx, j)
-	defer e.cancel()
-	if a := c.admit(e); a.State == Refused {
-		c.report(e, a)
-		return a
-	}
+	e := newExecution(j)
 	if e.WaitsUntil != 0 {
 		go c.watchWait(e)
 	}
-	if !c.register(e) {
-		if e.hasEnded() {
-			c.report(e, *e.answer)
-			return *e.answer
-		}
-		c.count("jobs.twin")
-		c.trace("job_twin", "job", e.ID, "route", e.Route.Name)
-		return Answer{State: Abandoned, Reason: cause.Duplicate}
+	if previous := c.register(ctx, e); previous != nil {
+		e.cancel()
+		c.count("jobs.joined")
+		c.trace("job_joined", "job", e.ID, "route", e.Route.Name, "after", e.Arrived.Sub(previous.Arrived))
+		return c.await(ctx, previous)
+	}
+	c.start(e)
+	return c.await(ctx, e)
+}
+
+// start begins to run a job, or ends it with a refusal. It does nothing if the job has
+// ended.
+func (c *Coordinator) start(e *execution) {
+	if e.hasEnded() {
+		return
 	}
-	defer func() { go c.unregister(e) }()
-	for i, s := range j.Steps {
+	if a := c.admit(e); a.State == Refused {
+		e.finish(a)
+		return
+	}
+	for i, s := range e.Steps {
 		go c.runStep(e, i, s)
 	}
-	<-e.ctx.Done()
-	e.finish(Answer{State: Abandoned, Reason: cause.CallerDisconnected})
-	c.report(e, *e.answer)
+}
+
+// await waits until the job has ended and returns its answer. If ctx ends first, the
+// caller leaves the job; await then returns without waiting for other callers.
+func (c *Coordinator) await(ctx context.Context, e *execution) Answer {
+	select {
+	case <-e.ctx.Done():
+	case <-ctx.Done():
+		if !e.leave() {
+			return Answer{State: Abandoned, Reason: cause.CallerDisconnected}
+		}
+	}
+	e.concluded.Do(func() {
+		c.report(e, *e.answer)
+		go c.unregister(e)
+	})
 	return *e.answer
 }
 
-// watchWait ends the job once its caller has stopped waiting for the answer. It returns
-// when the job has ended.
+// watchWait ends the job once its callers have stopped waiting for the answer. It
+// returns when the job has ended.
 func (c *Coordinator) watchWait(e *execution) {
-	for !e.finishIfUnawaited(c.now()) {
-		boot.Sleep(e.ctx, min(e.WaitsUntil.Sub(c.now()), maxWaitCheckInterval))
-		if e.ctx.Err() != nil {
-			return
-		}
+	for e.ctx.Err() == nil && !e.finishIfUnawaited(c.now()) {
+		boot.Sleep(e.ctx, min(e.remainingWait(c.now()), maxWaitCheckInterval))
 	}
 }
 
@@ -159,23 +175,27 @@
 	return n
 }
 
-// register adds a job to the table of jobs. It reports false if an unfinished job
-// has the same ID, or if the new job ends while it waits. A caller whose connection
-// broke may resubmit its job at once; register then waits until none of the tasks of
-// the previous submission can still be running.
-func (c *Coordinator) register(e *execution) bool {
+// register adds a job to the table of jobs and returns nil. If an unfinished job has
+// the same ID, register joins it on behalf of the caller and returns it. A caller whose
+// connection broke may resubmit its job at once; register then waits until none of the
+// tasks of the previous submission can still be running. If the caller leaves or stops
+// waiting meanwhile, the new job ends without having been added.
+func (c *Coordinator) register(ctx context.Context, e *execution) (joined *execution) {
 	for {
 		previous := c.insert(e)
 		switch {
 		case previous == nil:
-			return true
-		case !previous.hasEnded():
-			return false
+			return nil
+		case previous.join(e.WaitsUntil):
+			return previous
 		}
 		select {
 		case <-previous.drained:
 		case <-e.ctx.Done():
-			return false
+			return nil
+		case <-ctx.Done():
+			e.finish(Answer{State: Abandoned, Reason: cause.CallerDisconnected})
+			return nil
 		}
 	}
 }
@@ -194,12 +214,14 @@
 	return nil
 }
 
-// unregister removes a job that has ended, after waiting until none of its tasks
-// can still be running.
+// unregister removes a job that has ended, if it was registered, after waiting until
+// none of its tasks can still be running.
 func (c *Coordinator) unregister(e *execution) {
 	e.outstanding.Wait()
 	c.mu.Lock()
-	delete(c.jobs, e.ID)
+	if c.jobs[e.ID] == e {
+		delete(c.jobs, e.ID)
+	}
 	c.mu.Unlock()
 	close(e.drained)
 }
--- a/internal/disp/coord/doc.go
+++ b/internal/disp/coord/doc.go
@@ -3,7 +3,7 @@
 // or did not run, and ends each job with either a complete result or an explicit
 // failure.
 //
-// Jobs are not stored; a job ends with the caller's request. A job is refused
-// only while none of its tasks has started, and fails only once one of its tasks
-// has failed as often as its route allows.
+// Jobs are not stored; a job ends when the last of its callers has left or stopped
+// waiting. A job is refused only while none of its tasks has started, and fails only
+// once one of its tasks has failed as often as its route allows.
 package coord
--- a/internal/disp/coord/job.go
+++ b/internal/disp/coord/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -48,8 +49,8 @@
 	Failed
 	// Refused means that no task has started and none will start.
 	Refused
-	// Abandoned means that the job was cancelled, that its caller has disconnected or
-	// has stopped waiting, or that an unfinished job had the same ID.
+	// Abandoned means that the job was cancelled, or that its callers have disconnected
+	// or have stopped waiting.
 	Abandoned
 )
 
@@ -69,8 +70,11 @@
 	stepDone    []chan struct{} // one per step, closed when all tasks of the step are done
 	outstanding sync.WaitGroup  // tasks that may still be at a gate, even after the job has ended
 	drained     chan struct{}   // closed when the job has ended and outstanding is empty
+	concluded   sync.Once       // the end of the job is reported once, whoever waited for it
 
 	mu              sync.Mutex
+	callers         int            // submissions whose connection, as far as is known, still exists
+	waitsUntil      boot.Time      // when the last caller stops waiting for the answer; 0 if unknown
 	inFlight        int            // tasks whose outcome the job is waiting for
 	started         bool           // a task has started or may have started
 	unfinishedTasks int            // tasks of all steps that are not done
@@ -79,9 +83,10 @@
 	tasksByTarget   map[string]int // tasks at a target, by stepTargetKey
 }
 
-func newExecution(ctx context.Context, j Job) *execution {
-	e := &execution{Job: j, tasksByTarget: map[string]int{}, drained: make(chan struct{})}
-	e.ctx, e.cancel = context.WithCancel(ctx)
+// newExecution returns the execution of a job with one caller.
+func newExecution(j Job) *execution {
+	e := &execution{Job: j, callers: 1, waitsUntil: j.WaitsUntil, tasksByTarget: map[string]int{}, drained: make(chan struct{})}
+	e.ctx, e.cancel = context.WithCancel(context.Background())
 	for _, s := range j.Steps {
 		e.unfinishedTasks += s.Count
 		e.stepDone = append(e.stepDone, make(chan struct{}))
@@ -112,12 +117,51 @@
 	return true
 }
 
-// finishIfUnawaited ends the job if its caller has stopped waiting for the answer by
+// join adds a caller, which waits until the given time; 0, for unknown, counts as later
+// than any other. It reports false, and does nothing, if the job has ended.
+func (e *execution) join(waitsUntil boot.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.answer != nil {
+		return false
+	}
+	e.callers++
+	if waitsUntil == 0 || e.waitsUntil != 0 && waitsUntil > e.waitsUntil {
+		e.waitsUntil = waitsUntil
+	}
+	return true
+}
+
+// leave removes a caller. The last one to leave ends the job. It reports whether the
+// job has ended.
+func (e *execution) leave() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.callers--
+	if e.callers == 0 && e.answer == nil {
+		e.answer = &Answer{State: Abandoned, Reason: cause.CallerDisconnected}
+		e.cancel()
+	}
+	return e.answer != nil
+}
+
+// remainingWait returns for how long the last caller still waits for the answer, or the
+// longest duration if that is unknown.
+func (e *execution) remainingWait(now boot.Time) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.waitsUntil == 0 {
+		return math.MaxInt64
+	}
+	return e.waitsUntil.Sub(now)
+}
+
+// finishIfUnawaited ends the job if its callers have stopped waiting for the answer by
 // now. It reports whether the job has ended.
 func (e *execution) finishIfUnawaited(now boot.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.answer == nil && e.WaitsUntil != 0 && now >= e.WaitsUntil {
+	if e.answer == nil && e.waitsUntil != 0 && now >= e.waitsUntil {
 		e.answer = &Answer{State: Abandoned, Reason: cause.WaitOver}
 		e.cancel()
 	}
@@ -126,7 +170,7 @@
 
 // beginSend counts a task as in flight and outstanding before it is sent at now. It
 // reports false, and counts nothing, if the job has ended. It ends the job first if its
-// caller has stopped waiting.
+// callers have stopped waiting.
 func (e *execution) beginSend(now boot.Time) bool {
 	if e.finishIfUnawaited(now) {
 		return false
--- a/test/mutant_test.go
+++ b/test/mutant_test.go
@@ -142,6 +142,8 @@
 		old: "if e.finishIfUnawaited(now) {", new: "if false {",
 		more: []edit{{dispCoord + "task.go", " && !e.finishIfUnawaited(c.now())", ""}},
 	},
+	{rule: "TWICE caller that came back", file: dispCoord + "job.go", old: "if e.callers == 0 && e.answer == nil {", new: "if e.answer == nil {", test: "internal/disp/coord TestRepeatedSubmissionTakesTheJobOver"},
+	{rule: "TWICE latest wait", file: dispCoord + "job.go", old: "\t\te.waitsUntil = waitsUntil\n", new: "", test: "internal/disp/coord TestJoinedJobEndsWithTheLatestWait"},
 	{rule: "DRAIN recalled target", file: dispGate + "incarnation.go", old: " && !g.unconfirmed()", new: "", test: "internal/disp/gate TestRecalledTargetNeedsHeartbeat"},
 	{rule: "RECOVER lost order", file: dispGate + "order.go", old: "g.replyTimes.Timeout(minCallTimeout, maxCallTimeout)", new: "maxCallTimeout", test: "internal/disp/rules TestLostOrderCostsLittle"},
 	{rule: "RECOVER set aside", file: dispGate + "order.go", old: "case !g.targetReady():", new: "case !g.targetReady() || g.breaker.OpenReason(now) != \"\":", test: "internal/disp/gate TestGateProbesTargetAfterFailures"},
