Make the other entries give up a job that is submitted again

What callers saw: one task ran at two targets at once. An entry whose caller's connection had gone silent ran the job on until the caller stopped waiting, which is after it has submitted the job to another entry.

Cause: the entry that gets a job again took it for certain that no other entry had it.

Change: a submission that counts as submitted again (package triage) is admitted only when Coordinator.GiveUpElsewhere, a seam, has made the other entries give the job up. An entry that has it cancels it and answers that it has none once none of its tasks can be running (Coordinator.GiveUp, execution.drained); every 50 ms before, that it still has it, and is asked again. One that doesn't answer within giveUpTimeout (100 ms) has died or is cut off. First submissions ask nobody. msgs.Lookup has the field Drain at its end: a cancellation by a caller is answered at once as before, an entry of an older version ignores the field.

Tests: the property cluster has connections that go silent, with a property of its own. It is not among the kinds of the other properties: nobody can make an entry give a job up that dies just before the job comes again.

Measured: without the question TestRulesHoldWhenCallersGoSilent and TestSilentCallersJobIsGivenUp fail with TWICE, as they do if the answer does not wait for the tasks.

--- a/cmd/gypsumlanding/process.go
+++ b/cmd/gypsumlanding/process.go
@@ -73,7 +73,8 @@
 	go p.watchSettings(e.SetSeeds)
 	e.Coord = &coord.Coordinator{
 		Links: e.Links, Entries: func() int { return len(e.Entries()) + 1 }, ResubmitDelay: time.Duration(p.cfg.ResubmitMS) * time.Millisecond,
-		Trace: p.log.Trace, Count: p.counters.Count, Observe: p.counters.Observe,
+		GiveUpElsewhere: e.GiveUpElsewhere,
+		Trace:           p.log.Trace, Count: p.counters.Count, Observe: p.counters.Observe,
 	}
 	p.counters.Declare(cause.EntryCounters())
 	p.counters.Gauge("jobs.running", func() int64 { return int64(e.Coord.Running()) })
--- a/internal/disp/coord/coord.go
+++ b/internal/disp/coord/coord.go
@@ -35,6 +35,10 @@
 	ResubmitDelay time.Duration
 	// Entries returns the number of entries that share the gates; nil means 1.
 	Entries func() int
+	// GiveUpElsewhere makes the other entries give up a job that its caller has
+	// submitted again. It returns when none of the entries that can be reached has
+	// tasks of the job that can still be running, or when ctx ends; nil does nothing.
+	GiveUpElsewhere func(ctx context.Context, job string)
 	// Now returns the current time; nil means boot.Now.
 	Now func() boot.Time
 	// Trace logs a decision about a job, with its details as alternating keys and
@@ -73,10 +77,23 @@
 		c.trace("job_joined", "job", e.ID, "route", e.Route.Name, "after", e.Arrived.Sub(previous.Arrived))
 		return c.await(ctx, previous)
 	}
-	c.start(e)
+	if c.GiveUpElsewhere != nil && c.isRepeated(e) {
+		go c.startAlone(e)
+	} else {
+		c.start(e)
+	}
 	return c.await(ctx, e)
 }
 
+// startAlone starts a job that its caller has submitted before, once the other entries
+// have given it up.
+func (c *Coordinator) startAlone(e *execution) {
+	c.count("jobs.repeated")
+	c.GiveUpElsewhere(e.ctx, e.ID)
+	c.trace("job_given_up_elsewhere", "job", e.ID, "route", e.Route.Name, "took", c.now().Sub(e.Arrived))
+	c.start(e)
+}
+
 // start begins to run a job, or ends it with a refusal. It does nothing if the job has
 // ended.
 func (c *Coordinator) start(e *execution) {
@@ -128,6 +145,24 @@
 	return true
 }
 
+// GiveUp abandons the job with the given ID, and waits until none of its tasks can
+// still be running, or ctx ends. It reports false if this entry has no such job, that
+// is, neither an unfinished one nor one that has ended with tasks that may be running.
+func (c *Coordinator) GiveUp(ctx context.Context, id string) bool {
+	c.mu.Lock()
+	e := c.jobs[id]
+	c.mu.Unlock()
+	if e == nil {
+		return false
+	}
+	e.finish(Answer{State: Abandoned, Reason: cause.Cancelled})
+	select {
+	case <-e.drained:
+	case <-ctx.Done():
+	}
+	return true
+}
+
 // State returns the state of the job with the given ID. It reports false if this
 // entry runs no unfinished job with that ID.
 func (c *Coordinator) State(id string) (State, bool) {
--- /dev/null
+++ b/internal/disp/coord/giveup_test.go
@@ -0,0 +1,113 @@
+package coord
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+// resubmitDelay is the delay of the callers in the tests of repeated submissions.
+const resubmitDelay = 1300 * time.Millisecond
+
+// newRepeatedJob returns a job whose caller waits so short that it must have submitted
+// the job before.
+func newRepeatedJob() Job {
+	j := newTestJob(1, 100)
+	j.WaitsUntil = j.Arrived.Add(resubmitDelay)
+	return j
+}
+
+// A repeated job was placed while the entry that had it before could still run it.
+func TestRepeatedJobStartsWhenOthersHaveGivenItUp(t *testing.T) {
+	f := newFakeGates(t, 1)
+	c := f.coordinator()
+	c.ResubmitDelay = resubmitDelay
+	asked, givenUp := make(chan string, 1), make(chan struct{})
+	c.GiveUpElsewhere = func(_ context.Context, job string) {
+		asked <- job
+		<-givenUp
+	}
+	answers := submitAsync(context.Background(), c, newRepeatedJob())
+	if job := <-asked; job != "j" {
+		t.Errorf("the others were asked to give up %q", job)
+	}
+	for range 20 {
+		if f.receivedCount() != 0 {
+			t.Fatal("a task was sent before the others had given the job up")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	close(givenUp)
+	if a := <-answers; a.State != Done {
+		t.Errorf("got %+v", a)
+	}
+}
+
+// A caller that leaves while the others are asked was kept until they had answered.
+func TestCallerOfRepeatedJobMayLeave(t *testing.T) {
+	f := newFakeGates(t, 1)
+	c := f.coordinator()
+	c.ResubmitDelay = resubmitDelay
+	asked, ended := make(chan struct{}), make(chan struct{})
+	c.GiveUpElsewhere = func(ctx context.Context, _ string) {
+		close(asked)
+		<-ctx.Done()
+		close(ended)
+	}
+	ctx, leave := context.WithCancel(context.Background())
+	answers := submitAsync(ctx, c, newRepeatedJob())
+	<-asked
+	leave()
+	if a := <-answers; a.State != Abandoned || a.Reason != "callerleft" {
+		t.Errorf("got %+v", a)
+	}
+	<-ended
+	waitUntil(t, "the job is forgotten", func() bool { return !c.GiveUp(context.Background(), "j") })
+	if f.receivedCount() != 0 {
+		t.Errorf("%d tasks were sent", f.receivedCount())
+	}
+}
+
+// First submissions asked the other entries too, which costs each job a round trip.
+func TestFirstSubmissionAsksNobody(t *testing.T) {
+	f := newFakeGates(t, 1)
+	c := f.coordinator()
+	c.ResubmitDelay = resubmitDelay
+	c.GiveUpElsewhere = func(context.Context, string) { t.Error("the others were asked to give the job up") }
+	patient := newTestJob(1, 100)
+	patient.WaitsUntil = patient.Arrived.Add(10 * time.Second)
+	for _, j := range []Job{newTestJob(1, 100), patient} {
+		if a := c.Submit(context.Background(), j); a.State != Done {
+			t.Errorf("got %+v", a)
+		}
+	}
+}
+
+// A job counted as given up as soon as it had ended, while a task still ran.
+func TestGiveUpWaitsForTasks(t *testing.T) {
+	f, release := heldGate(t)
+	c := f.coordinator()
+	answers := submitAsync(context.Background(), c, newTestJob(1, 100))
+	waitUntil(t, "the task is sent", func() bool { return f.receivedCount() == 1 })
+	short, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	if !c.GiveUp(short, "j") || short.Err() == nil {
+		t.Error("the job was given up while its task was running")
+	}
+	if a := <-answers; a.State != Abandoned || a.Reason != "cancelled" {
+		t.Errorf("got %+v", a)
+	}
+	givenUp := make(chan bool, 1)
+	go func() { givenUp <- c.GiveUp(context.Background(), "j") }()
+	time.Sleep(20 * time.Millisecond)
+	select {
+	case <-givenUp:
+		t.Error("the ended job was given up while its task was running")
+	default:
+	}
+	release()
+	<-givenUp
+	if c.GiveUp(context.Background(), "j") {
+		t.Error("the job is still known")
+	}
+}
--- a/internal/disp/coord/refuse.go
+++ b/internal/disp/coord/refuse.go
@@ -10,13 +10,7 @@
 // refuseIfOverdue refuses the job if it has waited too long and none of its tasks may
 // have started. It reports whether it refused the job.
 func (c *Coordinator) refuseIfOverdue(e *execution, reason string) bool {
-	longest := e.Steps[0]
-	expectedRunTime := time.Duration(0)
-	for _, s := range e.Steps {
-		if t := c.runTimes.Estimate(e.Route.Name, s.DeclaredRunTime); t > expectedRunTime {
-			longest, expectedRunTime = s, t
-		}
-	}
+	longest, expectedRunTime := c.longestStep(e)
 	waited := c.now().Sub(c.timing(e, expectedRunTime).FirstSubmitted())
 	if waited < e.Route.LatencyBudget(expectedRunTime)*maxStartWaitPercent/100 {
 		return false
@@ -27,6 +21,25 @@
 	return e.refuse(Answer{State: Refused, Reason: reason, RetryAfter: c.retryDelay(e, longest, cands, wait)})
 }
 
+// longestStep returns the step of e with the longest expected run time of a task, and
+// that time.
+func (c *Coordinator) longestStep(e *execution) (Step, time.Duration) {
+	longest := e.Steps[0]
+	expectedRunTime := time.Duration(0)
+	for _, s := range e.Steps {
+		if t := c.runTimes.Estimate(e.Route.Name, s.DeclaredRunTime); t > expectedRunTime {
+			longest, expectedRunTime = s, t
+		}
+	}
+	return longest, expectedRunTime
+}
+
+// isRepeated reports whether the caller of e counts as having submitted the job before.
+func (c *Coordinator) isRepeated(e *execution) bool {
+	_, expectedRunTime := c.longestStep(e)
+	return c.timing(e, expectedRunTime).FirstSubmitted() < e.Arrived
+}
+
 // retryDelay returns the delay after which the caller of e shall come back, given its
 // largest step and the expected wait for capacity.
 func (c *Coordinator) retryDelay(e *execution, s Step, cands *candidates, wait time.Duration) time.Duration {
--- /dev/null
+++ b/internal/disp/proc/giveup_test.go
@@ -0,0 +1,102 @@
+package proc
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/coord"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/link"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/route"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/rsrc"
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
+)
+
+// newPeer returns an entry that knows no gates and the other entries at addrs.
+func newPeer(addrs ...string) *Entry {
+	e := &Entry{Name: "e", Incarnation: 1, Event: discardEvent}
+	e.Coord = &coord.Coordinator{Links: e.Links}
+	e.SetSeeds(addrs)
+	return e
+}
+
+// newHeldLink returns a link to a gate that runs each task until released is closed. It
+// sends a value to started for each.
+func newHeldLink(t *testing.T, started chan<- struct{}, released <-chan struct{}) *link.Link {
+	load := msgs.Load{Incarnation: 1, Service: "s", TargetIncarnation: "t", CPU: 1000, Memory: 1000, Speed: 1}
+	l := &link.Link{Addr: "g", Entry: "e", Incarnation: 1, Drop: func(string) {}}
+	l.Call = func(_ context.Context, _, _ string, _, reply any) error {
+		current := load
+		current.Timestamp = int64(boot.Now())
+		switch out := reply.(type) {
+		case *msgs.Load:
+			*out = current
+		case *msgs.TaskReply:
+			started <- struct{}{}
+			<-released
+			*out = msgs.TaskReply{Result: msgs.Lost, Reason: "cancelled", Load: current}
+		}
+		return nil
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go l.Run(ctx)
+	return l
+}
+
+// The entry that had a job answered that it had given it up while a task still ran.
+func TestJobIsGivenUpElsewhereWhenItsTasksHaveEnded(t *testing.T) {
+	started, released := make(chan struct{}, 1), make(chan struct{})
+	links := []*link.Link{newHeldLink(t, started, released)}
+	first := newPeer()
+	first.Coord.Links = func() []*link.Link { return links }
+	second := newPeer(serve(t, map[string]any{EntryServiceName: first.Service()}))
+	answers := make(chan coord.Answer, 1)
+	go func() {
+		answers <- first.Coord.Submit(context.Background(), coord.Job{
+			ID: "j", Arrived: boot.Now(), Route: route.Route{Name: "r", Service: "s", MaxAttempts: 1},
+			Steps: []coord.Step{{Count: 1, Size: rsrc.Vector{CPU: 100}, DeclaredRunTime: 10 * time.Second}},
+		})
+	}()
+	<-started
+	givenUp := make(chan struct{})
+	go func() {
+		second.GiveUpElsewhere(context.Background(), "j")
+		close(givenUp)
+	}()
+	if a := <-answers; a.State != coord.Abandoned || a.Reason != "cancelled" {
+		t.Errorf("got %+v", a)
+	}
+	select {
+	case <-givenUp:
+		t.Error("the job was given up while its task was running")
+	case <-time.After(3 * giveUpTimeout):
+	}
+	close(released)
+	<-givenUp
+	if first.Coord.GiveUp(context.Background(), "j") {
+		t.Error("the job is still known to the first entry")
+	}
+}
+
+// Repeated jobs waited for an entry that can't be reached, or were not known there.
+func TestUnreachableEntryDelaysRepeatedJobsLittle(t *testing.T) {
+	silent, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() {
+		if err := silent.Close(); err != nil {
+			t.Error(err)
+		}
+	}()
+	idle := serve(t, map[string]any{EntryServiceName: newPeer().Service()})
+	e := newPeer(silent.Addr().String(), idle, "127.0.0.1:1")
+	start := time.Now()
+	e.GiveUpElsewhere(context.Background(), "j")
+	if took := time.Since(start); took < giveUpTimeout/2 || took > 10*giveUpTimeout {
+		t.Errorf("took %v, want about %v", took, giveUpTimeout)
+	}
+}
--- a/internal/disp/proc/service.go
+++ b/internal/disp/proc/service.go
@@ -67,8 +67,17 @@
 }
 
 // Lookup replies with the state of a job, after cancelling it if m asks for that.
-// The state is empty if the job is not at this entry.
+// The state is empty if the job is not at this entry. If m asks for the job to be
+// drained, the state is empty only when none of its tasks can be running any more.
 func (s *EntryService) Lookup(m *msgs.Lookup, reply *msgs.LookupReply) error {
+	if m.Cancel && m.Drain {
+		ctx, cancel := context.WithTimeout(context.Background(), drainReplyWait)
+		defer cancel()
+		if s.entry.Coord.GiveUp(ctx, m.Job) {
+			reply.State = StateCancelled
+		}
+		return nil
+	}
 	if m.Cancel && s.entry.Coord.Cancel(m.Job) {
 		reply.State = StateCancelled
 		return nil
--- a/internal/wire/msgs/task.go
+++ b/internal/wire/msgs/task.go
@@ -115,6 +115,7 @@
 type Lookup struct {
 	Job    string // ID of the job
 	Cancel bool
+	Drain  bool // with Cancel: reply once no task of the job can be running any more, or soon to be asked again
 }
 
 // LookupReply is the reply to Lookup.
@@ -200,10 +201,14 @@
 }
 
 // EncodeMsgpack writes the message.
-func (m *Lookup) EncodeMsgpack(e *msgpack.Encoder) error { return encodeArray(e, m.Job, m.Cancel) }
+func (m *Lookup) EncodeMsgpack(e *msgpack.Encoder) error {
+	return encodeArray(e, m.Job, m.Cancel, m.Drain)
+}
 
-// DecodeMsgpack reads the message.
-func (m *Lookup) DecodeMsgpack(d *msgpack.Decoder) error { return decodeArray(d, &m.Job, &m.Cancel) }
+// DecodeMsgpack reads the message. One from an older process has no Drain.
+func (m *Lookup) DecodeMsgpack(d *msgpack.Decoder) error {
+	return decodeArray(d, &m.Job, &m.Cancel, &m.Drain)
+}
 
 // EncodeMsgpack writes the message.
 func (m *LookupReply) EncodeMsgpack(e *msgpack.Encoder) error { return encodeArray(e, m.State) }
--- a/test/mutant_test.go
+++ b/test/mutant_test.go
@@ -35,6 +35,7 @@
 	dispProc   = "internal/disp/proc/"
 
 	rulesTest  = "internal/disp/rules TestRulesHoldWhateverFails"
+	silentTest = "internal/disp/rules TestRulesHoldWhenCallersGoSilent"
 	ledgerTest = "internal/core/ledger TestKeyRunsAtMostOnce"
 	startsTest = "internal/core/starts TestTaskStartsAtMostOnce"
 	editTest   = "internal/entry/edit TestEveryAcceptedEditIsMadeOnce"
@@ -144,6 +145,12 @@
 	},
 	{rule: "TWICE caller that came back", file: dispCoord + "job.go", old: "if e.callers == 0 && e.answer == nil {", new: "if e.answer == nil {", test: "internal/disp/coord TestRepeatedSubmissionTakesTheJobOver"},
 	{rule: "TWICE latest wait", file: dispCoord + "job.go", old: "\t\te.waitsUntil = waitsUntil\n", new: "", test: "internal/disp/coord TestJoinedJobEndsWithTheLatestWait"},
+	{rule: "TWICE given up elsewhere", file: dispCoord + "coord.go", old: "if c.GiveUpElsewhere != nil && c.isRepeated(e) {", new: "if false {", test: silentTest},
+	{
+		rule: "TWICE given up with its tasks", file: dispCoord + "coord.go", test: silentTest,
+		old: "\tcase <-e.drained:\n\tcase <-ctx.Done():\n", new: "\tdefault:\n",
+	},
+	{rule: "TWICE given up, says the other entry", file: "internal/disp/proc/service.go", old: "if m.Cancel && m.Drain {", new: "if false {", test: "internal/disp/proc TestJobIsGivenUpElsewhereWhenItsTasksHaveEnded"},
 	{rule: "DRAIN recalled target", file: dispGate + "incarnation.go", old: " && !g.unconfirmed()", new: "", test: "internal/disp/gate TestRecalledTargetNeedsHeartbeat"},
 	{rule: "RECOVER lost order", file: dispGate + "order.go", old: "g.replyTimes.Timeout(minCallTimeout, maxCallTimeout)", new: "maxCallTimeout", test: "internal/disp/rules TestLostOrderCostsLittle"},
 	{rule: "RECOVER set aside", file: dispGate + "order.go", old: "case !g.targetReady():", new: "case !g.targetReady() || g.breaker.OpenReason(now) != \"\":", test: "internal/disp/gate TestGateProbesTargetAfterFailures"},
