Record the capacity of a target that shrinks or grows

What callers can see: a target that is given more work than it has room for (LIMIT).

Cause: a target may change its capacity while it runs. The gate follows its heartbeats, but the record that a restarted gate goes by was written once an incarnation. A gate that was restarted after its target had shrunk used the former capacity until the next heartbeat, up to 1.5 s.

Change: the record is rewritten when the capacity changes.

Evidence: TestKeeper, 'recalled, target has shrunk', wrote nothing before.

--- a/internal/disp/recall/recall.go
+++ b/internal/disp/recall/recall.go
@@ -86,7 +86,13 @@
 	if !k.observed {
 		return targ.Incarnation{}, false, false
 	}
-	return k.current, k.known, k.known != exists || k.known && !k.current.Same(recorded)
+	return k.current, k.known, k.known != exists || k.known && differs(k.current, recorded)
+}
+
+// differs reports whether the record of a target is out of date. The capacity counts: a
+// recalled target must not be given more than it has.
+func differs(current, recorded targ.Incarnation) bool {
+	return !current.Same(recorded) || current.Capacity != recorded.Capacity
 }
 
 // store writes the record of the target, or erases it if the target is not known.
--- a/internal/disp/recall/recall_test.go
+++ b/internal/disp/recall/recall_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/rsrc"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/targ"
 )
 
@@ -59,6 +60,8 @@
 	first   = targ.Incarnation{ID: "a", Born: 1}
 	second  = targ.Incarnation{ID: "a", Born: 2}
 	leaving = targ.Incarnation{ID: "a", Born: 1, Leaving: true}
+	large   = targ.Incarnation{ID: "a", Born: 1, Capacity: rsrc.Vector{CPU: 2}}
+	small   = targ.Incarnation{ID: "a", Born: 1, Capacity: rsrc.Vector{CPU: 1}}
 )
 
 func TestKeeper(t *testing.T) {
@@ -78,6 +81,7 @@
 		{name: "recalled, target has restarted", record: &first, observe: []targ.Incarnation{second}, recalled: 1, changes: []string{"a"}},
 		{name: "recalled, target leaves", record: &first, observe: []targ.Incarnation{first, leaving}, recalled: 1, changes: []string{""}},
 		{name: "recalled, target has left", record: &first, forget: true, recalled: 1, changes: []string{""}},
+		{name: "recalled, target has shrunk", record: &large, observe: []targ.Incarnation{large, small}, recalled: 1, changes: []string{"a"}},
 		{name: "table fails first", record: &first, failures: 3, recalled: 1},
 		{name: "heartbeat before the record", record: &first, failures: 3, early: true, observe: []targ.Incarnation{first}, changes: []string{"a"}},
 		{name: "leaving before the record", record: &first, failures: 3, early: true, observe: []targ.Incarnation{leaving}, changes: []string{""}},
