Ignore the capacity that a delayed heartbeat tells

What callers can see: a target that is given more work than it has room for (LIMIT).

Cause: a target may change its capacity while it runs, and a heartbeat may arrive seconds late. The gate took the capacity of whichever heartbeat arrived last.

Change: the number of a heartbeat tells its order. Of an older one only counts that the target leaves, and the record of the target keeps the newest as well.

Evidence: TestDelayedHeartbeatDoesNotBringCapacityBack got the former capacity, and a task that did not fit was started. The properties have targets that shrink (a reduced capacity counts from two heartbeats on; a gate that ignores it fails at once) and held heartbeats, which are too short there to catch this fault.

--- a/internal/disp/gate/heartbeat_test.go
+++ b/internal/disp/gate/heartbeat_test.go
@@ -73,3 +73,28 @@
 		}
 	})
 }
+
+// A delayed heartbeat of the current incarnation must not bring back the capacity that the
+// target had before it shrank.
+func TestDelayedHeartbeatDoesNotBringCapacityBack(t *testing.T) {
+	f := newFakeTarget(1000)
+	f.incarnation.Seq = 1
+	inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
+		shrunk := f.incarnation
+		shrunk.Capacity.CPU, shrunk.Seq = 400, 3
+		if !o.HandleHeartbeat(shrunk) {
+			t.Error("the heartbeat of the shrunk target was ignored")
+		}
+		delayed := f.incarnation
+		delayed.Seq = 2
+		if o.HandleHeartbeat(delayed) {
+			t.Error("the delayed heartbeat was accepted")
+		}
+		if got := o.sync().CPU; got != 400 {
+			t.Errorf("capacity %d", got)
+		}
+		if reply := o.take(o.task("a", 500)); reply.Result != msgs.Refused {
+			t.Errorf("got %v %q", reply.Result, reply.Reason)
+		}
+	})
+}
--- a/internal/disp/gate/incarnation.go
+++ b/internal/disp/gate/incarnation.go
@@ -23,7 +23,8 @@
 )
 
 // HandleHeartbeat processes a heartbeat of the target. It reports whether the heartbeat is
-// of the incarnation that is current afterwards. One of an older incarnation has no effect,
+// the newest of the incarnation that is current afterwards. Of an older heartbeat of that
+// incarnation only counts that the target leaves. One of an older incarnation has no effect,
 // but a recalled incarnation that has never answered gives way to any other: its record
 // may be of another machine's target.
 func (g *Gate) HandleHeartbeat(inc targ.Incarnation) bool {
@@ -36,11 +37,15 @@
 		if inc.Leaving && !g.incarnation.Leaving {
 			g.event("target_leaving", "target", inc.ID)
 		}
+		g.confirmBy = 0
+		outdated := inc.Seq != 0 && inc.Seq < g.incarnation.Seq
 		leaving := g.incarnation.Leaving || inc.Leaving
-		g.incarnation, g.confirmBy = inc, 0
+		if !outdated {
+			g.incarnation = inc
+		}
 		g.incarnation.Leaving = leaving
 		g.refuseQueueIfLeaving()
-		return true
+		return !outdated
 	}
 	switch {
 	case g.targetKnown && inc.ID == g.incarnation.ID:
--- a/internal/disp/proc/node.go
+++ b/internal/disp/proc/node.go
@@ -66,7 +66,7 @@
 }
 
 // HandleHeartbeat processes a heartbeat of the target. It reports whether the heartbeat is
-// of the incarnation that is current afterwards.
+// the newest of the incarnation that is current afterwards.
 func (n *Node) HandleHeartbeat(inc targ.Incarnation) bool {
 	if !n.Gate.HandleHeartbeat(inc) {
 		return false
--- a/internal/disp/rules/checker_test.go
+++ b/internal/disp/rules/checker_test.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	drainGrace  = 2 * time.Second // time after which a leaving target must get no new runs
-	cancelGrace = 3 * time.Second // time after which an abandoned job must have no runs
+	drainGrace  = 2 * time.Second   // time after which a leaving target must get no new runs
+	shrinkGrace = 2 * heartbeatTime // time after which a reduced capacity counts, also for a gate that was down meanwhile
+	cancelGrace = 3 * time.Second   // time after which an abandoned job must have no runs
 )
 
 // checker records what targets and callers observe, and collects the violations of the
--- a/internal/disp/rules/rules_test.go
+++ b/internal/disp/rules/rules_test.go
@@ -46,7 +46,9 @@
 	restartTargetInPlace
 	drainTarget
 	deregisterTarget
+	shrinkTarget
 	delayHeartbeat
+	holdHeartbeat
 	silenceTarget
 	loseOrders
 	loseStops
@@ -61,8 +63,9 @@
 )
 
 var kindNames = [kindCount]string{
-	"kill gate", "kill entry", "connection cut", "replies cut", "target restarts", "target restarts under its ID", "target leaves", "target deregisters", "heartbeat delayed", "target silent", "orders lost",
-	"stops lost", "orders delayed", "target fails", "target stuck", "target unhealthy", "caller abandons job", "callers cut", "callers silent",
+	"kill gate", "kill entry", "connection cut", "replies cut", "target restarts", "target restarts under its ID", "target leaves",
+	"target deregisters", "target shrinks", "heartbeat of before", "heartbeat delayed", "target silent", "orders lost", "stops lost",
+	"orders delayed", "target fails", "target stuck", "target unhealthy", "caller abandons job", "callers cut", "callers silent",
 }
 
 // event is a failure, restart or departure that begins at a given time and, for most
@@ -150,6 +153,15 @@
 		c.heartbeat(g, departing)
 		go c.gateAt(g).gate.HandleDeregistration(departing.ID) // the acknowledgement is lost
 		return func() { c.heartbeat(g, c.targets[g].restart()) }
+	case shrinkTarget:
+		c.targets[g].shrink()
+		return func() {
+			time.Sleep(shrinkGrace)
+			c.targets[g].grow()
+		}
+	case holdHeartbeat:
+		held := c.targets[g].current()
+		return func() { c.heartbeat(g, held) }
 	case delayHeartbeat:
 		c.heartbeat(g, c.targets[g].outdated())
 	case silenceTarget:
@@ -401,3 +413,9 @@
 func TestRulesHoldWhenStopsGetLost(t *testing.T) {
 	checkRules(t, []int{loseStops, loseStops, killEntry, cutConnection, cutReplies, cutCallers}, 0)
 }
+
+// TestRulesHoldWhenTargetsShrink has targets lose capacity while heartbeats are delayed and
+// gates restart, which go by the record of their target.
+func TestRulesHoldWhenTargetsShrink(t *testing.T) {
+	checkRules(t, []int{shrinkTarget, shrinkTarget, holdHeartbeat, killGate, loseOrders}, 0)
+}
--- a/internal/disp/rules/target_test.go
+++ b/internal/disp/rules/target_test.go
@@ -14,6 +14,7 @@
 
 const (
 	targetCapacity = 1000                  // thousandths of a core; also the memory
+	shrunkCapacity = 400                   // of a target that has shrunk
 	maxLease       = time.Second           // longest extension of the lease, on the target's clock
 	stopDuration   = 30 * time.Millisecond // from the order to stop a run until its end
 	pollInterval   = time.Millisecond      // between checks for due runs
@@ -43,6 +44,7 @@
 	faultMode    targetFaults
 	incarnation  targ.Incarnation
 	previous     targ.Incarnation      // the one before
+	shrunkAt     time.Time             // when its capacity fell to shrunkCapacity, or zero
 	startedAt    time.Time             // of the current incarnation
 	leavingSince time.Time             // time at which it announced to leave, or zero
 	fence        int64                 // highest fencing token received
@@ -102,18 +104,44 @@
 		ID: id, Born: t.startedAt.UnixMilli(), Addr: t.name, Service: "s",
 		Capacity: rsrc.Vector{CPU: targetCapacity, Memory: targetCapacity},
 	}
+	t.shrunkAt = time.Time{}
 	t.leavingSince, t.fence, t.leaseEnd, t.orderCount = time.Time{}, 0, 0, 0
 	t.runs, t.highestRun, t.ended = map[string]*targetRun{}, map[string]int{}, nil
 	return t.incarnation
 }
 
-// current returns the current incarnation.
+// current returns the current incarnation, for its next heartbeat.
 func (t *target) current() targ.Incarnation {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.incarnation.Seq++
 	return t.incarnation
 }
 
+// shrink reduces the capacity of the current incarnation, which its next heartbeat shows.
+func (t *target) shrink() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.shrunkAt = time.Now()
+	t.incarnation.Capacity.CPU = shrunkCapacity
+}
+
+// grow restores the capacity.
+func (t *target) grow() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.shrunkAt = time.Time{}
+	t.incarnation.Capacity.CPU = targetCapacity
+}
+
+// limit returns the capacity that the runs must keep to. t.mu must be held.
+func (t *target) limit() int {
+	if t.shrunkAt.IsZero() || time.Since(t.shrunkAt) < shrinkGrace {
+		return targetCapacity
+	}
+	return shrunkCapacity
+}
+
 // outdated returns an incarnation that has ended, or that is older than any.
 func (t *target) outdated() targ.Incarnation {
 	t.mu.Lock()
@@ -233,7 +261,7 @@
 	for _, r := range t.runs {
 		used += r.work.CPU
 	}
-	if used > targetCapacity {
+	if used > t.limit() {
 		t.checker.reportViolation("LIMIT: %d of the CPU would be used at %s with %s", used, t.name, o.Task)
 	}
 	if !t.leavingSince.IsZero() && time.Since(t.leavingSince) > drainGrace {
