Give up a task under which two targets have crashed

What callers see: one task takes down target after target (BUDGET), and with them the tasks of all other callers. Nothing counted crashes: a run that was lost with its target was placed again without end.

Change: the gate tells a target that crashed (it restarted, or refuses connections until the lease of its runs has lapsed) from one that is silent. Two crashes under a task fail its job, with a reason and a counter of its own (failed.crashes). A loss of any other kind counts as little as before.

Evidence: TestTaskThatCrashesTargetsIsGivenUp did not end before.

--- a/internal/disp/cause/cause.go
+++ b/internal/disp/cause/cause.go
@@ -15,6 +15,7 @@
 	NoTarget         = "notarget"    // no target has registered with the gate
 	OutdatedOrder    = "orders"      // each start was refused for an outdated run number, fencing token or deadline
 	OtherIncarnation = "otherlife"   // the message is meant for another incarnation of the gate
+	TargetCrashed    = "crashed"     // the target went down while the run was there
 	TargetRestarted  = "reborn"      // the target has restarted
 	Rejected         = "rejected"    // the target refused the start as invalid
 	WrongService     = "service"     // the target belongs to another service
@@ -33,6 +34,7 @@
 // Reasons given by an entry.
 const (
 	AttemptsExhausted  = "attempts"   // a task failed as often as its route allows
+	CrashesTargets     = "crashes"    // too many targets have crashed under a task
 	CallerDisconnected = "callerleft" // the caller closed the connection
 	JobEnded           = "ended"      // the job ended before the task was sent, or while it ran
 	RunFailed          = "failed"     // the run failed
@@ -58,6 +60,7 @@
 const (
 	RefusedPrefix       = "refused."
 	AbandonedPrefix     = "abandoned."
+	FailedPrefix        = "failed."
 	RetriedPrefix       = "retried."
 	StoppedPrefix       = "stopped."
 	BreakerOpenedPrefix = "aside."
@@ -85,7 +88,7 @@
 
 // Retries returns the reasons for which an entry places a task again, in sorted order.
 func Retries() []string {
-	afterStart := []string{RunFailed, EndedByTarget, Stuck, Missing}
+	afterStart := []string{RunFailed, EndedByTarget, Stuck, Missing, TargetCrashed}
 	all := slices.Concat(GateRefusals(), afterStart)
 	slices.Sort(all)
 	return slices.Compact(all)
@@ -96,6 +99,7 @@
 	return slices.Concat(
 		withPrefix(RefusedPrefix, EntryRefusals()),
 		withPrefix(AbandonedPrefix, Abandonments()),
+		withPrefix(FailedPrefix, []string{AttemptsExhausted, CrashesTargets}),
 		withPrefix(RetriedPrefix, Retries()),
 	)
 }
--- a/internal/disp/coord/coord.go
+++ b/internal/disp/coord/coord.go
@@ -266,8 +266,11 @@
 func (c *Coordinator) report(e *execution, a Answer) {
 	stateNames := [...]string{"waiting", "working", "done", "failed", "refused", "abandoned"}
 	c.count("jobs." + stateNames[a.State])
-	if a.State == Refused {
+	switch a.State {
+	case Refused:
 		c.count(cause.RefusedPrefix + a.Reason)
+	case Failed:
+		c.count(cause.FailedPrefix + a.Reason)
 	}
 	if a.State == Abandoned {
 		c.count(cause.AbandonedPrefix + a.Reason)
--- a/internal/disp/coord/coord_test.go
+++ b/internal/disp/coord/coord_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/link"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/route"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/rsrc"
@@ -179,6 +180,25 @@
 	}
 }
 
+// A task under which two targets have crashed must not crash a third one.
+func TestTaskThatCrashesTargetsIsGivenUp(t *testing.T) {
+	for _, reason := range []string{cause.TargetCrashed, cause.TargetRestarted} {
+		f := newFakeGates(t, 5)
+		runs := 0
+		f.respond = func(int, msgs.Task) msgs.TaskReply {
+			runs++
+			if runs > 5 {
+				return msgs.TaskReply{Result: msgs.Done}
+			}
+			return msgs.TaskReply{Result: msgs.Lost, Reason: reason}
+		}
+		a := f.coordinator().Submit(context.Background(), newTestJob(1, 100))
+		if a.State != Failed || a.Reason != cause.CrashesTargets || f.receivedCount() != maxCrashes {
+			t.Errorf("%s: got %+v after %d runs", reason, a, f.receivedCount())
+		}
+	}
+}
+
 func TestTooLargeJobIsRefusedAtOnce(t *testing.T) {
 	f := newFakeGates(t, 2)
 	a := f.coordinator().Submit(context.Background(), newTestJob(1, 1001))
--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -55,6 +55,7 @@
 	lastEndClock int64           // target's clock when the newest end was reported, ms
 	lastEnds     map[string]int  // run numbers by task, of the ends reported at lastEndClock
 	missedPolls  int             // consecutive polls without an answer
+	down         bool            // the target has refused a connection since it last answered
 	silent       bool            // missedPolls has reached maxMissedPolls, or the connection was refused
 	hedgeUntil   boot.Time       // end of the time during which a second poll is kept open
 	leaseEnd     boot.Time       // latest time at which the target's lease lapses, by Steady
--- a/internal/disp/gate/poll.go
+++ b/internal/disp/gate/poll.go
@@ -128,7 +128,7 @@
 		if g.silent {
 			g.event("target_answers", "target", incarnation.ID)
 		}
-		g.silent, g.missedPolls, g.successor = false, 0, targ.Incarnation{}
+		g.silent, g.down, g.missedPolls, g.successor = false, false, 0, targ.Incarnation{}
 		if !g.checkIncarnation(l) {
 			return true
 		}
@@ -142,6 +142,7 @@
 		g.endIncarnation(cause.TargetRestarted)
 	default:
 		g.missedPolls++
+		g.down = g.down || errors.Is(err, targ.ErrUnreachable)
 		g.hedgeUntil = now.Add(hedgeDuration)
 		g.count("target.missed")
 		if g.missedPolls < maxMissedPolls {
@@ -162,8 +163,12 @@
 	if now := g.steady(); now < g.leaseEnd.Add(stopSlack) {
 		return
 	}
+	reason := cause.Silent
+	if g.down {
+		reason = cause.TargetCrashed
+	}
 	for _, r := range g.runs {
-		g.finish(r, msgs.Lost, cause.Silent)
+		g.finish(r, msgs.Lost, reason)
 	}
 	if g.successor.ID != "" {
 		g.endIncarnation(cause.TargetRestarted)
--- a/internal/disp/rules/rules_test.go
+++ b/internal/disp/rules/rules_test.go
@@ -310,8 +310,14 @@
 // rule is violated. The callers wait for the given time for the first answer, and say so
 // unless it is 0.
 func checkRules(t *testing.T, kinds []int, wait time.Duration) {
+	checkRulesOf(t, kinds, wait, func(*schedule) {})
+}
+
+// checkRulesOf does the same with schedules that change has changed.
+func checkRulesOf(t *testing.T, kinds []int, wait time.Duration, change func(*schedule)) {
 	rapid.Check(t, func(rt *rapid.T) {
 		sched := drawSchedule(rt, kinds)
+		change(&sched)
 		for i := range sched.Jobs {
 			sched.Jobs[i].Wait = wait
 		}
