Keep targets that crash one after the other from the tasks of other routes

Cause: a deadly task takes down two targets for three seconds each before it is given up, and it may start at any target. 3.4 of them a second take down more than the eleven that there are, with the tasks of all routes. Counts of crashes don't tell the route at fault in time: each crash ends tasks of all routes, most of them good.

Change: an entry that sees three crashes within 2 s, not of one moment, gives each route of the service targets of its own until none has crashed for 3 s (disp/bulk; shares by the hash of the gate's address, so all entries share them out alike). The load of a gate tells that its target has crashed. A job whose targets are all down is refused at once.

--- a/internal/disp/coord/admit.go
+++ b/internal/disp/coord/admit.go
@@ -26,7 +26,7 @@
 	expectedRunTime := c.runTimes.Estimate(e.Route.Name, s.DeclaredRunTime)
 	timing := c.timing(e, expectedRunTime)
 	slack := timing.StartBy().Sub(c.now())
-	cands := c.findCandidates(e.Route.Service, s)
+	cands := c.findCandidates(e.Route, s)
 	defer c.release(cands)
 	longestWait, fits := cands.longestWait(s, expectedRunTime)
 	c.outage(cands.usableCapacity() > 0, c.now())
@@ -35,7 +35,7 @@
 	case len(cands.gates) == 0:
 	case !fits:
 		reason = cause.TooLarge
-	case len(s.DependsOn) == 0 && longestWait > c.limiter.MaxWait(slack):
+	case cands.allCrashed(), len(s.DependsOn) == 0 && longestWait > c.limiter.MaxWait(slack):
 		reason = cause.Overload
 	}
 	c.trace("step_admitted", "job", e.ID, "route", e.Route.Name, "config", e.ConfigVersion, "step", i, "tasks", s.Count,
--- a/internal/disp/coord/candidates.go
+++ b/internal/disp/coord/candidates.go
@@ -5,9 +5,11 @@
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/bulk"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/link"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/pick"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/route"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/rsrc"
 )
 
@@ -16,36 +18,85 @@
 const remoteDataFactor = 1.5
 
 // candidates are the gates that may run a task, with what the entry knows of each.
-// links, targets and gates have the same length and order.
+// links, targets, gates, addrs and crashed have the same length and order.
 type candidates struct {
 	links   []*link.Link
 	targets []string // IDs of the incarnations of the gates' targets
 	gates   []pick.Gate
+	addrs   []string    // of the gates
+	crashed []bool      // whether the gate's target is down
 	scratch []pick.Gate // used by longestWait
 }
 
-// findCandidates returns the gates of a service that have reported their load
-// recently, are not leaving, and have the label that the step requires. They need not
-// have free capacity or an available target. The caller passes them to release when it
+// findCandidates returns the gates of a route's service that have reported their load
+// recently, are not leaving, have the label that the step requires, and belong to the
+// route's share while bulkheads are raised. They need not have free capacity or an
+// available target. The caller passes them to release when it
 // does not need them any more: each placement looks at all gates, so without reuse
 // their memory would be most of what an entry allocates.
-func (c *Coordinator) findCandidates(service string, s Step) *candidates {
+func (c *Coordinator) findCandidates(r route.Route, s Step) *candidates {
 	cands, ok := c.candidatePool.Get().(*candidates)
 	if !ok {
 		cands = &candidates{}
 	}
 	now := c.now()
 	for _, l := range c.Links() {
-		cands.add(l, service, s, now)
+		cands.add(l, r.Service, s, now)
 	}
+	c.separateRoutes(cands, r, now)
 	return cands
 }
 
+// separateRoutes removes the gates that the route may not use at now, if the targets of
+// its service crash one after the other.
+func (c *Coordinator) separateRoutes(cands *candidates, r route.Route, now boot.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	g := c.guards[r.Service]
+	if g == nil {
+		if c.guards == nil {
+			c.guards = map[string]*bulk.Guard{}
+		}
+		g = &bulk.Guard{}
+		c.guards[r.Service] = g
+	}
+	g.Use(r.Name, now)
+	for i, addr := range cands.addrs {
+		if g.Observe(addr, cands.crashed[i], now) {
+			c.trace("bulkheads_raised", "service", r.Service, "gates", len(cands.addrs))
+			c.count("bulkheads.raised")
+		}
+	}
+	if g.Raised(now) {
+		cands.keep(g.Share(r.Name, cands.addrs, now))
+	}
+}
+
+// keep removes all gates whose address is not in share.
+func (cands *candidates) keep(share map[string]bool) {
+	n := 0
+	for i, addr := range cands.addrs {
+		if !share[addr] {
+			continue
+		}
+		cands.links[n], cands.targets[n], cands.gates[n] = cands.links[i], cands.targets[i], cands.gates[i]
+		cands.addrs[n], cands.crashed[n] = addr, cands.crashed[i]
+		n++
+	}
+	cands.truncate(n)
+}
+
+// truncate keeps the first n gates.
+func (cands *candidates) truncate(n int) {
+	cands.links, cands.targets, cands.gates = cands.links[:n], cands.targets[:n], cands.gates[:n]
+	cands.addrs, cands.crashed = cands.addrs[:n], cands.crashed[:n]
+}
+
 // release returns the memory of candidates for later calls of findCandidates.
 func (c *Coordinator) release(cands *candidates) {
 	clear(cands.links)
 	clear(cands.targets)
-	cands.links, cands.targets, cands.gates = cands.links[:0], cands.targets[:0], cands.gates[:0]
+	cands.truncate(0)
 	c.candidatePool.Put(cands)
 }
 
@@ -63,6 +114,8 @@
 		runTimeFactor = remoteDataFactor
 	}
 	cands.links = append(cands.links, l)
+	cands.addrs = append(cands.addrs, l.Addr)
+	cands.crashed = append(cands.crashed, v.Load.BlockedReason == cause.TargetCrashed)
 	cands.targets = append(cands.targets, v.Load.TargetIncarnation)
 	cands.gates = append(cands.gates, pick.Gate{
 		Capacity:      rsrc.Vector{CPU: v.Load.CPU, Memory: v.Load.Memory, GPU: v.Load.GPU},
@@ -78,7 +131,13 @@
 // cannotStart reports whether a gate whose load has this BlockedReason can start no
 // task at all. Any other non-empty reason means that the target's circuit breaker is open.
 func cannotStart(blockedReason string) bool {
-	return blockedReason == cause.Silent || blockedReason == cause.NoTarget
+	return blockedReason == cause.Silent || blockedReason == cause.TargetCrashed || blockedReason == cause.NoTarget
+}
+
+// allCrashed reports whether there are candidates and the targets of all of them are down.
+// They are back after some seconds at the earliest.
+func (cands *candidates) allCrashed() bool {
+	return len(cands.crashed) > 0 && !slices.Contains(cands.crashed, false)
 }
 
 // longestWait returns the longest expected wait for capacity of any task of s if all
--- a/internal/disp/coord/coord.go
+++ b/internal/disp/coord/coord.go
@@ -8,6 +8,7 @@
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/admit"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/bulk"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/estim"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/link"
@@ -58,7 +59,8 @@
 
 	mu          sync.Mutex
 	jobs        map[string]*execution
-	outageSince boot.Time // since when no gate can start tasks; 0 if one can
+	guards      map[string]*bulk.Guard // by service
+	outageSince boot.Time              // since when no gate can start tasks; 0 if one can
 }
 
 // Submit runs a job and returns its answer once the job has ended. If ctx ends
--- a/internal/disp/coord/coord_test.go
+++ b/internal/disp/coord/coord_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -33,7 +34,7 @@
 	t.Cleanup(cancel)
 	for i := range n {
 		f.loads = append(f.loads, msgs.Load{Incarnation: 1, Service: "s", TargetIncarnation: string(rune('a' + i)), CPU: 1000, Memory: 1000, Speed: 1})
-		l := &link.Link{Addr: "g", Entry: "e", Incarnation: 1, Drop: func(string) {}}
+		l := &link.Link{Addr: fmt.Sprint("g", i), Entry: "e", Incarnation: 1, Drop: func(string) {}}
 		l.Call = func(_ context.Context, _, method string, args, reply any) error {
 			return f.handleCall(i, method, args, reply)
 		}
--- a/internal/disp/coord/refuse.go
+++ b/internal/disp/coord/refuse.go
@@ -15,7 +15,7 @@
 	if waited < e.Route.LatencyBudget(expectedRunTime)*maxStartWaitPercent/100 {
 		return false
 	}
-	cands := c.findCandidates(e.Route.Service, longest)
+	cands := c.findCandidates(e.Route, longest)
 	defer c.release(cands)
 	wait, _ := cands.longestWait(longest, expectedRunTime)
 	return e.refuse(Answer{State: Refused, Reason: reason, RetryAfter: c.retryDelay(e, longest, cands, wait)})
--- a/internal/disp/coord/task.go
+++ b/internal/disp/coord/task.go
@@ -138,7 +138,7 @@
 // gate's target and the message to send. It reports false if no gate can run the
 // task.
 func (c *Coordinator) place(e *execution, s Step, ts *taskState) (*link.Link, string, msgs.Task, bool) {
-	cands := c.findCandidates(e.Route.Service, s)
+	cands := c.findCandidates(e.Route, s)
 	defer c.release(cands)
 	for i, target := range cands.targets {
 		cands.gates[i].Avoid = ts.avoid[target]
--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -296,7 +296,10 @@
 		l.QueuedWork += int64(r.demand.CPU) * r.msg.ExpectedRunTime / 1000
 	}
 	l.BlockedReason = g.breaker.OpenReason(now)
-	if g.silent || !g.reconciled || g.unconfirmed() {
+	switch {
+	case g.silent && g.down:
+		l.BlockedReason = cause.TargetCrashed
+	case g.silent || !g.reconciled || g.unconfirmed():
 		l.BlockedReason = cause.Silent
 	}
 	return l
--- a/internal/disp/rules/crash_test.go
+++ b/internal/disp/rules/crash_test.go
@@ -1,6 +1,13 @@
 package rules
 
-import "testing"
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/coord"
+)
 
 // A task that crashes whatever runs it is given up, also if entries and gates die meanwhile.
 func TestRulesHoldWhenTasksCrashTargets(t *testing.T) {
@@ -10,3 +17,33 @@
 		}
 	})
 }
+
+// Tasks of one route that crash their targets one after the other must not take those of
+// the other route down with them.
+func TestDeadlyRouteLeavesTargetsToOthers(t *testing.T) {
+	const gates, seconds, perSecond = 8, 10, 20
+	var violations []string
+	served := 0
+	synctest.Test(t, func(*testing.T) {
+		c := newCluster(entryCount, gates)
+		time.Sleep(50 * time.Millisecond)
+		for i := range seconds * perSecond {
+			c.submit(fmt.Sprint("good", i), jobSpec{Tasks: 1, Work: work{CPU: 100, MS: 100}, Attempts: 1, Entry: i % entryCount, Route: "good"})
+			if i%(perSecond/4) == 0 {
+				c.submit(fmt.Sprint("deadly", i), jobSpec{Tasks: 1, Work: work{CPU: 100, MS: 100, Deadly: true}, Attempts: 1, Entry: i % entryCount, Route: "deadly"})
+			}
+			time.Sleep(time.Second / perSecond)
+		}
+		time.Sleep(time.Second)
+		served = c.checker.count(coord.Done)
+		c.finish()
+		time.Sleep(5 * time.Second)
+		violations = c.checker.violations
+	})
+	if len(violations) > 0 {
+		t.Error(violations)
+	}
+	if want := seconds * perSecond * 3 / 4; served < want {
+		t.Errorf("%d of %d jobs of the other route were done, want %d", served, seconds*perSecond, want)
+	}
+}
