--- /dev/null
+++ b/internal/disp/coord/submit.go
@@ -0,0 +1,132 @@
+package coord
+
+import (
+	"context"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
+)
+
+// Submit runs a job and returns its answer once the job has ended. If ctx ends
+// first, or the caller stops waiting at j.WaitsUntil, the job is abandoned and its
+// tasks are cancelled. If the ID of j belongs to an unfinished job, j is a repeated
+// submission of it and is not run beside it: its caller gets that job's answer too.
+// Such a job is abandoned when the last of its callers has left or stopped waiting.
+func (c *Coordinator) Submit(ctx context.Context, j Job) Answer {
+	e := newExecution(j)
+	if e.WaitsUntil != 0 {
+		go c.watchWait(e)
+	}
+	if previous := c.register(ctx, e); previous != nil {
+		e.cancel()
+		c.count("jobs.joined")
+		c.trace("job_joined", "job", e.ID, "route", e.Route.Name, "after", e.Arrived.Sub(previous.Arrived))
+		return c.await(ctx, previous)
+	}
+	if c.GiveUpElsewhere != nil && c.isRepeated(e) {
+		go c.startAlone(e)
+	} else {
+		c.start(e)
+	}
+	return c.await(ctx, e)
+}
+
+// startAlone starts a job that its caller has submitted before, once the other entries
+// have given it up.
+func (c *Coordinator) startAlone(e *execution) {
+	c.count("jobs.repeated")
+	c.GiveUpElsewhere(e.ctx, e.ID)
+	c.trace("job_given_up_elsewhere", "job", e.ID, "route", e.Route.Name, "took", c.now().Sub(e.Arrived))
+	c.start(e)
+}
+
+// start begins to run a job, or ends it with a refusal. It does nothing if the job has
+// ended.
+func (c *Coordinator) start(e *execution) {
+	if e.hasEnded() {
+		return
+	}
+	if a := c.admit(e); a.State == Refused {
+		e.finish(a)
+		return
+	}
+	for i, s := range e.Steps {
+		go c.runStep(e, i, s)
+	}
+}
+
+// await waits until the job has ended and returns its answer. If ctx ends first, the
+// caller leaves the job; await then returns without waiting for other callers.
+func (c *Coordinator) await(ctx context.Context, e *execution) Answer {
+	select {
+	case <-e.ctx.Done():
+	case <-ctx.Done():
+		if !e.leave() {
+			return Answer{State: Abandoned, Reason: cause.CallerDisconnected}
+		}
+	}
+	e.concluded.Do(func() {
+		c.report(e, *e.answer)
+		go c.unregister(e)
+	})
+	return *e.answer
+}
+
+// watchWait ends the job once its callers have stopped waiting for the answer. It
+// returns when the job has ended.
+func (c *Coordinator) watchWait(e *execution) {
+	for e.ctx.Err() == nil && !e.finishIfUnawaited(c.now()) {
+		boot.Sleep(e.ctx, min(e.remainingWait(c.now()), maxWaitCheckInterval))
+	}
+}
+
+// register adds a job to the table of jobs and returns nil. If an unfinished job has
+// the same ID, register joins it on behalf of the caller and returns it. A caller whose
+// connection broke may resubmit its job at once; register then waits until none of the
+// tasks of the previous submission can still be running. If the caller leaves or stops
+// waiting meanwhile, the new job ends without having been added.
+func (c *Coordinator) register(ctx context.Context, e *execution) (joined *execution) {
+	for {
+		previous := c.insert(e)
+		switch {
+		case previous == nil:
+			return nil
+		case previous.join(e.WaitsUntil):
+			return previous
+		}
+		select {
+		case <-previous.drained:
+		case <-e.ctx.Done():
+			return nil
+		case <-ctx.Done():
+			e.finish(Answer{State: Abandoned, Reason: cause.CallerDisconnected})
+			return nil
+		}
+	}
+}
+
+// insert adds a job and returns nil, or returns the job that already has its ID.
+func (c *Coordinator) insert(e *execution) *execution {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.jobs == nil {
+		c.jobs = map[string]*execution{}
+	}
+	if previous := c.jobs[e.ID]; previous != nil {
+		return previous
+	}
+	c.jobs[e.ID] = e
+	return nil
+}
+
+// unregister removes a job that has ended, if it was registered, after waiting until
+// none of its tasks can still be running.
+func (c *Coordinator) unregister(e *execution) {
+	e.outstanding.Wait()
+	c.mu.Lock()
+	if c.jobs[e.ID] == e {
+		delete(c.jobs, e.ID)
+	}
+	c.mu.Unlock()
+	close(e.drained)
+}
--- a/internal/disp/link/link.go
+++ b/internal/disp/link/link.go
@@ -97,51 +97,6 @@
 	}
 }
 
-// Retire makes Run end once no task or cancellation needs the link. Tasks may be sent
-// until then.
-func (l *Link) Retire() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.retired = true
-	l.wakeRun()
-}
-
-// Resume undoes Retire. It reports false if the link is closed, which can't be undone.
-func (l *Link) Resume() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.retired = false
-	return !l.closed
-}
-
-func (l *Link) close() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.closed = true
-}
-
-// closeIfUnneeded closes a retired link that no task or cancellation needs, and reports
-// whether it did.
-func (l *Link) closeIfUnneeded() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.retired && !l.needed() {
-		l.closed = true
-	}
-	return l.closed
-}
-
-// needed reports whether a task may be at the gate, or a cancellation that the gate has
-// not confirmed may still have an effect. It has none once all tasks have ended, as at a
-// gate that does not answer. The caller holds mu.
-func (l *Link) needed() bool {
-	if l.outstanding > 0 {
-		return true
-	}
-	allEnded := max(l.previousEnd, l.echoedReceived.Add(gate.MaxOrphanTime))
-	return len(l.cancels) > 0 && l.now() < allEnded
-}
-
 // waitUntilSyncDue waits until the next Sync call is due, Run is woken, or ctx ends.
 func (l *Link) waitUntilSyncDue(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -381,24 +336,6 @@
 	return max(min(l.lastEcho, l.loadReceived).Add(interval), l.lastSync.Add(minSyncInterval)).Sub(now)
 }
 
-// beginTask counts a task as outstanding, so that the link stays open until endTask. It
-// reports false, and counts nothing, if the link is closed.
-func (l *Link) beginTask() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.closed {
-		return false
-	}
-	l.outstanding++
-	return true
-}
-
-func (l *Link) endTask() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.outstanding--
-}
-
 // waitOrWake waits for d, until ctx ends or until Run is woken, and reports whether it
 // was woken.
 func (l *Link) waitOrWake(ctx context.Context, d time.Duration) bool {
--- a/test/mutant_test.go
+++ b/test/mutant_test.go
@@ -32,6 +32,7 @@
 	dispGate   = "internal/disp/gate/"
 	dispCoord  = "internal/disp/coord/"
 	dispLink   = "internal/disp/link/link.go"
+	dispRetire = "internal/disp/link/retire.go"
 	dispProc   = "internal/disp/proc/"
 
 	rulesTest  = "internal/disp/rules TestRulesHoldWhateverFails"
@@ -117,25 +118,25 @@
 	{rule: "DRAIN leaving target", file: dispGate + "gate.go", old: "case g.incarnation.Leaving:\n\t\treturn cause.Leaving\n", new: "", test: "internal/disp/gate TestGateRefusesTasksOfLeavingTarget", more: []edit{{dispGate + "incarnation.go", "!g.silent && !g.incarnation.Leaving && g.clock.HasReading", "!g.silent && g.clock.HasReading"}}},
 	{rule: "UNASKED cancel", file: dispCoord + "task.go", old: "l.Cancel(m.ID)\n", new: "", test: "internal/disp/coord TestAbandonedJobCancelsItsTasks"},
 	{rule: "UNASKED cancel until answered", file: dispLink, old: "if err != nil {\n\t\tl.recordFailure(err)\n\t\treturn", new: "if err != nil {\n\t\tl.confirmCancels(cancels)\n\t\tl.recordFailure(err)\n\t\treturn", test: "internal/disp/link TestCancelIsSentUntilAnswered"},
-	{rule: "TWICE heartbeat held up", file: dispGate + "incarnation.go", old: " && (g.confirmBy == 0 || g.clock.HasReading)", new: " && g.confirmBy == 0", test: "internal/disp/gate TestDelayedHeartbeatDoesNotReplaceRecalledTarget", more: []edit{{dispGate + "incarnation.go", "case g.targetKnown && len(g.runs) > 0:\n\t\tg.awaitEnd(inc)", "case false:\n\t\tg.awaitEnd(inc)"}}},
+	{rule: "TWICE heartbeat held up", file: dispGate + "heartbeat.go", old: " && (g.confirmBy == 0 || g.clock.HasReading)", new: " && g.confirmBy == 0", test: "internal/disp/gate TestDelayedHeartbeatDoesNotReplaceRecalledTarget", more: []edit{{dispGate + "heartbeat.go", "case g.targetKnown && len(g.runs) > 0:\n\t\tg.awaitEnd(inc)", "case false:\n\t\tg.awaitEnd(inc)"}}},
 	{
 		rule: "TWICE target restarted under its ID", file: dispGate + "incarnation.go", test: "internal/disp/gate TestGateKeepsRunOfTargetThatRestartedUnderItsID",
 		old: "g.followRestart(inc)\n\tg.confirmBy = g.now()", new: "g.endIncarnation(cause.TargetRestarted)",
 	},
 	{
-		rule: "TWICE deregistered target", file: dispGate + "incarnation.go", test: "internal/disp/gate TestGateKeepsRunOfDeregisteredTarget",
+		rule: "TWICE deregistered target", file: dispGate + "heartbeat.go", test: "internal/disp/gate TestGateKeepsRunOfDeregisteredTarget",
 		old: "if len(g.runs) > 0 {\n\t\treturn false", new: "if false {\n\t\treturn false",
 	},
 	{rule: "TWICE lapsed lease", file: dispGate + "lease.go", old: "g.entryLeases.LapsedFor(s.Entry, s.Incarnation, now) > 0", new: "now < 0", test: "internal/disp/gate TestGateEndsTasksWhoseLeaseLapsedDuringSuspension"},
-	{rule: "TWICE heartbeat of another target", file: dispGate + "incarnation.go", old: "case g.targetKnown && len(g.runs) > 0:\n\t\tg.awaitEnd(inc)", new: "case false:\n\t\tg.awaitEnd(inc)", test: "internal/disp/gate TestDelayedHeartbeatDoesNotEndAnsweringTarget"},
+	{rule: "TWICE heartbeat of another target", file: dispGate + "heartbeat.go", old: "case g.targetKnown && len(g.runs) > 0:\n\t\tg.awaitEnd(inc)", new: "case false:\n\t\tg.awaitEnd(inc)", test: "internal/disp/gate TestDelayedHeartbeatDoesNotEndAnsweringTarget"},
 	{rule: "TWICE stops lost", file: dispGate + "poll.go", old: " && !g.hasOverdueRun(now)", new: "", test: "internal/disp/gate TestGateEndsRunOfSilentEntryWhoseStopsGetLost"},
-	{rule: "TWICE link closed early", file: dispLink, old: "if l.retired && !l.needed() {", new: "if l.retired {", test: "internal/disp/proc TestRemovedNodeKeepsItsOnlyLink"},
-	{rule: "TWICE task on a closed link", file: dispLink, old: "if l.closed {\n\t\treturn false", new: "if false {\n\t\treturn false", test: "internal/disp/link TestClosedLinkRefusesTasks"},
+	{rule: "TWICE link closed early", file: dispRetire, old: "if l.retired && !l.needed() {", new: "if l.retired {", test: "internal/disp/proc TestRemovedNodeKeepsItsOnlyLink"},
+	{rule: "TWICE task on a closed link", file: dispRetire, old: "if l.closed {\n\t\treturn false", new: "if false {\n\t\treturn false", test: "internal/disp/link TestClosedLinkRefusesTasks"},
 	{rule: "TWICE second link", file: dispProc + "links.go", old: "n != nil && n.link.Resume()", new: "n != nil && n.link.Resume() && false", test: "internal/disp/proc TestRemovedNodeKeepsItsOnlyLink"},
 	{rule: "TWICE task without cancellations", file: dispLink, old: "message.Sender, message.Cancel = sender, l.cancelsToSend()", new: "message.Sender = sender", test: "internal/disp/rules TestCancelledTaskEndsWhileSyncCallsFail"},
 	{rule: "TWICE cancellations of a task", file: dispGate + "gate.go", old: "g.renewEntry(m.Sender, m.Cancel)\n\tid := ", new: "g.renewEntry(m.Sender, nil)\n\tid := ", test: "internal/disp/gate TestGateStopsTaskThatNextTaskCancels"},
 	{
-		rule: "TWICE caller stopped waiting", file: dispCoord + "coord.go", test: "internal/disp/rules TestJobEndsWhenItsCallerStopsWaiting",
+		rule: "TWICE caller stopped waiting", file: dispCoord + "submit.go", test: "internal/disp/rules TestJobEndsWhenItsCallerStopsWaiting",
 		old: "\t\tgo c.watchWait(e)\n", new: "",
 	},
 	{
@@ -145,7 +146,7 @@
 	},
 	{rule: "TWICE caller that came back", file: dispCoord + "job.go", old: "if e.callers == 0 && e.answer == nil {", new: "if e.answer == nil {", test: "internal/disp/coord TestRepeatedSubmissionTakesTheJobOver"},
 	{rule: "TWICE latest wait", file: dispCoord + "job.go", old: "\t\te.waitsUntil = waitsUntil\n", new: "", test: "internal/disp/coord TestJoinedJobEndsWithTheLatestWait"},
-	{rule: "TWICE given up elsewhere", file: dispCoord + "coord.go", old: "if c.GiveUpElsewhere != nil && c.isRepeated(e) {", new: "if false {", test: silentTest},
+	{rule: "TWICE given up elsewhere", file: dispCoord + "submit.go", old: "if c.GiveUpElsewhere != nil && c.isRepeated(e) {", new: "if false {", test: silentTest},
 	{
 		rule: "TWICE given up with its tasks", file: dispCoord + "coord.go", test: silentTest,
 		old: "\tcase <-e.drained:\n\tcase <-ctx.Done():\n", new: "\tdefault:\n",
@@ -153,7 +154,7 @@
 	{rule: "TWICE given up, says the other entry", file: "internal/disp/proc/service.go", old: "if m.Cancel && m.Drain {", new: "if false {", test: "internal/disp/proc TestJobIsGivenUpElsewhereWhenItsTasksHaveEnded"},
 	{rule: "BUDGET crashes", file: dispCoord + "task.go", old: "if ts.crashes >= maxCrashes {", new: "if false {", test: "internal/disp/coord TestTaskThatCrashesTargetsIsGivenUp"},
 	{rule: "RECOVER bulkheads", file: dispCoord + "candidates.go", old: "if g.Raised(now) {", new: "if false {", test: "internal/disp/rules TestDeadlyRouteLeavesTargetsToOthers"},
-	{rule: "LIMIT heartbeats out of order", file: dispGate + "incarnation.go", old: "if !outdated {\n", new: "if true {\n", test: "internal/disp/gate TestDelayedHeartbeatDoesNotBringCapacityBack"},
+	{rule: "LIMIT heartbeats out of order", file: dispGate + "heartbeat.go", old: "if !outdated {\n", new: "if true {\n", test: "internal/disp/gate TestDelayedHeartbeatDoesNotBringCapacityBack"},
 	{rule: "DRAIN recalled target", file: dispGate + "incarnation.go", old: " && !g.unconfirmed()", new: "", test: "internal/disp/gate TestRecalledTargetNeedsHeartbeat"},
 	{rule: "RECOVER lost order", file: dispGate + "order.go", old: "g.replyTimes.Timeout(minCallTimeout, maxCallTimeout)", new: "maxCallTimeout", test: "internal/disp/rules TestLostOrderCostsLittle"},
 	{rule: "RECOVER set aside", file: dispGate + "order.go", old: "case !g.targetReady():", new: "case !g.targetReady() || g.breaker.OpenReason(g.now()) != \"\":", test: "internal/disp/gate TestGateProbesTargetAfterFailures"},
@@ -162,7 +163,7 @@
 	{rule: "REFUSED nothing started, whatever fails", file: dispCoord + "job.go", old: "if e.started || e.inFlight > 0 || e.answer != nil {", new: "if e.answer != nil {", test: rulesTest},
 	{rule: "LOST all attempts, whatever fails", file: dispCoord + "task.go", old: "if ts.failures >= max(1, e.Route.MaxAttempts) {", new: "if ts.failures >= 1 {", test: rulesTest},
 	{rule: "BUDGET attempts, whatever fails", file: dispCoord + "task.go", old: "ts.failures++", new: "ts.failures += 0", test: rulesTest},
-	{rule: "TWICE asked for again at once", file: dispCoord + "coord.go", old: "\te.outstanding.Wait()\n", new: "", test: "internal/disp/coord TestResubmittedJobWaitsForPreviousTasks"},
+	{rule: "TWICE asked for again at once", file: dispCoord + "submit.go", old: "\te.outstanding.Wait()\n", new: "", test: "internal/disp/coord TestResubmittedJobWaitsForPreviousTasks"},
 	{rule: "TWICE call that was written", file: "internal/wire/peer/pool.go", old: "case !writeStarted && errors.Is", new: "case errors.Is", test: "internal/wire/peer TestCallThatWasWrittenIsNeverNotSent"},
 	{rule: "TWICE message held up", file: dispGate + "gate.go", old: " || g.now() >= boot.Time(m.EchoedTimestamp).Add(EntryLease)", new: "", test: "internal/disp/gate TestGateRefusesDelayedMessage"},
 	{rule: "UNASKED cancelled before", file: dispGate + "gate.go", old: "		g.addTask(r)\n\t}\n\tg.abandon", new: "		return\n\t}\n\tg.abandon", test: "internal/disp/gate TestGateRefusesTaskCancelledBeforeArrival"},
