Let a target that restarts under its ID inherit nothing

If a poll saw such a restart before a heartbeat did, the gate copied the incarnation before with its number of heartbeats, its capacity and its leave. The new one's heartbeats, which count from 1, then confirmed the target and were ignored as outdated for minutes: starts went on with the capacity of before (LIMIT), and a target that had been leaving was never used again.

TestTargetThatRestartedUnderItsIDInheritsNothing failed in each of its checks.

--- a/internal/disp/gate/incarnation.go
+++ b/internal/disp/gate/incarnation.go
@@ -43,7 +43,7 @@
 		return true
 	}
 	inc := g.incarnation
-	inc.Born = l.Born
+	inc.Born, inc.Seq, inc.Leaving = l.Born, 0, false
 	g.followRestart(inc)
 	g.confirmBy = g.now()
 	return false
--- a/internal/disp/gate/restart_test.go
+++ b/internal/disp/gate/restart_test.go
@@ -47,3 +47,32 @@
 		}
 	})
 }
+
+// The heartbeats of a target that restarted under its ID count from the first: its number
+// starts anew, and what its predecessor said holds no more.
+func TestTargetThatRestartedUnderItsIDInheritsNothing(t *testing.T) {
+	f := newFakeTarget(1000)
+	f.incarnation.Seq = 400
+	inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
+		leaving := f.incarnation
+		leaving.Seq, leaving.Leaving = 401, true
+		o.HandleHeartbeat(leaving)
+		restarted := f.restartInPlace()
+		f.update(func(f *fakeTarget) { f.incarnation.Capacity.CPU = 400 })
+		restarted.Capacity.CPU, restarted.Seq = 400, 1
+		time.Sleep(idlePollInterval + 200*time.Millisecond) // a poll finds the restart
+		if !o.HandleHeartbeat(restarted) {
+			t.Error("the heartbeat of the restarted target was ignored")
+		}
+		if got := o.sync(); got.CPU != 400 || got.Leaving {
+			t.Errorf("got %+v", got)
+		}
+		if reply := o.take(o.task("wide", 500)); reply.Result != msgs.Refused {
+			t.Errorf("got %v %q", reply.Result, reply.Reason)
+		}
+		if reply := o.take(o.task("a", 10)); reply.Result != msgs.Done {
+			t.Errorf("got %v %q", reply.Result, reply.Reason)
+		}
+		f.checkViolations(t)
+	})
+}
