Count neither rejected starts nor targets that leave as crashes

Two crashes under a task fail its job, so what counts as one must be one. A start that another incarnation rejects had no effect, yet the run was reported as lost with the restart; now it is refused. A target that has said that it leaves and then ends has departed, not crashed, also if its deregistration never arrives.

TestStartRejectedByAnotherIncarnationIsRefused and TestTargetThatLeavesHasNotCrashed failed.

--- a/internal/disp/gate/depart_test.go
+++ b/internal/disp/gate/depart_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
@@ -51,3 +52,34 @@
 		}
 	})
 }
+
+// A target that has said that it leaves, and then ends, has not crashed.
+func TestTargetThatLeavesHasNotCrashed(t *testing.T) {
+	f := newFakeTarget(1000)
+	f.stallRuns = true
+	inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
+		replies := make(chan msgs.TaskReply, 1)
+		go func() { replies <- o.take(o.task("a", 10)) }()
+		time.Sleep(50 * time.Millisecond)
+		leaving := f.incarnation
+		leaving.Leaving = true
+		o.HandleHeartbeat(leaving)
+		time.Sleep(2 * time.Second)
+		f.restartAs("i-2", 2) // its address answers as another
+		if reply := <-replies; reply.Result != msgs.Lost || reply.Reason != cause.Departed {
+			t.Errorf("got %v %q", reply.Result, reply.Reason)
+		}
+	})
+}
+
+// A start that another incarnation has rejected has not started, so no target has crashed
+// under it.
+func TestStartRejectedByAnotherIncarnationIsRefused(t *testing.T) {
+	f := newFakeTarget(1000)
+	inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
+		f.restartAs("i-2", 2)
+		if reply := o.take(o.task("a", 10)); reply.Result != msgs.Refused {
+			t.Errorf("got %v %q", reply.Result, reply.Reason)
+		}
+	})
+}
--- a/internal/disp/gate/incarnation.go
+++ b/internal/disp/gate/incarnation.go
@@ -86,6 +86,9 @@
 	if !g.targetKnown {
 		return
 	}
+	if g.incarnation.Leaving {
+		reason = cause.Departed
+	}
 	g.event("target_gone", "target", g.incarnation.ID, "reason", reason, "running", len(g.runs))
 	for _, r := range g.runs {
 		g.finish(r, msgs.Lost, reason)
--- a/internal/disp/gate/order.go
+++ b/internal/disp/gate/order.go
@@ -125,6 +125,7 @@
 		g.hedgeUntil = now.Add(hedgeDuration)
 		r.inDoubt = true
 	case errors.Is(err, targ.ErrRestarted):
+		g.refuse(r, cause.TargetRestarted)
 		g.endIncarnation(cause.TargetRestarted)
 	case errors.Is(err, targ.ErrUnhealthy):
 		g.recordFailure(r, cause.Unhealthy, now)
--- a/internal/disp/gate/poll.go
+++ b/internal/disp/gate/poll.go
@@ -164,7 +164,10 @@
 		return
 	}
 	reason := cause.Silent
-	if g.down {
+	switch {
+	case g.incarnation.Leaving:
+		reason = cause.Departed
+	case g.down:
 		reason = cause.TargetCrashed
 	}
 	for _, r := range g.runs {
