Share out all gates of a service, and only among those that a job fits

The bulkheads shared out the gates that were left after the filter by label, so that routes with and without a label got the same gates; and a job that only the targets of another route's share could run was refused as too large for every target, which was not true. Shares are of all gates of the service now, and a job that none of its share can run may use the others.

--- a/internal/disp/bulk/bulk.go
+++ b/internal/disp/bulk/bulk.go
@@ -71,7 +71,7 @@
 }
 
 // Share returns the gates that a route may use at now, of those given. All entries that
-// know the same gates and routes share them out alike.
+// know the same gates, and have had jobs of the same routes, share them out alike.
 func (g *Guard) Share(route string, gates []string, now boot.Time) map[string]bool {
 	routes := g.activeRoutes(now)
 	index := slices.Index(routes, route)
--- a/internal/disp/coord/candidates.go
+++ b/internal/disp/coord/candidates.go
@@ -18,13 +18,13 @@
 const remoteDataFactor = 1.5
 
 // candidates are the gates that may run a task, with what the entry knows of each.
-// links, targets, gates, addrs and crashed have the same length and order.
+// links, targets and gates have the same length and order.
 type candidates struct {
 	links   []*link.Link
 	targets []string // IDs of the incarnations of the gates' targets
 	gates   []pick.Gate
-	addrs   []string    // of the gates
-	crashed []bool      // whether the gate's target is down
+	crashed []bool      // whether the target of each of addrs is down
+	addrs   []string    // of all gates of the service, with or without the label
 	scratch []pick.Gate // used by longestWait
 }
 
@@ -43,13 +43,14 @@
 	for _, l := range c.Links() {
 		cands.add(l, r.Service, s, now)
 	}
-	c.separateRoutes(cands, r, now)
+	c.separateRoutes(cands, r, s, now)
 	return cands
 }
 
 // separateRoutes removes the gates that the route may not use at now, if the targets of
-// its service crash one after the other.
-func (c *Coordinator) separateRoutes(cands *candidates, r route.Route, now boot.Time) {
+// its service crash one after the other. If none of the others can run a task of s, all
+// stay.
+func (c *Coordinator) separateRoutes(cands *candidates, r route.Route, s Step, now boot.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	g := c.guards[r.Service]
@@ -67,20 +68,32 @@
 			c.count("bulkheads.raised")
 		}
 	}
-	if g.Raised(now) {
-		cands.keep(g.Share(r.Name, cands.addrs, now))
+	if !g.Raised(now) {
+		return
+	}
+	if share := g.Share(r.Name, cands.addrs, now); cands.fits(share, s) {
+		cands.keep(share)
+	}
+}
+
+// fits reports whether the target of a gate in share is large enough for a task of s.
+func (cands *candidates) fits(share map[string]bool, s Step) bool {
+	for i, l := range cands.links {
+		if share[l.Addr] && s.Size.Within(cands.gates[i].Capacity) {
+			return true
+		}
 	}
+	return false
 }
 
 // keep removes all gates whose address is not in share.
 func (cands *candidates) keep(share map[string]bool) {
 	n := 0
-	for i, addr := range cands.addrs {
-		if !share[addr] {
+	for i, l := range cands.links {
+		if !share[l.Addr] {
 			continue
 		}
-		cands.links[n], cands.targets[n], cands.gates[n] = cands.links[i], cands.targets[i], cands.gates[i]
-		cands.addrs[n], cands.crashed[n] = addr, cands.crashed[i]
+		cands.links[n], cands.targets[n], cands.gates[n] = l, cands.targets[i], cands.gates[i]
 		n++
 	}
 	cands.truncate(n)
@@ -89,7 +102,6 @@
 // truncate keeps the first n gates.
 func (cands *candidates) truncate(n int) {
 	cands.links, cands.targets, cands.gates = cands.links[:n], cands.targets[:n], cands.gates[:n]
-	cands.addrs, cands.crashed = cands.addrs[:n], cands.crashed[:n]
 }
 
 // release returns the memory of candidates for later calls of findCandidates.
@@ -97,6 +109,7 @@
 	clear(cands.links)
 	clear(cands.targets)
 	cands.truncate(0)
+	cands.addrs, cands.crashed = cands.addrs[:0], cands.crashed[:0]
 	c.candidatePool.Put(cands)
 }
 
@@ -106,6 +119,8 @@
 	if !v.Available || v.Load.Service != service {
 		return
 	}
+	cands.addrs = append(cands.addrs, l.Addr)
+	cands.crashed = append(cands.crashed, v.Load.BlockedReason == cause.TargetCrashed)
 	if s.RequiredLabel != "" && !slices.Contains(v.Load.Labels, s.RequiredLabel) {
 		return
 	}
@@ -114,8 +129,6 @@
 		runTimeFactor = remoteDataFactor
 	}
 	cands.links = append(cands.links, l)
-	cands.addrs = append(cands.addrs, l.Addr)
-	cands.crashed = append(cands.crashed, v.Load.BlockedReason == cause.TargetCrashed)
 	cands.targets = append(cands.targets, v.Load.TargetIncarnation)
 	cands.gates = append(cands.gates, pick.Gate{
 		Capacity:      rsrc.Vector{CPU: v.Load.CPU, Memory: v.Load.Memory, GPU: v.Load.GPU},
@@ -124,6 +137,7 @@
 		Speed:         v.Load.Speed,
 		Unavailable:   cannotStart(v.Load.BlockedReason),
 		BreakerOpen:   v.Load.BlockedReason != "" && !cannotStart(v.Load.BlockedReason),
+		Crashed:       v.Load.BlockedReason == cause.TargetCrashed,
 		RunTimeFactor: runTimeFactor,
 	})
 }
@@ -137,7 +151,7 @@
 // allCrashed reports whether there are candidates and the targets of all of them are down.
 // They are back after some seconds at the earliest.
 func (cands *candidates) allCrashed() bool {
-	return len(cands.crashed) > 0 && !slices.Contains(cands.crashed, false)
+	return len(cands.gates) > 0 && !slices.ContainsFunc(cands.gates, func(g pick.Gate) bool { return !g.Crashed })
 }
 
 // longestWait returns the longest expected wait for capacity of any task of s if all
