Take targets that go down together for one event

Found by the reviewer: five targets of a rack that went down at the same moment raised the bulkheads, since idle gates notice it within a second and entries ask them every 200 ms, and events were told apart from 60 ms on. Only targets that go down with runs count now, which their gates notice at once, and events within 300 ms are one.

TestOneEventDoesNotRaise spaces what an entry learns by its own interval, not by 10 ms, and failed; it is stricter than before.

--- a/internal/disp/bulk/bulk.go
+++ b/internal/disp/bulk/bulk.go
@@ -10,11 +10,11 @@
 )
 
 const (
-	minCrashes  = 3                     // crashes within crashWindow that raise the bulkheads
-	crashWindow = 2 * time.Second       // see minCrashes
-	sameEvent   = 60 * time.Millisecond // crashes that follow within that time have one cause
-	quietPeriod = 3 * time.Second       // time without a crash after which the bulkheads are lowered
-	routePeriod = 10 * time.Second      // how long a route without jobs keeps its share
+	minCrashes  = 3                      // crashes within crashWindow that raise the bulkheads
+	crashWindow = 2 * time.Second        // see minCrashes
+	sameEvent   = 300 * time.Millisecond // crashes that follow within that time have one cause
+	quietPeriod = 3 * time.Second        // time without a crash after which the bulkheads are lowered
+	routePeriod = 10 * time.Second       // how long a route without jobs keeps its share
 )
 
 // Guard decides which targets a route may use. The zero value lets all routes use all
--- a/internal/disp/bulk/bulk_test.go
+++ b/internal/disp/bulk/bulk_test.go
@@ -11,11 +11,12 @@
 // at returns a time d after an arbitrary one.
 func at(d time.Duration) boot.Time { return boot.Time(time.Hour).Add(d) }
 
-// Targets that crash together, such as a rack, must not raise the bulkheads.
+// Targets that crash together, such as a rack, must not raise the bulkheads. An entry learns
+// of them within the interval at which it asks their gates.
 func TestOneEventDoesNotRaise(t *testing.T) {
 	var g Guard
-	for i := range 5 {
-		g.Observe(fmt.Sprint(i), true, at(time.Duration(i)*10*time.Millisecond))
+	for i := range 6 {
+		g.Observe(fmt.Sprint(i), true, at(time.Duration(i)*50*time.Millisecond))
 		g.Observe(fmt.Sprint(i), true, at(time.Second))
 	}
 	if g.Raised(at(time.Second)) {
--- a/internal/disp/gate/fake_test.go
+++ b/internal/disp/gate/fake_test.go
@@ -32,6 +32,7 @@
 	loseStartReplies int  // number of starts to execute without an answer
 	dropStarts       int  // number of starts neither to execute nor to answer
 	unresponsive     bool // no call is answered
+	down             bool // connections are refused
 	dropStops        bool // stops are neither executed nor answered
 	failRuns         bool // runs end as failed
 	stallRuns        bool // runs never end
@@ -70,6 +71,10 @@
 func (f *fakeTarget) Start(ctx context.Context, inc targ.Incarnation, o targ.Order) (int64, error) {
 	f.mu.Lock()
 	f.startCalls++
+	if f.down {
+		f.mu.Unlock()
+		return 0, targ.ErrUnreachable
+	}
 	if inc.ID != f.incarnation.ID {
 		f.mu.Unlock()
 		return 0, targ.ErrRestarted
@@ -166,6 +171,10 @@
 // Stop stops a run, or excludes a start that has not arrived.
 func (f *fakeTarget) Stop(ctx context.Context, _ targ.Incarnation, o targ.Order) (int64, error) {
 	f.mu.Lock()
+	if f.down {
+		f.mu.Unlock()
+		return 0, targ.ErrUnreachable
+	}
 	if f.unresponsive || f.dropStops {
 		f.mu.Unlock()
 		<-ctx.Done()
@@ -183,6 +192,10 @@
 // Poll renews the lease and lists the runs once one has ended or r.Wait has passed.
 func (f *fakeTarget) Poll(ctx context.Context, inc targ.Incarnation, r targ.Renewal) (targ.Listing, error) {
 	f.mu.Lock()
+	if f.down {
+		f.mu.Unlock()
+		return targ.Listing{}, targ.ErrUnreachable
+	}
 	if f.unresponsive {
 		f.missedPolls++
 		f.mu.Unlock()
@@ -202,7 +215,7 @@
 	end := time.Now().Add(time.Duration(r.Wait) * time.Millisecond)
 	for current := f.incarnation; ; {
 		f.endDueRuns()
-		if !current.Same(f.incarnation) {
+		if f.down || !current.Same(f.incarnation) {
 			f.mu.Unlock()
 			return targ.Listing{}, targ.ErrUnanswered
 		}
--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -56,6 +56,7 @@
 	lastEnds     map[string]int  // run numbers by task, of the ends reported at lastEndClock
 	missedPolls  int             // consecutive polls without an answer
 	down         bool            // the target has refused a connection since it last answered
+	downWithRuns bool            // runs were there when down was set
 	silent       bool            // missedPolls has reached maxMissedPolls, or the connection was refused
 	hedgeUntil   boot.Time       // end of the time during which a second poll is kept open
 	leaseEnd     boot.Time       // latest time at which the target's lease lapses, by Steady
@@ -297,7 +298,7 @@
 	}
 	l.BlockedReason = g.breaker.OpenReason(now)
 	switch {
-	case g.silent && g.down:
+	case g.silent && g.downWithRuns:
 		l.BlockedReason = cause.TargetCrashed
 	case g.silent || !g.reconciled || g.unconfirmed():
 		l.BlockedReason = cause.Silent
--- a/internal/disp/gate/order.go
+++ b/internal/disp/gate/order.go
@@ -131,8 +131,9 @@
 		g.recordFailure(r, cause.Unhealthy, now)
 		g.refuse(r, cause.Unhealthy)
 	case errors.Is(err, targ.ErrUnreachable):
-		g.silent, g.down = true, true
+		g.silent = true
 		g.refuse(r, cause.Unreachable)
+		g.recordDown()
 	default:
 		g.trace("start_refused", "job", r.msg.Job, "task", r.msg.Name, "err", err)
 		g.refuse(r, cause.Rejected)
--- a/internal/disp/gate/poll.go
+++ b/internal/disp/gate/poll.go
@@ -128,7 +128,7 @@
 		if g.silent {
 			g.event("target_answers", "target", incarnation.ID)
 		}
-		g.silent, g.down, g.missedPolls, g.successor = false, false, 0, targ.Incarnation{}
+		g.silent, g.down, g.downWithRuns, g.missedPolls, g.successor = false, false, false, 0, targ.Incarnation{}
 		if !g.checkIncarnation(l) {
 			return true
 		}
@@ -142,7 +142,9 @@
 		g.endIncarnation(cause.TargetRestarted)
 	default:
 		g.missedPolls++
-		g.down = g.down || errors.Is(err, targ.ErrUnreachable)
+		if errors.Is(err, targ.ErrUnreachable) {
+			g.recordDown()
+		}
 		g.hedgeUntil = now.Add(hedgeDuration)
 		g.count("target.missed")
 		if g.missedPolls < maxMissedPolls {
@@ -157,6 +159,13 @@
 	return false
 }
 
+// recordDown records that the target refuses connections.
+func (g *Gate) recordDown() {
+	if !g.down {
+		g.down, g.downWithRuns = true, len(g.runs) > 0
+	}
+}
+
 // giveUpLapsedRuns gives up the runs at a silent target once its lease on them has
 // certainly lapsed.
 func (g *Gate) giveUpLapsedRuns() {
