--- a/internal/disp/coord/coord.go
+++ b/internal/disp/coord/coord.go
@@ -60,7 +60,8 @@
 	mu          sync.Mutex
 	jobs        map[string]*execution
 	guards      map[string]*bulk.Guard // by service
-	outageSince boot.Time              // since when no gate can start tasks; 0 if one can
+	crashes     crashLog
+	outageSince boot.Time // since when no gate can start tasks; 0 if one can
 }
 
 // Cancel abandons the job with the given ID. It reports false if this entry runs
--- a/internal/disp/coord/coord_test.go
+++ b/internal/disp/coord/coord_test.go
@@ -200,6 +200,25 @@
 	}
 }
 
+// A caller that lost the answer may submit the job again. Its task must not crash further
+// targets from the start.
+func TestCrashesAreRememberedOverSubmissions(t *testing.T) {
+	f := newFakeGates(t, 5)
+	f.respond = func(int, msgs.Task) msgs.TaskReply {
+		return msgs.TaskReply{Result: msgs.Lost, Reason: cause.TargetCrashed}
+	}
+	c := f.coordinator()
+	for range 3 {
+		if a := c.Submit(context.Background(), newTestJob(1, 100)); a.State != Failed {
+			t.Errorf("got %+v", a)
+		}
+		waitUntil(t, "the job is forgotten", func() bool { return c.unfinishedJob("j") == nil })
+	}
+	if n := f.receivedCount(); n != maxCrashes {
+		t.Errorf("%d runs", n)
+	}
+}
+
 func TestTooLargeJobIsRefusedAtOnce(t *testing.T) {
 	f := newFakeGates(t, 2)
 	a := f.coordinator().Submit(context.Background(), newTestJob(1, 1001))
--- a/internal/disp/coord/task.go
+++ b/internal/disp/coord/task.go
@@ -23,9 +23,6 @@
 	// did not answer, it is placed again at once: at another gate, since
 	// each refusal brings the known load of the gate up to date.
 	immediateRetries = 3
-	// maxCrashes is the number of targets that may crash under a task before its job is
-	// given up: a task that crashes whatever runs it must not take the fleet down.
-	maxCrashes = 2
 	// maxQueueTime is how long a task may wait in the queue of a full gate. After
 	// that it is placed again, since another gate may have free capacity by then.
 	maxQueueTime = 60 * time.Millisecond
@@ -66,7 +63,6 @@
 	stepIndex int
 	failures  int             // number of failed runs
 	refusals  int             // number of refusals by gates
-	crashes   int             // number of targets that crashed under it
 	avoid     map[string]bool // by target; true where the last placement ended otherwise than for lack of capacity
 }
 
@@ -75,6 +71,10 @@
 func (c *Coordinator) runTask(e *execution, s Step, stepIndex, taskIndex int) bool {
 	ts := &taskState{name: fmt.Sprintf("%s.0.%d.%d", e.ID, stepIndex, taskIndex), stepIndex: stepIndex, avoid: map[string]bool{}}
 	for e.ctx.Err() == nil && !e.finishIfUnawaited(c.now()) {
+		if c.crashesTargets(ts.name) {
+			e.finish(Answer{State: Failed, Reason: cause.CrashesTargets})
+			return false
+		}
 		l, target, m, ok := c.place(e, s, ts)
 		if !ok {
 			if c.refuseIfOverdue(e, cause.NoGates) {
@@ -103,14 +103,7 @@
 				return false
 			}
 		case msgs.Lost:
-			if reply.Reason != cause.TargetCrashed && reply.Reason != cause.TargetRestarted {
-				continue
-			}
-			ts.crashes++
-			if ts.crashes >= maxCrashes {
-				e.finish(Answer{State: Failed, Reason: cause.CrashesTargets})
-				return false
-			}
+			c.recordCrash(ts.name, reply)
 		case msgs.Refused:
 			if c.refuseIfOverdue(e, reply.Reason) {
 				return false
--- a/test/mutant_test.go
+++ b/test/mutant_test.go
@@ -152,7 +152,7 @@
 		old: "\tcase <-e.drained:\n\tcase <-ctx.Done():\n", new: "\tdefault:\n",
 	},
 	{rule: "TWICE given up, says the other entry", file: "internal/disp/proc/service.go", old: "if m.Cancel && m.Drain {", new: "if false {", test: "internal/disp/proc TestJobIsGivenUpElsewhereWhenItsTasksHaveEnded"},
-	{rule: "BUDGET crashes", file: dispCoord + "task.go", old: "if ts.crashes >= maxCrashes {", new: "if false {", test: "internal/disp/coord TestTaskThatCrashesTargetsIsGivenUp"},
+	{rule: "BUDGET crashes", file: dispCoord + "task.go", old: "if c.crashesTargets(ts.name) {", new: "if false {", test: "internal/disp/coord TestTaskThatCrashesTargetsIsGivenUp"},
 	{rule: "RECOVER bulkheads", file: dispCoord + "candidates.go", old: "if !g.Raised(now) {", new: "if true {", test: "internal/disp/rules TestDeadlyRouteLeavesTargetsToOthers"},
 	{rule: "LIMIT heartbeats out of order", file: dispGate + "heartbeat.go", old: "if !outdated {\n", new: "if true {\n", test: "internal/disp/gate TestDelayedHeartbeatDoesNotBringCapacityBack"},
 	{rule: "DRAIN recalled target", file: dispGate + "incarnation.go", old: " && !g.unconfirmed()", new: "", test: "internal/disp/gate TestRecalledTargetNeedsHeartbeat"},
