Use a target again that says it does not leave

A deregistration names the ID only. A delayed one of the incarnation before made the gate take its target for leaving for good, if it could not be acted upon within 500 ms. A heartbeat with a higher number decides now.

TestDelayedDeregistrationDoesNotTakeTargetOutForGood got 'leaving'.

--- a/internal/disp/gate/depart_test.go
+++ b/internal/disp/gate/depart_test.go
@@ -83,3 +83,24 @@
 		}
 	})
 }
+
+// A deregistration of the incarnation before, with the same ID, may arrive late. The target
+// must be used again once it says that it does not leave.
+func TestDelayedDeregistrationDoesNotTakeTargetOutForGood(t *testing.T) {
+	f := newFakeTarget(1000)
+	f.stallRuns, f.dropStops = true, true
+	f.incarnation.Seq = 1
+	inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
+		go o.take(o.task("a", 10))
+		time.Sleep(50 * time.Millisecond)
+		o.HandleDeregistration(f.incarnation.ID)
+		f.update(func(f *fakeTarget) { f.dropStops, f.stallRuns = false, false })
+		next := f.incarnation
+		next.Seq = 2
+		o.HandleHeartbeat(next)
+		time.Sleep(time.Second)
+		if reply := o.take(o.task("b", 10)); reply.Result != msgs.Done {
+			t.Errorf("got %v %q", reply.Result, reply.Reason)
+		}
+	})
+}
--- a/internal/disp/gate/heartbeat.go
+++ b/internal/disp/gate/heartbeat.go
@@ -35,7 +35,8 @@
 		}
 		g.confirmBy = 0
 		outdated := inc.Seq != 0 && inc.Seq < g.incarnation.Seq
-		leaving := g.incarnation.Leaving || inc.Leaving
+		newer := g.incarnation.Seq != 0 && inc.Seq > g.incarnation.Seq
+		leaving := inc.Leaving || g.incarnation.Leaving && !newer
 		if !outdated {
 			g.incarnation = inc
 		}
