Follow a successor that was born earlier once the target is silent

Heartbeats of a target born earlier are ignored, as they may be delayed ones. If the time of day had been set back before a restart at another address, the gate ignored the new target for ever, though the old one had stopped answering.

TestSuccessorBornEarlierIsFollowedWhenTheTargetIsSilent was still at the old one after 6 s.

--- a/internal/disp/gate/heartbeat.go
+++ b/internal/disp/gate/heartbeat.go
@@ -22,11 +22,11 @@
 // the newest of the incarnation that is current afterwards. Of an older heartbeat of that
 // incarnation only counts that the target leaves. One of an older incarnation has no effect,
 // but a recalled incarnation that has never answered gives way to any other: its record
-// may be of another machine's target.
+// may be of another machine's target, and so does one that no longer answers.
 func (g *Gate) HandleHeartbeat(inc targ.Incarnation) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.targetKnown && inc.Born < g.incarnation.Born && (g.confirmBy == 0 || g.clock.HasReading) {
+	if g.targetKnown && !g.silent && inc.Born < g.incarnation.Born && (g.confirmBy == 0 || g.clock.HasReading) {
 		return false
 	}
 	if g.targetKnown && inc.Same(g.incarnation) {
--- a/internal/disp/gate/heartbeat_test.go
+++ b/internal/disp/gate/heartbeat_test.go
@@ -98,3 +98,22 @@
 		}
 	})
 }
+
+// A target that replaces one that no longer answers is followed, even if it seems to be
+// born earlier.
+func TestSuccessorBornEarlierIsFollowedWhenTheTargetIsSilent(t *testing.T) {
+	f := newFakeTarget(1000)
+	f.incarnation.Born = 1_000_000
+	inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
+		f.update(func(f *fakeTarget) { f.unresponsive = true })
+		next := f.incarnation
+		next.ID, next.Born = "i-2", 900_000
+		for range 4 { // heartbeats
+			time.Sleep(1500 * time.Millisecond)
+			o.HandleHeartbeat(next)
+		}
+		if got := o.State().Incarnation.ID; got != "i-2" {
+			t.Errorf("%s is used", got)
+		}
+	})
+}
