--- a/internal/disp/proc/giveup_test.go
+++ b/internal/disp/proc/giveup_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -100,3 +101,73 @@
 		t.Errorf("took %v, want about %v", took, giveUpTimeout)
 	}
 }
+
+// silentConn is a connection that has gone silent: it accepts writes and delivers nothing.
+type silentConn struct {
+	net.Conn
+	closed chan struct{}
+	done   atomic.Bool
+}
+
+func (c *silentConn) Write(p []byte) (int, error)      { return len(p), nil }
+func (c *silentConn) SetWriteDeadline(time.Time) error { return nil }
+func (c *silentConn) Read([]byte) (int, error) {
+	<-c.closed
+	return 0, net.ErrClosed
+}
+func (c *silentConn) Close() error {
+	if c.done.CompareAndSwap(false, true) {
+		close(c.closed)
+	}
+	return nil
+}
+
+// slowConn delivers what is written to it 150 ms late, as an entry does whose quota is used
+// up or whose machine is slow.
+type slowConn struct{ net.Conn }
+
+func (c slowConn) Write(p []byte) (int, error) {
+	b := append([]byte(nil), p...)
+	time.AfterFunc(150*time.Millisecond, func() { _, _ = c.Conn.Write(b) })
+	return len(p), nil
+}
+
+// An entry that is slow, or whose connection has gone silent, lives and goes on with the job
+// unless it is asked again.
+func TestLivingEntryIsMadeToGiveUpTheJob(t *testing.T) {
+	for name, first := range map[string]func(net.Conn) net.Conn{
+		"its connection has gone silent": func(c net.Conn) net.Conn {
+			return &silentConn{Conn: c, closed: make(chan struct{})}
+		},
+		"it answers after 150 ms": func(c net.Conn) net.Conn { return slowConn{c} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			started, released := make(chan struct{}, 1), make(chan struct{})
+			links := []*link.Link{newHeldLink(t, started, released)}
+			defer close(released)
+			had := newPeer()
+			had.Coord.Links = func() []*link.Link { return links }
+			asks := newPeer(serve(t, map[string]any{EntryServiceName: had.Service()}))
+			var dials atomic.Int32
+			asks.pool.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+				conn, err := new(net.Dialer).DialContext(ctx, "tcp", addr)
+				if err == nil && dials.Add(1) == 1 {
+					return first(conn), nil
+				}
+				return conn, err
+			}
+			go had.Coord.Submit(context.Background(), coord.Job{
+				ID: "j", Arrived: boot.Now(), Route: route.Route{Name: "r", Service: "s", MaxAttempts: 1},
+				Steps: []coord.Step{{Count: 1, Size: rsrc.Vector{CPU: 100}, DeclaredRunTime: 10 * time.Second}},
+			})
+			<-started
+			begin := time.Now()
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+			defer cancel()
+			asks.GiveUpElsewhere(ctx, "j")
+			if ctx.Err() == nil {
+				t.Errorf("returned after %v while the task runs; %d jobs run at the other entry", time.Since(begin).Round(time.Millisecond), had.Coord.Running())
+			}
+		})
+	}
+}
