--- a/internal/disp/coord/candidates.go
+++ b/internal/disp/coord/candidates.go
@@ -53,14 +53,7 @@
 func (c *Coordinator) separateRoutes(cands *candidates, r route.Route, s Step, now boot.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	g := c.guards[r.Service]
-	if g == nil {
-		if c.guards == nil {
-			c.guards = map[string]*bulk.Guard{}
-		}
-		g = &bulk.Guard{}
-		c.guards[r.Service] = g
-	}
+	g := c.guard(r.Service)
 	g.Use(r.Name, now)
 	for i, addr := range cands.addrs {
 		if g.Observe(addr, cands.crashed[i], now) {
@@ -76,6 +69,19 @@
 	}
 }
 
+// guard returns the guard of a service's targets. The caller holds mu.
+func (c *Coordinator) guard(service string) *bulk.Guard {
+	g, ok := c.guards[service]
+	if !ok {
+		if c.guards == nil {
+			c.guards = map[string]*bulk.Guard{}
+		}
+		g = &bulk.Guard{}
+		c.guards[service] = g
+	}
+	return g
+}
+
 // fits reports whether the target of a gate in share is large enough for a task of s.
 func (cands *candidates) fits(share map[string]bool, s Step) bool {
 	for i, l := range cands.links {
--- a/internal/disp/gate/heartbeat.go
+++ b/internal/disp/gate/heartbeat.go
@@ -29,22 +29,9 @@
 	if g.targetKnown && !g.silent && inc.Born < g.incarnation.Born && (g.confirmBy == 0 || g.clock.HasReading) {
 		return false
 	}
-	if g.targetKnown && inc.Same(g.incarnation) {
-		if inc.Leaving && !g.incarnation.Leaving {
-			g.event("target_leaving", "target", inc.ID)
-		}
-		g.confirmBy = 0
-		outdated := inc.Seq != 0 && inc.Seq < g.incarnation.Seq
-		newer := g.incarnation.Seq != 0 && inc.Seq > g.incarnation.Seq
-		leaving := inc.Leaving || g.incarnation.Leaving && !newer
-		if !outdated {
-			g.incarnation = inc
-		}
-		g.incarnation.Leaving = leaving
-		g.refuseQueueIfLeaving()
-		return !outdated
-	}
 	switch {
+	case g.targetKnown && inc.Same(g.incarnation):
+		return g.confirm(inc)
 	case g.targetKnown && inc.ID == g.incarnation.ID:
 		g.followRestart(inc)
 	case g.targetKnown && len(g.runs) > 0:
@@ -59,6 +46,24 @@
 	return true
 }
 
+// confirm processes a heartbeat of the current incarnation. It reports whether the heartbeat
+// is the newest.
+func (g *Gate) confirm(inc targ.Incarnation) bool {
+	if inc.Leaving && !g.incarnation.Leaving {
+		g.event("target_leaving", "target", inc.ID)
+	}
+	g.confirmBy = 0
+	outdated := inc.Seq != 0 && inc.Seq < g.incarnation.Seq
+	newer := g.incarnation.Seq != 0 && inc.Seq > g.incarnation.Seq
+	leaving := inc.Leaving || g.incarnation.Leaving && !newer
+	if !outdated {
+		g.incarnation = inc
+	}
+	g.incarnation.Leaving = leaving
+	g.refuseQueueIfLeaving()
+	return !outdated
+}
+
 // awaitEnd notes a heartbeat of a target with another ID. A delayed heartbeat proves no
 // end, so the current incarnation keeps its runs until it no longer answers under its ID,
 // or until their lease has lapsed. If it answers, the heartbeat is dropped.
