Take the count of crashes out with the rule on lost runs

The mutant that counts lost runs as failures could not be built since lost runs have a case of their own.

--- a/test/mutant_test.go
+++ b/test/mutant_test.go
@@ -111,7 +111,7 @@
 	{rule: "TWICE lease of a silent target", file: dispGate + "poll.go", old: "now < g.leaseEnd.Add(stopSlack)", new: "now < 0", test: "internal/disp/gate TestGateGivesUpTasksOfSilentTarget"},
 	{rule: "REFUSED nothing started", file: dispCoord + "job.go", old: "if e.started || e.inFlight > 0 || e.answer != nil {", new: "if e.answer != nil {", test: "internal/disp/coord TestStartedJobIsNotRefused"},
 	{rule: "LOST all attempts", file: dispCoord + "task.go", old: "if ts.failures >= max(1, e.Route.MaxAttempts) {", new: "if ts.failures >= 1 {", test: "internal/disp/coord TestJobFailsAfterAttempts"},
-	{rule: "LOST lost runs", file: dispCoord + "task.go", old: "case msgs.Failed:", new: "case msgs.Failed, msgs.Lost:", test: "internal/disp/coord TestLostRunsDoNotCountAsFailures"},
+	{rule: "LOST lost runs", file: dispCoord + "task.go", old: "case msgs.Failed:", new: "case msgs.Failed, msgs.Lost:", test: "internal/disp/coord TestLostRunsDoNotCountAsFailures", more: []edit{{dispCoord + "task.go", "case msgs.Lost:\n\t\t\tc.recordCrash(ts.name, reply)\n\t\t", ""}}},
 	{rule: "LOST planned stop", file: "platform/caller.go", old: "if h.refusing(arrived) {", new: "if false {", test: "platform TestCallerHandlerRefusesJobsThatItCannotFinish"},
 	{rule: "ROUTE most per target", file: dispCoord + "job.go", old: "if limit > 0 && e.tasksByTarget[key] >= limit {", new: "if false {", test: "internal/disp/coord TestMaxTasksPerTarget", more: []edit{{dispCoord + "job.go", "return limit == 0 || e.tasksByTarget[key] < limit", "return true"}}},
 	{rule: "CONFIG never back", file: "internal/disp/route/route.go", old: "if current != nil && current.Version >= t.Version {", new: "if false {", test: "internal/disp/route TestCurrentNeverGoesBack"},
