--- a/internal/disp/gate/incarnation.go
+++ b/internal/disp/gate/incarnation.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"errors"
 	"math"
 	"time"
 
@@ -91,13 +92,34 @@
 	}
 	g.event("target_gone", "target", g.incarnation.ID, "reason", reason, "running", len(g.runs))
 	for _, r := range g.runs {
-		g.finish(r, msgs.Lost, reason)
+		g.endRun(r, reason)
 	}
 	g.refuseQueue(reason)
 	g.targetKnown, g.reconciled = false, false
 	g.adoptSuccessor()
 }
 
+// endRun reports r, which was at an incarnation that has ended, as lost. If the order to
+// start it has no answer yet, that answer decides: another incarnation may have rejected it.
+func (g *Gate) endRun(r *run, reason string) {
+	if r.phase == ordered && !r.inDoubt {
+		r.endedReason = reason
+		delete(g.runs, r.msg.Name)
+		return
+	}
+	g.finish(r, msgs.Lost, reason)
+}
+
+// finishEnded finishes r, whose target's incarnation has ended, by the answer to the order
+// to start it.
+func (g *Gate) finishEnded(r *run, err error) {
+	if errors.Is(err, targ.ErrRestarted) || errors.Is(err, targ.ErrUnreachable) {
+		g.refuse(r, r.endedReason)
+		return
+	}
+	g.finish(r, msgs.Lost, r.endedReason)
+}
+
 // targetReady reports whether tasks can be started at the target.
 func (g *Gate) targetReady() bool {
 	return g.targetKnown && g.reconciled && !g.silent && !g.incarnation.Leaving && g.clock.HasReading && !g.unconfirmed() &&
--- a/internal/disp/gate/order.go
+++ b/internal/disp/gate/order.go
@@ -76,6 +76,9 @@
 	switch {
 	case r.phase != ordered || r.inDoubt:
 		return targ.Incarnation{}, targ.Order{}, false
+	case r.endedReason != "":
+		g.refuse(r, r.endedReason)
+		return targ.Incarnation{}, targ.Order{}, false
 	case r.stopWanted:
 		g.refuse(r, r.stopReason)
 		return targ.Incarnation{}, targ.Order{}, false
@@ -96,6 +99,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
+	if r.phase == ordered && r.endedReason != "" {
+		g.finishEnded(r, err)
+		return true
+	}
 	if !incarnation.Same(g.incarnation) || r.phase != ordered {
 		return true
 	}
