Count a restart under one ID as a crash only under runs that were in progress

An order that gets lost after a target has restarted, but before its gate knows, puts the run in doubt though no target crashed under it. Such a run is still lost, but counts only if it was known to be in progress.

--- a/internal/disp/gate/apply.go
+++ b/internal/disp/gate/apply.go
@@ -138,11 +138,14 @@
 // finishExcluded finishes a run that is certainly not at the target and can't start any
 // more.
 func (g *Gate) finishExcluded(r *run) {
-	if r.mayHaveRun {
+	switch {
+	case r.wasRunning:
 		g.finish(r, msgs.Lost, cause.TargetRestarted)
-		return
+	case r.mayHaveRun:
+		g.finish(r, msgs.Lost, cause.Unanswered)
+	default:
+		g.refuse(r, cause.Unanswered)
 	}
-	g.refuse(r, cause.Unanswered)
 }
 
 // checkRuns repeats stops that have had no effect and stops runs that make no
--- a/internal/disp/gate/incarnation.go
+++ b/internal/disp/gate/incarnation.go
@@ -30,6 +30,7 @@
 // doubt puts in doubt whether r, which was at an incarnation that has ended, is at the one
 // that has replaced it.
 func (r *run) doubt() {
+	r.wasRunning = r.wasRunning || r.phase == running
 	r.phase, r.inDoubt, r.mayHaveRun = ordered, true, true
 	r.percent = 0
 	r.startClock, r.stopAckClock = 0, 0
