--- a/internal/disp/coord/coord_test.go
+++ b/internal/disp/coord/coord_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -10,112 +9,10 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/link"
-	"github.com/gypsumlanding/gypsumlanding/internal/disp/route"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/rsrc"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
-	"github.com/gypsumlanding/gypsumlanding/internal/wire/peer"
 )
 
-// fakeGates is a set of gates that answer each task with the result of respond.
-type fakeGates struct {
-	mu          sync.Mutex
-	links       []*link.Link
-	loads       []msgs.Load
-	respond     func(gate int, m msgs.Task) msgs.TaskReply
-	received    []msgs.Task
-	cancelCount int
-}
-
-// newFakeGates returns n gates whose targets have one core each. They answer each task
-// with success until the test replaces respond.
-func newFakeGates(t *testing.T, n int) *fakeGates {
-	f := &fakeGates{respond: func(int, msgs.Task) msgs.TaskReply { return msgs.TaskReply{Result: msgs.Done, RunTime: 10} }}
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
-	for i := range n {
-		f.loads = append(f.loads, msgs.Load{Incarnation: 1, Service: "s", TargetIncarnation: string(rune('a' + i)), CPU: 1000, Memory: 1000, Speed: 1})
-		l := &link.Link{Addr: fmt.Sprint("g", i), Entry: "e", Incarnation: 1, Drop: func(string) {}}
-		l.Call = func(_ context.Context, _, method string, args, reply any) error {
-			return f.handleCall(i, method, args, reply)
-		}
-		f.links = append(f.links, l)
-	}
-	for _, l := range f.links {
-		go l.Run(ctx)
-	}
-	for _, l := range f.links {
-		waitUntil(t, "the gate is known", func() bool { return l.View(boot.Now()).Available })
-	}
-	return f
-}
-
-func (f *fakeGates) handleCall(gate int, method string, args, reply any) error {
-	f.mu.Lock()
-	load := f.loads[gate]
-	f.mu.Unlock()
-	load.Timestamp = int64(boot.Now())
-	if method == link.SyncMethod {
-		return f.handleSync(load, args, reply)
-	}
-	return f.handleTask(gate, load, args, reply)
-}
-
-func (f *fakeGates) handleSync(load msgs.Load, args, reply any) error {
-	m, known := args.(*msgs.Sync)
-	out, ok := reply.(*msgs.Load)
-	if !known || !ok {
-		return peer.ErrBroken
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.cancelCount += len(m.Cancel)
-	*out = load
-	return nil
-}
-
-func (f *fakeGates) handleTask(gate int, load msgs.Load, args, reply any) error {
-	m, known := args.(*msgs.Task)
-	out, ok := reply.(*msgs.TaskReply)
-	if !known || !ok {
-		return peer.ErrBroken
-	}
-	f.mu.Lock()
-	f.received = append(f.received, *m)
-	respond := f.respond
-	f.mu.Unlock()
-	*out = respond(gate, *m)
-	load.Timestamp = int64(boot.Now())
-	out.Load = load
-	return nil
-}
-
-func (f *fakeGates) coordinator() *Coordinator {
-	return &Coordinator{Links: func() []*link.Link { return f.links }}
-}
-
-func (f *fakeGates) receivedCount() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.received)
-}
-
-func waitUntil(t *testing.T, what string, ok func() bool) {
-	t.Helper()
-	for deadline := time.Now().Add(20 * time.Second); !ok(); time.Sleep(time.Millisecond) {
-		if time.Now().After(deadline) {
-			t.Fatalf("timed out waiting until %s", what)
-		}
-	}
-}
-
-func newTestJob(tasks, cpu int) Job {
-	return Job{
-		ID: "j", Arrived: boot.Now(),
-		Route: route.Route{Name: "r", Service: "s", MaxAttempts: 2, MaxStretch: 1.6, LatencyMargin: 60 * time.Millisecond},
-		Steps: []Step{{Count: tasks, Size: rsrc.Vector{CPU: cpu}, DeclaredRunTime: 100 * time.Millisecond}},
-	}
-}
-
 func TestJobIsDoneWhenAllTasksAre(t *testing.T) {
 	f := newFakeGates(t, 2)
 	if a := f.coordinator().Submit(context.Background(), newTestJob(5, 100)); a.State != Done {
--- a/internal/disp/gate/crash_test.go
+++ b/internal/disp/gate/crash_test.go
@@ -15,8 +15,7 @@
 		f.stallRuns = true
 		inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
 			if !idle {
-				go o.take(o.task("a", 10))
-				time.Sleep(50 * time.Millisecond)
+				o.begin(o.task("a", 10))
 			}
 			f.update(func(f *fakeTarget) { f.down = true })
 			time.Sleep(2 * idlePollInterval)
--- a/internal/disp/gate/depart_test.go
+++ b/internal/disp/gate/depart_test.go
@@ -14,9 +14,7 @@
 	f := newFakeTarget(1000)
 	f.stallRuns = true
 	inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
-		replies := make(chan msgs.TaskReply, 1)
-		go func() { replies <- o.take(o.task("a", 10)) }()
-		time.Sleep(50 * time.Millisecond)
+		replies := o.begin(o.task("a", 10))
 		go o.HandleDeregistration(f.incarnation.ID)
 		reply := <-replies
 		if n := f.running(); n > 0 {
@@ -37,9 +35,7 @@
 	f := newFakeTarget(1000)
 	f.stallRuns = true
 	inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
-		replies := make(chan msgs.TaskReply, 1)
-		go func() { replies <- o.take(o.task("a", 10)) }()
-		time.Sleep(50 * time.Millisecond)
+		replies := o.begin(o.task("a", 10))
 		f.update(func(f *fakeTarget) { f.unresponsive = true })
 		began := time.Now()
 		o.HandleDeregistration(f.incarnation.ID)
@@ -58,9 +54,7 @@
 	f := newFakeTarget(1000)
 	f.stallRuns = true
 	inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
-		replies := make(chan msgs.TaskReply, 1)
-		go func() { replies <- o.take(o.task("a", 10)) }()
-		time.Sleep(50 * time.Millisecond)
+		replies := o.begin(o.task("a", 10))
 		leaving := f.incarnation
 		leaving.Leaving = true
 		o.HandleHeartbeat(leaving)
@@ -91,8 +85,7 @@
 	f.stallRuns, f.dropStops = true, true
 	f.incarnation.Seq = 1
 	inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
-		go o.take(o.task("a", 10))
-		time.Sleep(50 * time.Millisecond)
+		o.begin(o.task("a", 10))
 		o.HandleDeregistration(f.incarnation.ID)
 		f.update(func(f *fakeTarget) { f.dropStops, f.stallRuns = false, false })
 		next := f.incarnation
--- a/internal/disp/gate/heartbeat_test.go
+++ b/internal/disp/gate/heartbeat_test.go
@@ -20,9 +20,7 @@
 			f.stallRuns = true
 			inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
 				m := o.task("long", 10)
-				replies := make(chan msgs.TaskReply, 1)
-				go func() { replies <- o.take(m) }()
-				time.Sleep(100 * time.Millisecond)
+				replies := o.begin(m)
 				earlier := f.incarnation
 				earlier.ID, earlier.Born = "earlier", born.earlier
 				o.HandleHeartbeat(earlier)
@@ -62,8 +60,7 @@
 	f := newFakeTarget(1000)
 	f.stallRuns = true
 	inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
-		go o.take(o.task("long", 10))
-		time.Sleep(100 * time.Millisecond)
+		o.begin(o.task("long", 10))
 		f.restartAs("i-2", 2)
 		f.update(func(f *fakeTarget) { f.stallRuns = false })
 		o.HandleHeartbeat(f.incarnation)
--- a/internal/disp/gate/restart_test.go
+++ b/internal/disp/gate/restart_test.go
@@ -34,9 +34,7 @@
 	f := newFakeTarget(1000)
 	f.stallRuns = true
 	inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
-		replies := make(chan msgs.TaskReply, 1)
-		go func() { replies <- o.take(o.task("a", 10)) }()
-		time.Sleep(50 * time.Millisecond)
+		replies := o.begin(o.task("a", 10))
 		o.HandleHeartbeat(f.restartInPlace())
 		restarted := time.Now()
 		if reply := <-replies; reply.Result != msgs.Lost {
--- /dev/null
+++ b/internal/disp/rules/caller_test.go
@@ -0,0 +1,115 @@
+package rules
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/coord"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/route"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/rsrc"
+)
+
+// jobSpec is a job that a caller submits.
+type jobSpec struct {
+	Tasks    int
+	Work     work   // of each task
+	Attempts int    // failed runs allowed for each task
+	Entry    int    // index of the entry that it is submitted to first
+	Route    string // empty for "r"
+	// Wait is how long the caller waits for the answer to its first submission; 0 if it
+	// does not say. It waits for resubmitDelay for the answers to the others.
+	Wait time.Duration
+}
+
+// submit lets a caller submit a job, and resubmit it to the next entry whenever the
+// answer is lost, until the caller abandons it.
+func (c *cluster) submit(id string, s jobSpec) {
+	spec, err := json.Marshal(s.Work)
+	if err != nil {
+		panic(err)
+	}
+	c.checker.expect(id, s.Tasks, s.Attempts)
+	callerCtx, abandon := context.WithCancel(context.Background())
+	c.mu.Lock()
+	c.abandonFuncs[id] = abandon
+	c.mu.Unlock()
+	c.callers.Add(1)
+	go func() {
+		defer c.callers.Done()
+		for submission := 0; callerCtx.Err() == nil; submission++ {
+			entry := (s.Entry + submission) % len(c.entries)
+			c.checker.submission(id, entry)
+			a := c.submitOnce(callerCtx, id, entry, string(spec), s)
+			if s.Wait > 0 {
+				s.Wait = resubmitDelay
+			}
+			if a.State != coord.Abandoned {
+				c.checker.answer(id, a)
+				return
+			}
+			boot.Sleep(callerCtx, resubmitDelay)
+		}
+	}()
+}
+
+// submitOnce submits a job to an entry once and returns its answer. The state of the
+// answer is coord.Abandoned if the entry dies or the caller's connection breaks
+// before it answers.
+func (c *cluster) submitOnce(callerCtx context.Context, id string, entry int, spec string, s jobSpec) coord.Answer {
+	c.mu.Lock()
+	p := c.entries[entry]
+	c.mu.Unlock()
+	if p.ctx.Err() != nil {
+		return coord.Answer{State: coord.Abandoned}
+	}
+	ctx, disconnect := context.WithCancel(context.Background())
+	stop := context.AfterFunc(callerCtx, disconnect)
+	silent := make(chan struct{})
+	key := fmt.Sprintf("%d/%s", entry, id)
+	c.mu.Lock()
+	c.disconnects[key] = disconnect
+	c.silences[key] = sync.OnceFunc(func() { close(silent) })
+	c.mu.Unlock()
+	defer func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.disconnects, key)
+		delete(c.silences, key)
+	}()
+	arrived, waitsUntil := c.entryNow(entry), boot.Time(0)
+	if s.Wait > 0 {
+		waitsUntil = arrived.Add(s.Wait)
+	}
+	answers := make(chan coord.Answer, 1)
+	go func() {
+		answers <- p.coord.Submit(ctx, coord.Job{
+			ID: id, Spec: spec, Arrived: arrived, WaitsUntil: waitsUntil,
+			Route: route.Route{Name: cmp.Or(s.Route, "r"), Service: "s", MaxAttempts: s.Attempts, MaxStretch: 1.6, LatencyMargin: 60 * time.Millisecond},
+			Steps: []coord.Step{{
+				Count: s.Tasks, Size: rsrc.Vector{CPU: s.Work.CPU, Memory: 1},
+				DeclaredRunTime: time.Duration(s.Work.MS) * time.Millisecond,
+			}},
+		})
+	}()
+	select {
+	case a := <-answers:
+		disconnect()
+		return a
+	case <-silent:
+		stop()
+		go func() {
+			<-c.done
+			disconnect()
+		}()
+	case <-p.ctx.Done():
+		disconnect()
+	case <-ctx.Done():
+		<-answers
+	}
+	return coord.Answer{State: coord.Abandoned}
+}
--- /dev/null
+++ b/internal/disp/rules/event_test.go
@@ -0,0 +1,235 @@
+package rules
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Kinds of events.
+const (
+	killGate = iota
+	killEntry
+	cutConnection
+	cutReplies
+	restartTarget
+	restartTargetInPlace
+	drainTarget
+	deregisterTarget
+	shrinkTarget
+	delayHeartbeat
+	holdHeartbeat
+	silenceTarget
+	loseOrders
+	loseStops
+	delayOrders
+	failTargetRuns
+	stallTargetRuns
+	makeTargetUnhealthy
+	callerAbandons
+	cutCallers
+	silenceCallers
+	kindCount
+)
+
+var kindNames = [kindCount]string{
+	"kill gate", "kill entry", "connection cut", "replies cut", "target restarts", "target restarts under its ID", "target leaves",
+	"target deregisters", "target shrinks", "heartbeat of before", "heartbeat delayed", "target silent", "orders lost", "stops lost",
+	"orders delayed", "target fails", "target stuck", "target unhealthy", "caller abandons job", "callers cut", "callers silent",
+}
+
+// event is a failure, restart or departure that begins at a given time and, for most
+// kinds, lasts for a given duration.
+type event struct {
+	StartMS    int // after the start of the schedule
+	Kind       int
+	Index      int // of the job, or of the gate or entry modulo their number
+	DurationMS int
+}
+
+// String returns a description of the event for failure messages.
+func (e event) String() string {
+	return fmt.Sprintf("%d ms: %s %d for %d ms", e.StartMS, kindNames[e.Kind], e.Index, e.DurationMS)
+}
+
+// schedule is one random test case.
+type schedule struct {
+	Events   []event
+	Jobs     []jobSpec
+	SubmitMS []int // times at which the jobs are submitted, by index in Jobs
+}
+
+// drawSchedule returns a random schedule with events of the given kinds.
+func drawSchedule(t *rapid.T, kinds []int) schedule {
+	var sched schedule
+	for i := range rapid.IntRange(1, 7).Draw(t, "events") {
+		sched.Events = append(sched.Events, event{
+			StartMS:    rapid.IntRange(0, activeMS).Draw(t, fmt.Sprint("at", i)),
+			Kind:       rapid.SampledFrom(kinds).Draw(t, fmt.Sprint("kind", i)),
+			Index:      rapid.IntRange(0, 5).Draw(t, fmt.Sprint("which", i)),
+			DurationMS: rapid.IntRange(50, 1500).Draw(t, fmt.Sprint("for", i)),
+		})
+	}
+	for i := range rapid.IntRange(10, 40).Draw(t, "jobs") {
+		s := jobSpec{
+			Tasks: rapid.IntRange(1, 4).Draw(t, fmt.Sprint("tasks", i)),
+			Work: work{
+				CPU:  rapid.IntRange(100, 600).Draw(t, fmt.Sprint("cpu", i)),
+				MS:   rapid.IntRange(20, 700).Draw(t, fmt.Sprint("ms", i)),
+				Fail: rapid.IntRange(0, 9).Draw(t, fmt.Sprint("fails", i)) == 0,
+			},
+			Attempts: rapid.IntRange(1, 3).Draw(t, fmt.Sprint("attempts", i)),
+			Entry:    rapid.IntRange(0, entryCount-1).Draw(t, fmt.Sprint("entry", i)),
+		}
+		if rapid.IntRange(0, 9).Draw(t, fmt.Sprint("long", i)) == 0 {
+			s.Work = work{CPU: 100, MS: longRunMS}
+		}
+		sched.Jobs = append(sched.Jobs, s)
+		sched.SubmitMS = append(sched.SubmitMS, rapid.IntRange(0, activeMS).Draw(t, fmt.Sprint("time", i)))
+	}
+	return sched
+}
+
+// inject makes an event begin and returns the function that ends it.
+func (c *cluster) inject(e event) (finish func()) {
+	g, i := e.Index%gateCount, e.Index%entryCount
+	withFaults := func(faultMode targetFaults) func() {
+		c.targets[g].setFaults(faultMode)
+		return func() { c.targets[g].setFaults(targetFaults{}) }
+	}
+	switch e.Kind {
+	case killGate:
+		c.gateAt(g).kill()
+		return func() { c.startGate(g) }
+	case killEntry:
+		c.entryAt(i).kill()
+		return func() { c.startEntry(i) }
+	case cutConnection:
+		return c.degrade(i, g, dropsAll)
+	case cutReplies:
+		return c.degrade(i, g, dropsReplies)
+	case restartTarget:
+		c.heartbeat(g, c.targets[g].restart())
+	case restartTargetInPlace:
+		c.targets[g].restartInPlace()
+	case drainTarget:
+		c.heartbeat(g, c.targets[g].startLeaving())
+		return func() {
+			time.Sleep(drainGrace)
+			c.heartbeat(g, c.targets[g].restart())
+		}
+	case deregisterTarget:
+		departing := c.targets[g].startLeaving()
+		c.heartbeat(g, departing)
+		go c.gateAt(g).gate.HandleDeregistration(departing.ID) // the acknowledgement is lost
+		return func() { c.heartbeat(g, c.targets[g].restart()) }
+	case shrinkTarget:
+		c.targets[g].shrink()
+		return func() {
+			time.Sleep(shrinkGrace)
+			c.targets[g].grow()
+		}
+	case holdHeartbeat:
+		held := c.targets[g].current()
+		return func() { c.heartbeat(g, held) }
+	case delayHeartbeat:
+		c.heartbeat(g, c.targets[g].outdated())
+	case silenceTarget:
+		return withFaults(targetFaults{unresponsive: true})
+	case loseOrders:
+		return withFaults(targetFaults{loseEvery: 3})
+	case loseStops:
+		return withFaults(targetFaults{loseStops: true})
+	case delayOrders:
+		return withFaults(targetFaults{loseEvery: 2, lateBy: time.Duration(e.DurationMS) * time.Millisecond / 2})
+	case failTargetRuns:
+		return withFaults(targetFaults{failRuns: true})
+	case stallTargetRuns:
+		return withFaults(targetFaults{stallRuns: true})
+	case makeTargetUnhealthy:
+		return withFaults(targetFaults{unhealthy: true})
+	case callerAbandons:
+		c.callerAbandons(fmt.Sprint("j", e.Index))
+	case cutCallers:
+		c.disconnectCallers(i)
+	case silenceCallers:
+		c.silenceCallers(i)
+	}
+	return func() {}
+}
+
+// gateAt returns the current incarnation of gate i.
+func (c *cluster) gateAt(i int) *gateProcess {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.gates[i]
+}
+
+// entryAt returns the current incarnation of entry i.
+func (c *cluster) entryAt(i int) *entryProcess {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.entries[i]
+}
+
+// degrade sets the state of the connection between an entry and a gate, and returns
+// the function that restores the connection.
+func (c *cluster) degrade(entry, g int, conn connState) func() {
+	set := func(newState connState) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.connections[[2]int{entry, g}] = newState
+	}
+	set(conn)
+	return func() { set(connected) }
+}
+
+// disconnectCallers breaks the connections of all callers of an entry. The callers
+// then resubmit their jobs.
+func (c *cluster) disconnectCallers(entry int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for key, cancel := range c.disconnects {
+		if strings.HasPrefix(key, fmt.Sprint(entry, "/")) {
+			cancel()
+		}
+	}
+}
+
+// silenceCallers lets the connections of all callers of an entry go silent: the callers
+// take them for broken and resubmit their jobs, while the entry does not learn of it.
+func (c *cluster) silenceCallers(entry int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for key, silence := range c.silences {
+		if strings.HasPrefix(key, fmt.Sprint(entry, "/")) {
+			silence()
+		}
+	}
+}
+
+// callerAbandons makes the caller of a job abandon it, if the job was submitted.
+func (c *cluster) callerAbandons(id string) {
+	c.mu.Lock()
+	abandon := c.abandonFuncs[id]
+	c.mu.Unlock()
+	if abandon != nil {
+		c.checker.abandon(id)
+		abandon()
+	}
+}
+
+// allKinds returns all kinds of events but silenceCallers: nobody can make an entry give
+// up a job if it dies just before the job is submitted again, nor tell it that its caller
+// has abandoned the job.
+func allKinds() []int {
+	var list []int
+	for k := range kindCount {
+		if k != silenceCallers {
+			list = append(list, k)
+		}
+	}
+	return list
+}
