Hold the stop back until the test of a deregistered target has looked

The fake target now holds stops back, and the test looks as soon as the gate can go no further without one. The check is stricter: the gate must not report anything before the stop is carried out.

--- a/internal/disp/gate/depart_test.go
+++ b/internal/disp/gate/depart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
@@ -9,13 +10,20 @@
 )
 
 // A target that deregisters goes on until it has the acknowledgement, and for seconds if
-// that gets lost. The gate must not report a task as over while it runs there.
+// that gets lost. The gate must not report a task as over while it runs there, and the order
+// to stop it has not been carried out yet when the gate could first report that.
 func TestGateKeepsRunOfDeregisteredTarget(t *testing.T) {
 	f := newFakeTarget(1000)
 	f.stallRuns = true
 	inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
+		f.holdStops = make(chan struct{})
 		replies := o.begin(o.task("a", 10))
 		go o.HandleDeregistration(f.incarnation.ID)
+		synctest.Wait()
+		if len(replies) > 0 {
+			t.Error("the task is reported as over before the order to stop it was carried out")
+		}
+		close(f.holdStops)
 		reply := <-replies
 		if n := f.running(); n > 0 {
 			t.Errorf("got %v %q while the task runs", reply.Result, reply.Reason)
--- a/internal/disp/gate/fake_test.go
+++ b/internal/disp/gate/fake_test.go
@@ -25,15 +25,16 @@
 	violations  []string
 
 	// Faults to simulate, and what the target recorded.
-	loseStartReplies int  // number of starts to execute without an answer
-	dropStarts       int  // number of starts neither to execute nor to answer
-	unresponsive     bool // no call is answered
-	down             bool // connections are refused
-	dropStops        bool // stops are neither executed nor answered
-	failRuns         bool // runs end as failed
-	stallRuns        bool // runs never end
-	keepLapsed       bool // runs go on after their lease
-	unhealthy        bool // starts are refused
+	loseStartReplies int           // number of starts to execute without an answer
+	dropStarts       int           // number of starts neither to execute nor to answer
+	unresponsive     bool          // no call is answered
+	down             bool          // connections are refused
+	dropStops        bool          // stops are neither executed nor answered
+	holdStops        chan struct{} // stops are executed once it is closed; nil holds none back
+	failRuns         bool          // runs end as failed
+	stallRuns        bool          // runs never end
+	keepLapsed       bool          // runs go on after their lease
+	unhealthy        bool          // starts are refused
 	droppedStarts    []targ.Order
 	demands          map[string]rsrc.Vector // by task name; set by openGate.task
 	startCalls       int
@@ -167,6 +168,11 @@
 // Stop stops a run, or excludes a start that has not arrived.
 func (f *fakeTarget) Stop(ctx context.Context, _ targ.Incarnation, o targ.Order) (int64, error) {
 	f.mu.Lock()
+	if held := f.holdStops; held != nil {
+		f.mu.Unlock()
+		<-held
+		f.mu.Lock()
+	}
 	if f.down {
 		f.mu.Unlock()
 		return 0, targ.ErrUnreachable
