Let an entry that has stood still confirm that its callers wait

Clients whose requests came meanwhile got no response, closed, and were served by another entry.

Cause: what is read now was taken for sent now. A handler can't see that the connection has ended until net/http has read on after the body, some 0.1 ms after the tasks were placed. On a related path, a job that an entry had in progress when it stood still was placed again as soon as its runs were found to be lost, though its caller had left during the stall, or its connection had gone silent, and another entry ran it.

Change: - disp/stall notices gaps of the boot clock of 300 ms and more, at the first look after them, whoever takes it. - After a stall, and for requests read up to 1 s after it, a job is placed (for the first time or again) only once a caller is known to wait (coord/confirm.go): none of its connections has ended, by a look at the socket, and no other entry runs the job. A request that was only read late and whose caller waits is served. - A request whose caller has closed its connection is not run, stall or not. - A stall between the choice of a gate and the sending of the task is noticed after the timestamp to echo is taken; a stall after that the gate notices by its age. - Logged: stalled, job_in_doubt; abandoned.elsewhere and retried.stalled are counted.

Tried and not kept: a mutex around the check stops virtual time in tests, as it is held while the other entries are asked; a channel doesn't.

--- a/cmd/gypsumlanding/process.go
+++ b/cmd/gypsumlanding/process.go
@@ -16,6 +16,7 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/memb"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/proc"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/report"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/stall"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/peer"
 	"github.com/gypsumlanding/gypsumlanding/platform"
 )
@@ -71,17 +72,19 @@
 	}
 	e.SetSeeds(p.cfg.Seeds)
 	go p.watchSettings(e.SetSeeds)
+	stalls := &stall.Detector{Event: p.log.Event}
+	go stalls.Run(ctx)
 	e.Coord = &coord.Coordinator{
 		Links: e.Links, Entries: func() int { return len(e.Entries()) + 1 }, ResubmitDelay: time.Duration(p.cfg.ResubmitMS) * time.Millisecond,
-		GiveUpElsewhere: e.GiveUpElsewhere,
-		Trace:           p.log.Trace, Count: p.counters.Count, Observe: p.counters.Observe,
+		GiveUpElsewhere: e.GiveUpElsewhere, RunsElsewhere: e.RunsElsewhere, LastStall: stalls.LastEnd,
+		Trace: p.log.Trace, Count: p.counters.Count, Observe: p.counters.Observe,
 	}
 	p.counters.Declare(cause.EntryCounters())
 	p.counters.Gauge("jobs.running", func() int64 { return int64(e.Coord.Running()) })
 	p.counters.Gauge("config.version", e.Config.Version)
 	p.counters.Gauge("gates", func() int64 { return int64(len(e.Links())) })
 	callers := &platform.CallerHandler{
-		Config: &e.Config, Submit: e.Coord.Submit, State: e.State, Cancel: e.Cancel, Pending: e.Pending,
+		Config: &e.Config, Submit: e.Coord.Submit, HasLeft: life.CallerHasLeft, State: e.State, Cancel: e.Cancel, Pending: e.Pending,
 		Count: p.counters.Count, Trace: p.log.Trace, AwaitConfigUntil: p.startTime.Add(configWait),
 	}
 	rpcServer, err := peer.Listen(p.cfg.InternalAddr, map[string]any{proc.EntryServiceName: e.Service()})
--- /dev/null
+++ b/internal/daem/life/caller.go
@@ -0,0 +1,51 @@
+package life
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// connectionKey is the key of the connection in the context of a request.
+type connectionKey struct{}
+
+// withConnection returns the context of the requests on conn.
+func withConnection(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, conn)
+}
+
+// CallerHasLeft returns a function that reports whether the caller of the request with the
+// given context has closed its connection or reset it. The context of the request ends for
+// the same reason, but only some time after the handler has been called: a request and the
+// end of its connection may be read together, after the process has stood still. The
+// function is nil if the connection can't be examined.
+func CallerHasLeft(ctx context.Context) func() bool {
+	conn, ok := ctx.Value(connectionKey{}).(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	return func() bool { return peerHasClosed(raw) }
+}
+
+// peerHasClosed reports whether no more data can arrive on a connection. It does not wait
+// and takes nothing from the connection, which may be being read.
+func peerHasClosed(raw syscall.RawConn) bool {
+	closed := false
+	err := raw.Control(func(fd uintptr) {
+		n, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		switch {
+		case err == nil:
+			closed = n == 0
+		case errors.Is(err, unix.ECONNRESET):
+			closed = true
+		}
+	})
+	return closed || err != nil
+}
--- a/internal/daem/life/life.go
+++ b/internal/daem/life/life.go
@@ -91,6 +91,7 @@
 	// they can't always be listed.
 	endpoint := &url.URL{Scheme: "http", Host: ln.Addr().String()}
 	srv := khttp.NewServer(khttp.Listener(ln), khttp.Endpoint(endpoint), khttp.Timeout(0))
+	srv.ConnContext = withConnection
 	srv.ReadHeaderTimeout = readHeaderTimeout
 	srv.ReadTimeout = readTimeout
 	srv.IdleTimeout = idleTimeout
--- a/internal/disp/cause/cause.go
+++ b/internal/disp/cause/cause.go
@@ -42,6 +42,8 @@
 	NoConfig           = "noconfig"   // the entry has not received a configuration yet
 	NoGates            = "nogates"    // no gate of the service is known that can run the task
 	NoRoute            = "noroute"    // no route matches the host and path
+	RunsElsewhere      = "elsewhere"  // the process has stood still, and another entry runs the job now
+	Stalled            = "stalled"    // the process stood still before the task was sent
 	Overload           = "overload"   // the expected wait for capacity would make the answer late
 	WaitOver           = "waitover"   // the caller has stopped waiting for the answer
 )
@@ -84,12 +86,13 @@
 }
 
 // Abandonments returns the reasons for which an entry abandons a job.
-func Abandonments() []string { return []string{CallerDisconnected, Cancelled, WaitOver} }
+func Abandonments() []string { return []string{CallerDisconnected, Cancelled, RunsElsewhere, WaitOver} }
 
 // Retries returns the reasons for which an entry places a task again, in sorted order.
 func Retries() []string {
+	byEntry := []string{Stalled}
 	afterStart := []string{RunFailed, EndedByTarget, Stuck, Missing, TargetCrashed}
-	all := slices.Concat(GateRefusals(), afterStart)
+	all := slices.Concat(GateRefusals(), byEntry, afterStart)
 	slices.Sort(all)
 	return slices.Compact(all)
 }
--- a/internal/disp/coord/coord.go
+++ b/internal/disp/coord/coord.go
@@ -40,6 +40,12 @@
 	// submitted again. It returns when none of the entries that can be reached has
 	// tasks of the job that can still be running, or when ctx ends; nil does nothing.
 	GiveUpElsewhere func(ctx context.Context, job string)
+	// RunsElsewhere reports whether another entry that can be reached runs the job with
+	// the given ID; nil means no.
+	RunsElsewhere func(ctx context.Context, job string) bool
+	// LastStall returns when the process last went on after it had stood still, or 0 if it
+	// has not; nil means 0. See stall.Detector.
+	LastStall func() boot.Time
 	// Now returns the current time; nil means boot.Now.
 	Now func() boot.Time
 	// Trace logs a decision about a job, with its details as alternating keys and
--- a/internal/disp/coord/job.go
+++ b/internal/disp/coord/job.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/route"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/rsrc"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/stall"
 )
 
 // Step is a group of identical tasks of a job.
@@ -32,6 +35,9 @@
 	Steps         []Step
 	Arrived       boot.Time // when the entry received the request
 	WaitsUntil    boot.Time // when the caller stops waiting for the answer; 0 if unknown
+	// HasLeft reports whether the caller is known to have closed its connection. It tells
+	// before the end of the context of Submit does. Nil means never.
+	HasLeft func() bool
 }
 
 // State is the state of a job.
@@ -71,8 +77,11 @@
 	outstanding sync.WaitGroup  // tasks that may still be at a gate, even after the job has ended
 	drained     chan struct{}   // closed when the job has ended and outstanding is empty
 	concluded   sync.Once       // the end of the job is reported once, whoever waited for it
+	confirming  chan struct{}   // holds a value while it is checked whether a caller still waits
+	confirmedAt atomic.Int64    // boot.Time as of which a caller was known to wait
 
 	mu              sync.Mutex
+	hasLeft         []func() bool  // HasLeft of all submissions
 	callers         int            // submissions whose connection, as far as is known, still exists
 	waitsUntil      boot.Time      // when the last caller stops waiting for the answer; 0 if unknown
 	inFlight        int            // tasks whose outcome the job is waiting for
@@ -85,8 +94,11 @@
 
 // newExecution returns the execution of a job with one caller.
 func newExecution(j Job) *execution {
-	e := &execution{Job: j, callers: 1, waitsUntil: j.WaitsUntil, tasksByTarget: map[string]int{}, drained: make(chan struct{})}
+	e := &execution{Job: j, callers: 1, waitsUntil: j.WaitsUntil, tasksByTarget: map[string]int{}, drained: make(chan struct{}), confirming: make(chan struct{}, 1)}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
+	// The request may have waited to be read since the latest stall.
+	e.confirmedAt.Store(int64(j.Arrived.Add(-stall.BacklogTime)))
+	e.hasLeft = []func() bool{j.HasLeft}
 	for _, s := range j.Steps {
 		e.unfinishedTasks += s.Count
 		e.stepDone = append(e.stepDone, make(chan struct{}))
@@ -121,21 +133,34 @@
 	return true
 }
 
-// join adds a caller, which waits until the given time; 0, for unknown, counts as later
-// than any other. It reports false, and does nothing, if the job has ended.
-func (e *execution) join(waitsUntil boot.Time) bool {
+// join adds the caller of another submission; a WaitsUntil of 0, for unknown, counts as
+// later than any other. It reports false, and does nothing, if the job has ended.
+func (e *execution) join(j Job) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.answer != nil {
 		return false
 	}
 	e.callers++
-	if waitsUntil == 0 || e.waitsUntil != 0 && waitsUntil > e.waitsUntil {
-		e.waitsUntil = waitsUntil
+	e.hasLeft = append(e.hasLeft, j.HasLeft)
+	if j.WaitsUntil == 0 || e.waitsUntil != 0 && j.WaitsUntil > e.waitsUntil {
+		e.waitsUntil = j.WaitsUntil
 	}
 	return true
 }
 
+// finishIfLeft ends the job if all its callers are known to have closed their connections.
+// It reports whether the job has ended.
+func (e *execution) finishIfLeft() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	stays := func(hasLeft func() bool) bool { return hasLeft == nil || !hasLeft() }
+	if !slices.ContainsFunc(e.hasLeft, stays) {
+		e.end(Answer{State: Abandoned, Reason: cause.CallerDisconnected})
+	}
+	return e.answer != nil
+}
+
 // leave removes a caller. The last one to leave ends the job. It reports whether the
 // job has ended.
 func (e *execution) leave() bool {
--- a/internal/disp/coord/submit.go
+++ b/internal/disp/coord/submit.go
@@ -23,20 +23,26 @@
 		c.trace("job_joined", "job", e.ID, "route", e.Route.Name, "after", e.Arrived.Sub(previous.Arrived))
 		return c.await(ctx, previous)
 	}
-	if c.GiveUpElsewhere != nil && c.isRepeated(e) {
-		go c.startAlone(e)
+	repeated := c.GiveUpElsewhere != nil && c.isRepeated(e)
+	if !e.finishIfLeft() && (repeated || !c.confirmed(e)) {
+		go c.startAlone(e, repeated)
 	} else {
 		c.start(e)
 	}
 	return c.await(ctx, e)
 }
 
-// startAlone starts a job that its caller has submitted before, once the other entries
-// have given it up.
-func (c *Coordinator) startAlone(e *execution) {
-	c.count("jobs.repeated")
-	c.GiveUpElsewhere(e.ctx, e.ID)
-	c.trace("job_given_up_elsewhere", "job", e.ID, "route", e.Route.Name, "took", c.now().Sub(e.Arrived))
+// startAlone starts a job that another entry may have. If its caller has submitted it
+// before, the other entries give it up first.
+func (c *Coordinator) startAlone(e *execution, repeated bool) {
+	if !c.confirm(e) {
+		return
+	}
+	if repeated {
+		c.count("jobs.repeated")
+		c.GiveUpElsewhere(e.ctx, e.ID)
+		c.trace("job_given_up_elsewhere", "job", e.ID, "route", e.Route.Name, "took", c.now().Sub(e.Arrived))
+	}
 	c.start(e)
 }
 
@@ -91,7 +97,7 @@
 		switch {
 		case previous == nil:
 			return nil
-		case previous.join(e.WaitsUntil):
+		case previous.join(e.Job):
 			return previous
 		}
 		select {
--- a/internal/disp/coord/task.go
+++ b/internal/disp/coord/task.go
@@ -70,7 +70,7 @@
 // the job ends first.
 func (c *Coordinator) runTask(e *execution, s Step, stepIndex, taskIndex int) bool {
 	ts := &taskState{name: fmt.Sprintf("%s.0.%d.%d", e.ID, stepIndex, taskIndex), stepIndex: stepIndex, avoid: map[string]bool{}}
-	for e.ctx.Err() == nil && !e.finishIfUnawaited(c.now()) {
+	for e.ctx.Err() == nil && !e.finishIfUnawaited(c.now()) && c.confirm(e) {
 		if c.crashesTargets(ts.name) {
 			e.finish(Answer{State: Failed, Reason: cause.CrashesTargets})
 			return false
@@ -179,7 +179,7 @@
 	replies := make(chan msgs.TaskReply, 1)
 	go func() {
 		defer e.outstanding.Done()
-		replies <- l.RunTask(context.Background(), m)
+		replies <- l.RunTask(context.Background(), m, func() bool { return c.confirmed(e) })
 	}()
 	select {
 	case reply := <-replies:
--- a/internal/disp/link/link.go
+++ b/internal/disp/link/link.go
@@ -135,8 +135,10 @@
 // RunTask makes the gate run a task and returns the outcome. The result is Lost
 // if the outcome is still unknown when the task can no longer be running, or when
 // ctx ends; in the latter case the task may still run. On a closed link it is Refused,
-// since nothing would cancel the task or determine its end.
-func (l *Link) RunTask(ctx context.Context, m msgs.Task) msgs.TaskReply {
+// since nothing would cancel the task or determine its end. It is Refused too if valid, which
+// may be nil, reports false just before the task is sent. If the process stands still after
+// that call, the gate refuses the task for the age of the timestamp that it echoes.
+func (l *Link) RunTask(ctx context.Context, m msgs.Task, valid func() bool) msgs.TaskReply {
 	if !l.beginTask() {
 		return msgs.TaskReply{Result: msgs.Refused, Reason: cause.Unreachable}
 	}
@@ -145,6 +147,9 @@
 	if !ok {
 		return msgs.TaskReply{Result: msgs.Refused, Reason: cause.Unreachable}
 	}
+	if valid != nil && !valid() {
+		return msgs.TaskReply{Result: msgs.Refused, Reason: cause.Stalled}
+	}
 	incarnation := sender.GateIncarnation
 	l.reserve(m)
 	mayHaveArrived := false
--- a/internal/disp/proc/giveup.go
+++ b/internal/disp/proc/giveup.go
@@ -72,6 +72,14 @@
 	return err == nil && reply.State != "", err
 }
 
+// RunsElsewhere reports whether another entry runs the job, or has it waiting for capacity.
+// An entry that does not answer in time counts as not having it, for the reasons given at
+// giveUpTimeout.
+func (e *Entry) RunsElsewhere(ctx context.Context, job string) bool {
+	state := e.askPeersFor(ctx, msgs.Lookup{Job: job}, e.giveUpTimeoutFor)
+	return state == StateWaiting || state == StateWorking
+}
+
 // giveUpTimeoutFor returns how long to wait until an entry answers that it gives up a job.
 func (e *Entry) giveUpTimeoutFor(addr string) time.Duration {
 	e.mu.Lock()
--- a/test/mutant_test.go
+++ b/test/mutant_test.go
@@ -152,6 +152,27 @@
 		old: "\tcase <-e.drained:\n\tcase <-ctx.Done():\n", new: "\tdefault:\n",
 	},
 	{rule: "TWICE given up, says the other entry", file: "internal/disp/proc/service.go", old: "if m.Cancel && m.Drain {", new: "if false {", test: "internal/disp/proc TestJobIsGivenUpElsewhereWhenItsTasksHaveEnded"},
+	{
+		rule: "TWICE caller that has left", file: dispCoord + "submit.go", test: "internal/disp/coord TestRequestOfCallerThatHasLeftStartsNothing",
+		old: "!e.finishIfLeft() && (", new: "(",
+		more: []edit{{dispCoord + "confirm.go", "\t\tif e.finishIfLeft() {\n\t\t\treturn false\n\t\t}\n", ""}, {dispCoord + "confirm.go", "\t\te.finishIfLeft()\n", ""}},
+	},
+	{rule: "TWICE request read after a stall", file: dispCoord + "job.go", old: "e.confirmedAt.Store(int64(j.Arrived.Add(-stall.BacklogTime)))", new: "_ = stall.BacklogTime\n\te.confirmedAt.Store(int64(j.Arrived))", test: "internal/disp/coord TestRequestReadAfterStallDoesNotRunBesideAnother"},
+	{rule: "TWICE task lost in a stall", file: dispCoord + "task.go", old: " && c.confirm(e) {", new: " {", test: "internal/disp/coord TestTaskLostInStallIsNotPlacedAgain", more: []edit{{dispLink, "if valid != nil && !valid() {", "if false {"}}},
+	{rule: "TWICE stall since the placement", file: dispLink, old: "if valid != nil && !valid() {", new: "if false {", test: "internal/disp/coord TestTaskIsNotSentAfterStallSinceItsPlacement"},
+	{
+		rule: "TWICE requests read late", file: dispCoord + "confirm.go", test: "internal/disp/rules TestStalledEntryStartsNothingForCallersThatHaveLeft",
+		old: "return lastStall == 0 ||", new: "return true ||",
+		more: []edit{{dispCoord + "submit.go", "!e.finishIfLeft() && (", "("}},
+	},
+	{
+		rule: "TWICE job resumed after a stall", file: dispCoord + "confirm.go", test: "internal/disp/rules TestStalledEntryDoesNotResumeJobThatRunsElsewhere",
+		old: "return lastStall == 0 ||", new: "return true ||",
+	},
+	{
+		rule: "TWICE job resumed for a silent caller", file: dispCoord + "confirm.go", test: "internal/disp/rules TestStalledEntryDoesNotResumeJobThatRunsElsewhere",
+		old: "c.RunsElsewhere != nil &&", new: "false &&",
+	},
 	{rule: "BUDGET crashes", file: dispCoord + "task.go", old: "if c.crashesTargets(ts.name) {", new: "if false {", test: "internal/disp/coord TestTaskThatCrashesTargetsIsGivenUp"},
 	{rule: "RECOVER bulkheads", file: dispCoord + "candidates.go", old: "if g.Raised(now) {", new: "if false {", test: "internal/disp/rules TestDeadlyRouteLeavesTargetsToOthers"},
 	{rule: "LIMIT heartbeats out of order", file: dispGate + "heartbeat.go", old: "if !outdated {\n", new: "if true {\n", test: "internal/disp/gate TestDelayedHeartbeatDoesNotBringCapacityBack"},
