Read figures of the settings as the platform may write them

Change: each number that we read is a figure, which takes whole numbers and fractions; true and false count as a missing field. The process keeps the durations as they are. A missing limit of memory no longer sets the runtime's limit to 0.

--- a/cmd/gypsumlanding/main.go
+++ b/cmd/gypsumlanding/main.go
@@ -71,7 +71,9 @@
 		return life.ExitOK
 	}
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * memoryLimitPercent / 100)
+	if cfg.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * memoryLimitPercent / 100)
+	}
 	p := process{
 		cfg: cfg, settingsPath: *settingsPath, role: role, metricsPort: *metricsPort, incarnation: rand.Uint64(), startTime: boot.Now(),
 		log: logs.New(stdout, "gypsumlanding", cfg.Name), counters: &stats.Set{},
--- a/cmd/gypsumlanding/process.go
+++ b/cmd/gypsumlanding/process.go
@@ -75,7 +75,7 @@
 	stalls := &stall.Detector{Event: p.log.Event}
 	go stalls.Run(ctx)
 	e.Coord = &coord.Coordinator{
-		Links: e.Links, Entries: func() int { return len(e.Entries()) + 1 }, ResubmitDelay: time.Duration(p.cfg.ResubmitMS) * time.Millisecond,
+		Links: e.Links, Entries: func() int { return len(e.Entries()) + 1 }, ResubmitDelay: p.cfg.ResubmitDelay,
 		GiveUpElsewhere: e.GiveUpElsewhere, RunsElsewhere: e.RunsElsewhere, LastStall: stalls.LastEnd,
 		Trace: p.log.Trace, Count: p.counters.Count, Observe: p.counters.Observe,
 	}
@@ -122,7 +122,7 @@
 // drainMargin of the time to stop has passed.
 func (p process) waitForJobs(countRunning func() int) {
 	drainStart := boot.Now()
-	timeout := time.Duration(p.cfg.DrainSeconds)*time.Second - drainMargin
+	timeout := p.cfg.DrainTime - drainMargin
 	for boot.Now().Sub(drainStart) < lameDuckPeriod || countRunning() > 0 && boot.Now().Sub(drainStart) < timeout {
 		time.Sleep(drainPollInterval)
 	}
@@ -163,7 +163,7 @@
 		Name: "gypsumlanding-node", Servers: servers, Log: p.log,
 		Started: func(ctx context.Context) { go n.Run(ctx) },
 		Drain: func(ctx context.Context) {
-			timeout := time.Duration(p.cfg.DrainSeconds)*time.Second - drainMargin
+			timeout := p.cfg.DrainTime - drainMargin
 			ctx, cancel := context.WithTimeout(ctx, timeout)
 			defer cancel()
 			g.Drain(ctx)
