Ask again before an order read after a stall ends a job

What callers saw: a 502 for a job that ran soundly.

Change: for a second after a stall an entry doesn't carry out such an order, but replies with its own timestamp; the entry that asks, if it still does, repeats the order with it. No two clocks are compared. Older processes leave the fields out and are served as before, outside of that second.

Tests: proc/stall_test.go; TestOldOrderToGiveUpEndsNoJob fails without the guard, and TestStalledEntryGivesJobUpWhenAskedNow without the repetition (both as mutants).

--- a/cmd/gypsumlanding/process.go
+++ b/cmd/gypsumlanding/process.go
@@ -65,15 +65,16 @@
 
 // runEntry runs an entry until it has stopped after a signal.
 func (p process) runEntry(ctx context.Context) error {
+	stalls := &stall.Detector{Event: p.log.Event}
+	go stalls.Run(ctx)
 	store := platform.NewStore(p.cfg.StoreAddr)
 	e := &proc.Entry{
 		Name: p.cfg.Name, Incarnation: p.incarnation, Addr: p.cfg.InternalAddr,
 		ParseConfig: platform.DecodeConfig, Register: store.Register, Deregister: store.Deregister, Event: p.log.Event,
+		LastStall: stalls.LastEnd,
 	}
 	e.SetSeeds(p.cfg.Seeds)
 	go p.watchSettings(e.SetSeeds)
-	stalls := &stall.Detector{Event: p.log.Event}
-	go stalls.Run(ctx)
 	e.Coord = &coord.Coordinator{
 		Links: e.Links, Entries: func() int { return len(e.Entries()) + 1 }, ResubmitDelay: p.cfg.ResubmitDelay,
 		GiveUpElsewhere: e.GiveUpElsewhere, RunsElsewhere: e.RunsElsewhere, LastStall: stalls.LastEnd,
--- a/internal/disp/proc/entry.go
+++ b/internal/disp/proc/entry.go
@@ -32,6 +32,9 @@
 	Register func(context.Context, memb.Member) error
 	// Deregister deletes the row of an expired member; nil does nothing.
 	Deregister func(context.Context, memb.Member) error
+	// LastStall returns when the process last went on after it had stood still, or 0 if it
+	// has not; nil means 0. See stall.Detector.
+	LastStall func() boot.Time
 	// Event logs an event with pairs of keys and values.
 	Event func(event string, pairs ...any)
 
--- a/internal/disp/proc/giveup.go
+++ b/internal/disp/proc/giveup.go
@@ -9,6 +9,7 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/gate"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/memb"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/stall"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/peer"
 )
@@ -64,12 +65,35 @@
 func (e *Entry) askToGiveUp(ctx context.Context, addr, job string) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, min(giveUpCallTimeout, e.giveUpTimeoutFor(addr)))
 	defer cancel()
-	reply := &msgs.LookupReply{}
-	err := e.pool.Call(ctx, addr, lookupMethod, &msgs.Lookup{Job: job, Cancel: true, Drain: true}, reply)
+	reply, err := e.orderToGiveUp(ctx, addr, job, 0)
+	if err == nil && reply.Timestamp != 0 {
+		reply, err = e.orderToGiveUp(ctx, addr, job, reply.Timestamp)
+	}
 	if err != nil {
 		e.pool.Drop(addr)
+		return false, err
+	}
+	return reply.State != "" || reply.Timestamp != 0, nil
+}
+
+// orderToGiveUp makes one call for askToGiveUp.
+func (e *Entry) orderToGiveUp(ctx context.Context, addr, job string, echoed int64) (*msgs.LookupReply, error) {
+	reply := &msgs.LookupReply{}
+	m := &msgs.Lookup{Job: job, Cancel: true, Drain: true, EchoedTimestamp: echoed}
+	if err := e.pool.Call(ctx, addr, lookupMethod, m, reply); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
+// mayBeOld reports whether an order of another entry that is read now may have been sent
+// before this process last stood still. An order that echoes a later timestamp was not.
+func (e *Entry) mayBeOld(echoed boot.Time) bool {
+	if e.LastStall == nil {
+		return false
 	}
-	return err == nil && reply.State != "", err
+	lastStall := e.LastStall()
+	return lastStall != 0 && echoed < lastStall && boot.Now().Sub(lastStall) < stall.BacklogTime
 }
 
 // RunsElsewhere reports whether another entry runs the job, or has it waiting for capacity.
--- a/internal/disp/proc/service.go
+++ b/internal/disp/proc/service.go
@@ -68,9 +68,15 @@
 
 // Lookup replies with the state of a job, after cancelling it if m asks for that.
 // The state is empty if the job is not at this entry. If m asks for the job to be
-// drained, the state is empty only when none of its tasks can be running any more.
+// drained, the state is empty only when none of its tasks can be running any more, and the
+// order must not have waited to be read while the process stood still: the job may have been
+// submitted here again since.
 func (s *EntryService) Lookup(m *msgs.Lookup, reply *msgs.LookupReply) error {
 	if m.Cancel && m.Drain {
+		if s.entry.mayBeOld(boot.Time(m.EchoedTimestamp)) {
+			reply.Timestamp = int64(boot.Now())
+			return nil
+		}
 		ctx, cancel := context.WithTimeout(context.Background(), drainReplyWait)
 		defer cancel()
 		if s.entry.Coord.GiveUp(ctx, m.Job) {
--- /dev/null
+++ b/internal/disp/proc/stall_test.go
@@ -0,0 +1,78 @@
+package proc
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/coord"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/link"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/route"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/rsrc"
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
+)
+
+// stalledEntry returns an entry that goes on after it has stood still, and that runs job "j",
+// whose answer arrives on the channel, until the end of the test.
+func stalledEntry(t *testing.T) (*Entry, <-chan coord.Answer) {
+	started, released := make(chan struct{}, 1), make(chan struct{})
+	links := []*link.Link{newHeldLink(t, started, released)}
+	t.Cleanup(func() { close(released) })
+	e := newPeer()
+	e.Coord.Links = func() []*link.Link { return links }
+	answers := make(chan coord.Answer, 1)
+	go func() {
+		answers <- e.Coord.Submit(context.Background(), coord.Job{
+			ID: "j", Arrived: boot.Now(), Route: route.Route{Name: "r", Service: "s", MaxAttempts: 1},
+			Steps: []coord.Step{{Count: 1, Size: rsrc.Vector{CPU: 100}, DeclaredRunTime: 10 * time.Second}},
+		})
+	}()
+	<-started
+	stalledUntil := boot.Now()
+	e.LastStall = func() boot.Time { return stalledUntil }
+	return e, answers
+}
+
+// An order to give a job up that had waited to be read while the entry stood still ended the
+// sound run of a later submission, whose caller got a 502.
+func TestOldOrderToGiveUpEndsNoJob(t *testing.T) {
+	e, answers := stalledEntry(t)
+	reply := &msgs.LookupReply{}
+	if err := e.Service().Lookup(&msgs.Lookup{Job: "j", Cancel: true, Drain: true}, reply); err != nil {
+		t.Fatal(err)
+	}
+	if reply.Timestamp == 0 || reply.State != "" || e.Coord.Running() != 1 {
+		t.Errorf("got %+v, %d jobs run", reply, e.Coord.Running())
+	}
+	if len(answers) > 0 {
+		t.Errorf("got %+v", <-answers)
+	}
+}
+
+// An entry that has just stood still must give a job up nevertheless when it is asked to now.
+func TestStalledEntryGivesJobUpWhenAskedNow(t *testing.T) {
+	e, answers := stalledEntry(t)
+	asks := newPeer(serve(t, map[string]any{EntryServiceName: e.Service()}))
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	asks.GiveUpElsewhere(ctx, "j")
+	if a := <-answers; a.State != coord.Abandoned {
+		t.Errorf("got %+v", a)
+	}
+	if ctx.Err() == nil {
+		t.Error("the job counts as given up while its task runs")
+	}
+}
+
+// An entry that runs a job says so, and one that doesn't answer counts as not running it.
+func TestRunsElsewhere(t *testing.T) {
+	e, _ := stalledEntry(t)
+	asks := newPeer("127.0.0.1:1", serve(t, map[string]any{EntryServiceName: e.Service()}))
+	if !asks.RunsElsewhere(context.Background(), "j") {
+		t.Error("the job counts as not running")
+	}
+	if asks.RunsElsewhere(context.Background(), "k") {
+		t.Error("an unknown job counts as running")
+	}
+}
--- a/internal/wire/msgs/msgs_test.go
+++ b/internal/wire/msgs/msgs_test.go
@@ -59,8 +59,8 @@
 		&Hello{Addr: "a"},
 		&Gossip{Entry: "e", Members: []string{"m"}, ConfigVersion: 1},
 		&GossipReply{Members: []string{"m"}, ConfigVersion: 1, Config: []byte("c"), PendingRoutes: []string{"r"}, PendingCounts: []int64{2}},
-		&Lookup{Job: "j", Cancel: true, Drain: true},
-		&LookupReply{State: "s"},
+		&Lookup{Job: "j", Cancel: true, Drain: true, EchoedTimestamp: 5},
+		&LookupReply{State: "s", Timestamp: 5},
 	}
 }
 
--- a/internal/wire/msgs/task.go
+++ b/internal/wire/msgs/task.go
@@ -116,11 +116,17 @@
 	Job    string // ID of the job
 	Cancel bool
 	Drain  bool // with Cancel: reply once no task of the job can be running any more, or soon to be asked again
+	// EchoedTimestamp is the Timestamp of the reply that asked for this repetition; 0 if
+	// none did.
+	EchoedTimestamp int64
 }
 
 // LookupReply is the reply to Lookup.
 type LookupReply struct {
 	State string // empty if the entry does not know the job
+	// Timestamp, unless 0, means that the entry can't tell whether the order is old, and has
+	// done nothing: it is to be repeated with this EchoedTimestamp.
+	Timestamp int64
 }
 
 // EncodeMsgpack writes the message. Its element 14 was a time since the boot of the
@@ -202,16 +208,21 @@
 
 // EncodeMsgpack writes the message.
 func (m *Lookup) EncodeMsgpack(e *msgpack.Encoder) error {
-	return encodeArray(e, m.Job, m.Cancel, m.Drain)
+	return encodeArray(e, m.Job, m.Cancel, m.Drain, m.EchoedTimestamp)
 }
 
-// DecodeMsgpack reads the message. One from an older process has no Drain.
+// DecodeMsgpack reads the message. One from an older process has no Drain, or no
+// EchoedTimestamp.
 func (m *Lookup) DecodeMsgpack(d *msgpack.Decoder) error {
-	return decodeArray(d, &m.Job, &m.Cancel, &m.Drain)
+	return decodeArray(d, &m.Job, &m.Cancel, &m.Drain, &m.EchoedTimestamp)
 }
 
 // EncodeMsgpack writes the message.
-func (m *LookupReply) EncodeMsgpack(e *msgpack.Encoder) error { return encodeArray(e, m.State) }
+func (m *LookupReply) EncodeMsgpack(e *msgpack.Encoder) error {
+	return encodeArray(e, m.State, m.Timestamp)
+}
 
-// DecodeMsgpack reads the message.
-func (m *LookupReply) DecodeMsgpack(d *msgpack.Decoder) error { return decodeArray(d, &m.State) }
+// DecodeMsgpack reads the message. One from an older process has no Timestamp.
+func (m *LookupReply) DecodeMsgpack(d *msgpack.Decoder) error {
+	return decodeArray(d, &m.State, &m.Timestamp)
+}
