Leave a gate's own stall out of the time without progress

What callers saw: a sound run stopped and placed again, and a sound target set aside. A gate that stood still for 350 to 600 ms took its runs for stuck at the next check, as it had read of no progress meanwhile; its target's lease had not lapsed yet.

Change: the time beyond a pause of the periodic check is no time without progress.

Test: gate TestRunIsNotStuckBecauseTheGateStoodStill; it fails without the change (mutant).

--- a/internal/disp/gate/apply.go
+++ b/internal/disp/gate/apply.go
@@ -151,7 +151,9 @@
 // checkRuns repeats stops that have had no effect and stops runs that make no
 // progress.
 func (g *Gate) checkRuns(now boot.Time) {
+	stalled := g.stalledSinceCheck(now)
 	for _, r := range g.runs {
+		r.progressedAt = r.progressedAt.Add(stalled)
 		switch {
 		case g.silent:
 		case r.phase == ordered && r.inDoubt && r.mayHaveRun:
@@ -171,6 +173,17 @@
 	}
 }
 
+// stalledSinceCheck returns for how long this process has stood still since the last call.
+// No listing was read meanwhile, so that time tells nothing about the progress of runs.
+func (g *Gate) stalledSinceCheck(now boot.Time) time.Duration {
+	previous := g.checkedAt
+	g.checkedAt = now
+	if previous == 0 {
+		return 0
+	}
+	return max(0, now.Sub(previous)-idleTickInterval)
+}
+
 // stopUnknownRun stops a run that this process did not start, or whose task has a
 // result already.
 func (g *Gate) stopUnknownRun(row targ.Running) {
--- a/internal/disp/gate/fake_test.go
+++ b/internal/disp/gate/fake_test.go
@@ -33,6 +33,7 @@
 	holdStops        chan struct{} // stops are executed once it is closed; nil holds none back
 	failRuns         bool          // runs end as failed
 	stallRuns        bool          // runs never end
+	slowRuns         bool          // runs take slowRunTime, and their progress is listed
 	keepLapsed       bool          // runs go on after their lease
 	unhealthy        bool          // starts are refused
 	droppedStarts    []targ.Order
@@ -41,6 +42,9 @@
 	missedPolls      int // polls left without an answer
 }
 
+// slowRunTime is the run time of a task while fakeTarget.slowRuns is set.
+const slowRunTime = 2 * time.Second
+
 // fakeRun is a run at a fakeTarget.
 type fakeRun struct {
 	number    int
@@ -124,8 +128,11 @@
 		f.violations = append(f.violations, "its capacity exceeded by "+o.Task)
 	}
 	d := 20 * time.Millisecond
-	if f.stallRuns {
+	switch {
+	case f.stallRuns:
 		d = time.Hour
+	case f.slowRuns:
+		d = slowRunTime
 	}
 	f.runs[o.Task] = fakeRun{number: o.Run, demand: f.demands[o.Task], startedAt: time.Now(), endsAt: time.Now().Add(d)}
 	return f.clock(), nil
@@ -229,7 +236,11 @@
 		}
 		if len(list.Ended) > 0 || !time.Now().Before(end) {
 			for task, run := range f.runs {
-				list.Running = append(list.Running, targ.Running{Task: task, Run: run.number})
+				row := targ.Running{Task: task, Run: run.number}
+				if f.slowRuns {
+					row.Percent = int(100 * time.Since(run.startedAt) / slowRunTime)
+				}
+				list.Running = append(list.Running, row)
 			}
 			f.mu.Unlock()
 			return list, nil
--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -68,6 +68,7 @@
 	speed        estim.Speed
 	replyTimes   estim.ReplyTimes
 	nextLoadLog  boot.Time     // when the load is logged next
+	checkedAt    boot.Time     // when the progress of runs was last checked
 	wake         chan struct{} // wakes pollLoop; use wakeChan
 }
 
--- a/internal/disp/gate/suspension_test.go
+++ b/internal/disp/gate/suspension_test.go
@@ -87,3 +87,19 @@
 		}
 	})
 }
+
+// A gate that had stood still took runs for stuck, since it had read of no progress meanwhile:
+// it stopped them, and opened the circuit breaker of a sound target.
+func TestRunIsNotStuckBecauseTheGateStoodStill(t *testing.T) {
+	f := newFakeTarget(1000)
+	f.slowRuns = true
+	inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
+		m := o.task("a", 10)
+		m.ExpectedRunTime = 100
+		replies := o.begin(m)
+		o.suspended.Add(int64(stallTimeout + 50*time.Millisecond))
+		if reply := <-replies; reply.Result != msgs.Done {
+			t.Errorf("got %v %q", reply.Result, reply.Reason)
+		}
+	})
+}
--- a/test/mutant_test.go
+++ b/test/mutant_test.go
@@ -175,6 +175,7 @@
 	},
 	{rule: "LOST old order to give up", file: dispProc + "service.go", old: "if s.entry.mayBeOld(boot.Time(m.EchoedTimestamp)) {", new: "if false {", test: "internal/disp/proc TestOldOrderToGiveUpEndsNoJob"},
 	{rule: "TWICE order to give up after a stall", file: dispProc + "giveup.go", old: "if err == nil && reply.Timestamp != 0 {", new: "if false {", test: "internal/disp/proc TestStalledEntryGivesJobUpWhenAskedNow"},
+	{rule: "LOST run that is not stuck", file: dispGate + "apply.go", old: "r.progressedAt = r.progressedAt.Add(stalled)", new: "_ = stalled", test: "internal/disp/gate TestRunIsNotStuckBecauseTheGateStoodStill"},
 	{rule: "BUDGET crashes", file: dispCoord + "task.go", old: "if c.crashesTargets(ts.name) {", new: "if false {", test: "internal/disp/coord TestTaskThatCrashesTargetsIsGivenUp"},
 	{rule: "RECOVER bulkheads", file: dispCoord + "candidates.go", old: "if g.Raised(now) {", new: "if false {", test: "internal/disp/rules TestDeadlyRouteLeavesTargetsToOthers"},
 	{rule: "LIMIT heartbeats out of order", file: dispGate + "heartbeat.go", old: "if !outdated {\n", new: "if true {\n", test: "internal/disp/gate TestDelayedHeartbeatDoesNotBringCapacityBack"},
