--- a/internal/disp/coord/confirm_test.go
+++ b/internal/disp/coord/confirm_test.go
@@ -10,12 +10,22 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
+// testStall is the latest stall of a process in a test. Its method lastEnd is the LastStall
+// of a coordinator.
+type testStall struct{ end atomic.Int64 }
+
+// stall lets the process go on at the present time, after it has stood still.
+func (s *testStall) stall() { s.end.Store(int64(boot.Now())) }
+
+func (s *testStall) lastEnd() boot.Time { return boot.Time(s.end.Load()) }
+
 // stalledCoordinator returns a coordinator whose process goes on at the present time, after
 // it has stood still, and which counts the questions to the other entries. These run each job or none.
 func stalledCoordinator(f *fakeGates, runsElsewhere bool) (c *Coordinator, asked *atomic.Int32) {
 	c, asked = f.coordinator(), &atomic.Int32{}
-	stalledUntil := boot.Now()
-	c.LastStall = func() boot.Time { return stalledUntil }
+	s := &testStall{}
+	s.stall()
+	c.LastStall = s.lastEnd
 	c.RunsElsewhere = func(context.Context, string) bool {
 		asked.Add(1)
 		return runsElsewhere
@@ -86,13 +96,13 @@
 		t.Run(name, func(t *testing.T) {
 			f := newFakeGates(t, 1)
 			c := f.coordinator()
-			var stalledUntil atomic.Int64
+			var s testStall
 			var hasLeft atomic.Bool
-			c.LastStall = func() boot.Time { return boot.Time(stalledUntil.Load()) }
+			c.LastStall = s.lastEnd
 			c.RunsElsewhere = func(context.Context, string) bool { return !left }
 			f.respond = func(int, msgs.Task) msgs.TaskReply {
 				hasLeft.Store(left)
-				stalledUntil.Store(int64(boot.Now()))
+				s.stall()
 				return msgs.TaskReply{Result: msgs.Lost, Reason: cause.LeaseExpired}
 			}
 			j := newTestJob(1, 100)
@@ -112,12 +122,12 @@
 func TestTaskIsNotSentAfterStallSinceItsPlacement(t *testing.T) {
 	f := newFakeGates(t, 1)
 	c := f.coordinator()
-	var stalledUntil atomic.Int64
-	c.LastStall = func() boot.Time { return boot.Time(stalledUntil.Load()) }
+	var s testStall
+	c.LastStall = s.lastEnd
 	c.RunsElsewhere = func(context.Context, string) bool { return true }
 	c.Trace = func(event string, _ ...any) {
 		if event == "task_placed" {
-			stalledUntil.Store(int64(boot.Now()))
+			s.stall()
 		}
 	}
 	if a := c.Submit(context.Background(), newTestJob(1, 100)); a.State != Abandoned || a.Reason != cause.RunsElsewhere {
@@ -132,8 +142,8 @@
 func TestJobGoesOnForTheCallerThatWaits(t *testing.T) {
 	f := newFakeGates(t, 1)
 	c := f.coordinator()
-	var stalledUntil atomic.Int64
-	c.LastStall = func() boot.Time { return boot.Time(stalledUntil.Load()) }
+	var s testStall
+	c.LastStall = s.lastEnd
 	released := make(chan struct{})
 	f.respond = func(int, msgs.Task) msgs.TaskReply {
 		if f.receivedCount() > 1 {
@@ -143,13 +153,13 @@
 		return msgs.TaskReply{Result: msgs.Lost, Reason: cause.LeaseExpired}
 	}
 	left, waiting := newTestJob(1, 100), newTestJob(1, 100)
-	left.HasLeft = func() bool { return stalledUntil.Load() > 0 }
+	left.HasLeft = func() bool { return s.lastEnd() > 0 }
 	waiting.HasLeft = func() bool { return false }
 	first := submitAsync(context.Background(), c, left)
 	waitUntil(t, "the task is sent", func() bool { return f.receivedCount() == 1 })
 	second := submitAsync(context.Background(), c, waiting)
 	waitUntil(t, "the second caller has joined", func() bool { return callerCount(c) == 2 })
-	stalledUntil.Store(int64(boot.Now()))
+	s.stall()
 	close(released)
 	for _, answers := range []<-chan Answer{first, second} {
 		if a := <-answers; a.State != Done {
--- a/internal/disp/proc/giveup_test.go
+++ b/internal/disp/proc/giveup_test.go
@@ -23,6 +23,14 @@
 	return e
 }
 
+// newLongJob returns job "j", of one task of 10 s.
+func newLongJob() coord.Job {
+	return coord.Job{
+		ID: "j", Arrived: boot.Now(), Route: route.Route{Name: "r", Service: "s", MaxAttempts: 1},
+		Steps: []coord.Step{{Count: 1, Size: rsrc.Vector{CPU: 100}, DeclaredRunTime: 10 * time.Second}},
+	}
+}
+
 // newHeldLink returns a link to a gate that runs each task until released is closed. It
 // sends a value to started for each.
 func newHeldLink(t *testing.T, started chan<- struct{}, released <-chan struct{}) *link.Link {
@@ -56,10 +64,7 @@
 	second := newPeer(serve(t, map[string]any{EntryServiceName: first.Service()}))
 	answers := make(chan coord.Answer, 1)
 	go func() {
-		answers <- first.Coord.Submit(context.Background(), coord.Job{
-			ID: "j", Arrived: boot.Now(), Route: route.Route{Name: "r", Service: "s", MaxAttempts: 1},
-			Steps: []coord.Step{{Count: 1, Size: rsrc.Vector{CPU: 100}, DeclaredRunTime: 10 * time.Second}},
-		})
+		answers <- first.Coord.Submit(context.Background(), newLongJob())
 	}()
 	<-started
 	givenUp := make(chan struct{})
@@ -156,10 +161,7 @@
 				}
 				return conn, err
 			}
-			go had.Coord.Submit(context.Background(), coord.Job{
-				ID: "j", Arrived: boot.Now(), Route: route.Route{Name: "r", Service: "s", MaxAttempts: 1},
-				Steps: []coord.Step{{Count: 1, Size: rsrc.Vector{CPU: 100}, DeclaredRunTime: 10 * time.Second}},
-			})
+			go had.Coord.Submit(context.Background(), newLongJob())
 			<-started
 			begin := time.Now()
 			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
--- a/internal/disp/proc/stall_test.go
+++ b/internal/disp/proc/stall_test.go
@@ -8,8 +8,6 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/coord"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/link"
-	"github.com/gypsumlanding/gypsumlanding/internal/disp/route"
-	"github.com/gypsumlanding/gypsumlanding/internal/disp/rsrc"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
@@ -23,10 +21,7 @@
 	e.Coord.Links = func() []*link.Link { return links }
 	answers := make(chan coord.Answer, 1)
 	go func() {
-		answers <- e.Coord.Submit(context.Background(), coord.Job{
-			ID: "j", Arrived: boot.Now(), Route: route.Route{Name: "r", Service: "s", MaxAttempts: 1},
-			Steps: []coord.Step{{Count: 1, Size: rsrc.Vector{CPU: 100}, DeclaredRunTime: 10 * time.Second}},
-		})
+		answers <- e.Coord.Submit(context.Background(), newLongJob())
 	}()
 	<-started
 	stalledUntil := boot.Now()
