--- a/internal/disp/rules/caller_test.go
+++ b/internal/disp/rules/caller_test.go
@@ -15,7 +15,7 @@
 )
 
 // noticeDelay is the time from the end of a stall until an entry has noticed that a caller
-// left meanwhile. It has many requests to read then.
+// left meanwhile, or until a busy one has noticed a reset. It has many requests to read then.
 const noticeDelay = 30 * time.Millisecond
 
 // jobSpec is a job that a caller submits.
@@ -31,6 +31,9 @@
 	// Submissions is how often the caller submits the job before it abandons it; 0 for as
 	// often as it takes.
 	Submissions int
+	// Reset resets the connection of the first submission while its entry, which is busy,
+	// reads the request. The caller submits the job again at once.
+	Reset bool
 }
 
 // submit lets a caller submit a job, and resubmit it to the next entry whenever the
@@ -52,7 +55,7 @@
 			entry := (s.Entry + submission) % len(c.entries)
 			c.checker.submission(id, entry)
 			a := c.submitOnce(callerCtx, id, entry, string(spec), s)
-			if s.Wait > 0 {
+			if s.Wait > 0 && !s.Reset {
 				s.Wait = resubmitDelay
 			}
 			if a.State != coord.Abandoned {
@@ -63,7 +66,10 @@
 				c.checker.abandon(id)
 				return
 			}
-			boot.Sleep(callerCtx, resubmitDelay)
+			if !s.Reset {
+				boot.Sleep(callerCtx, resubmitDelay)
+			}
+			s.Reset = false
 		}
 	}()
 }
@@ -81,12 +87,15 @@
 	ctx, disconnect := context.WithCancel(context.Background())
 	request, endRequest := context.WithCancel(context.Background())
 	context.AfterFunc(ctx, func() {
-		if c.awaitEntry(entry) {
+		if c.awaitEntry(entry) || s.Reset {
 			time.Sleep(noticeDelay)
 		}
 		endRequest()
 	})
 	stop := context.AfterFunc(callerCtx, disconnect)
+	if s.Reset {
+		disconnect()
+	}
 	silent := make(chan struct{})
 	key := fmt.Sprintf("%d/%s", entry, id)
 	c.mu.Lock()
--- a/internal/disp/rules/stall_test.go
+++ b/internal/disp/rules/stall_test.go
@@ -131,3 +131,15 @@
 		})
 	}
 }
+
+// The connection of a caller is reset while an entry that is being stopped reads the request.
+// The caller sends it again at once, to an entry that is not being stopped, and the first
+// entry notices the reset only after it has read more.
+func TestRequestWhoseConnectionWasResetDoesNotRunBesideItsRepetition(t *testing.T) {
+	var sched schedule
+	for at := 100; at < 1000; at += 100 {
+		sched.Jobs = append(sched.Jobs, jobSpec{Tasks: 4, Work: work{CPU: 5, MS: 80}, Attempts: 1, Wait: callerWait, Reset: true})
+		sched.SubmitMS = append(sched.SubmitMS, at)
+	}
+	mustHold(t, sched)
+}
--- a/test/mutant_test.go
+++ b/test/mutant_test.go
@@ -160,6 +160,10 @@
 	{rule: "TWICE request read after a stall", file: dispCoord + "job.go", old: "e.confirmedAt.Store(int64(j.Arrived.Add(-stall.BacklogTime)))", new: "_ = stall.BacklogTime\n\te.confirmedAt.Store(int64(j.Arrived))", test: "internal/disp/coord TestRequestReadAfterStallDoesNotRunBesideAnother"},
 	{rule: "TWICE task lost in a stall", file: dispCoord + "task.go", old: " && c.confirm(e) {", new: " {", test: "internal/disp/coord TestTaskLostInStallIsNotPlacedAgain", more: []edit{{dispLink, "if valid != nil && !valid() {", "if false {"}}},
 	{rule: "TWICE stall since the placement", file: dispLink, old: "if valid != nil && !valid() {", new: "if false {", test: "internal/disp/coord TestTaskIsNotSentAfterStallSinceItsPlacement"},
+	{
+		rule: "TWICE connection that was reset", file: dispCoord + "submit.go", test: "internal/disp/rules TestRequestWhoseConnectionWasResetDoesNotRunBesideItsRepetition",
+		old: "!e.finishIfLeft() && (", new: "(",
+	},
 	{
 		rule: "TWICE requests read late", file: dispCoord + "confirm.go", test: "internal/disp/rules TestStalledEntryStartsNothingForCallersThatHaveLeft",
 		old: "return lastStall == 0 ||", new: "return true ||",
