--- a/test/mutant_test.go
+++ b/test/mutant_test.go
@@ -145,8 +145,8 @@
 		more: []edit{{dispCoord + "task.go", " && !e.finishIfUnawaited(c.now())", ""}},
 	},
 	{rule: "TWICE caller that came back", file: dispCoord + "job.go", old: "if e.callers == 0 {", new: "if true {", test: "internal/disp/coord TestRepeatedSubmissionTakesTheJobOver"},
-	{rule: "TWICE latest wait", file: dispCoord + "job.go", old: "\t\te.waitsUntil = waitsUntil\n", new: "", test: "internal/disp/coord TestJoinedJobEndsWithTheLatestWait"},
-	{rule: "TWICE given up elsewhere", file: dispCoord + "submit.go", old: "if c.GiveUpElsewhere != nil && c.isRepeated(e) {", new: "if false {", test: silentTest},
+	{rule: "TWICE latest wait", file: dispCoord + "job.go", old: "\t\te.waitsUntil = j.WaitsUntil\n", new: "", test: "internal/disp/coord TestJoinedJobEndsWithTheLatestWait"},
+	{rule: "TWICE given up elsewhere", file: dispCoord + "submit.go", old: "repeated := c.GiveUpElsewhere != nil && c.isRepeated(e)", new: "repeated := false", test: silentTest},
 	{
 		rule: "TWICE given up with its tasks", file: dispCoord + "coord.go", test: silentTest,
 		old: "\tcase <-e.drained:\n\tcase <-ctx.Done():\n", new: "\tdefault:\n",
