Say in one place how old a message read after a stall may be

The second after a stall in which messages may predate it stood twice, in coord as a time to start from and in proc as a comparison; both now call stall.EarliestSend. Behaviour is the same; tests of stall, coord and proc with the race detector, and the mutants of stalls, pass.

--- a/internal/disp/coord/confirm.go
+++ b/internal/disp/coord/confirm.go
@@ -17,6 +17,9 @@
 // not closed its connection, and no other entry runs the job. Otherwise confirm ends the
 // job. It reports whether the job goes on.
 func (c *Coordinator) confirm(e *execution) bool {
+	if c.confirmed(e) {
+		return !e.hasEnded()
+	}
 	select {
 	case e.confirming <- struct{}{}:
 	case <-e.ctx.Done():
--- a/internal/disp/coord/job.go
+++ b/internal/disp/coord/job.go
@@ -96,8 +96,7 @@
 func newExecution(j Job) *execution {
 	e := &execution{Job: j, callers: 1, waitsUntil: j.WaitsUntil, tasksByTarget: map[string]int{}, drained: make(chan struct{}), confirming: make(chan struct{}, 1)}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
-	// The request may have waited to be read since the latest stall.
-	e.confirmedAt.Store(int64(j.Arrived.Add(-stall.BacklogTime)))
+	e.confirmedAt.Store(int64(stall.EarliestSend(j.Arrived)))
 	e.hasLeft = []func() bool{j.HasLeft}
 	for _, s := range j.Steps {
 		e.unfinishedTasks += s.Count
--- a/internal/disp/proc/giveup.go
+++ b/internal/disp/proc/giveup.go
@@ -92,8 +92,7 @@
 	if e.LastStall == nil {
 		return false
 	}
-	lastStall := e.LastStall()
-	return lastStall != 0 && echoed < lastStall && boot.Now().Sub(lastStall) < stall.BacklogTime
+	return max(echoed, stall.EarliestSend(boot.Now())) < e.LastStall()
 }
 
 // RunsElsewhere reports whether another entry runs the job, or has it waiting for capacity.
--- a/internal/disp/stall/stall.go
+++ b/internal/disp/stall/stall.go
@@ -13,12 +13,16 @@
 	// wait for its turn on a busy machine, and short beside the time after which callers
 	// submit a job again.
 	MinLength = 300 * time.Millisecond
-	// BacklogTime is how long after a stall requests are still read that may have arrived
+	// backlogTime is how long after a stall messages are still read that may have arrived
 	// during it.
-	BacklogTime   = time.Second
+	backlogTime   = time.Second
 	checkInterval = 100 * time.Millisecond
 )
 
+// EarliestSend returns the earliest time at which a message that is read at readAt can have
+// been sent if the process has stood still not long before.
+func EarliestSend(readAt boot.Time) boot.Time { return readAt.Add(-backlogTime) }
+
 // Detector detects the stalls of its process by gaps of the boot clock. Set Now before
 // use. It is safe for concurrent use, and its zero value is ready to use.
 type Detector struct {
--- a/test/mutant_test.go
+++ b/test/mutant_test.go
@@ -157,7 +157,7 @@
 		old: "!e.finishIfLeft() && (", new: "(",
 		more: []edit{{dispCoord + "confirm.go", "\t\tif e.finishIfLeft() {\n\t\t\treturn false\n\t\t}\n", ""}, {dispCoord + "confirm.go", "\t\te.finishIfLeft()\n", ""}},
 	},
-	{rule: "TWICE request read after a stall", file: dispCoord + "job.go", old: "e.confirmedAt.Store(int64(j.Arrived.Add(-stall.BacklogTime)))", new: "_ = stall.BacklogTime\n\te.confirmedAt.Store(int64(j.Arrived))", test: "internal/disp/coord TestRequestReadAfterStallDoesNotRunBesideAnother"},
+	{rule: "TWICE request read after a stall", file: dispCoord + "job.go", old: "e.confirmedAt.Store(int64(stall.EarliestSend(j.Arrived)))", new: "_ = stall.EarliestSend\n\te.confirmedAt.Store(int64(j.Arrived))", test: "internal/disp/coord TestRequestReadAfterStallDoesNotRunBesideAnother"},
 	{rule: "TWICE task lost in a stall", file: dispCoord + "task.go", old: " && c.confirm(e) {", new: " {", test: "internal/disp/coord TestTaskLostInStallIsNotPlacedAgain", more: []edit{{dispLink, "if valid != nil && !valid() {", "if false {"}}},
 	{rule: "TWICE stall since the placement", file: dispLink, old: "if valid != nil && !valid() {", new: "if false {", test: "internal/disp/coord TestTaskIsNotSentAfterStallSinceItsPlacement"},
 	{
