Share what the tests of stalls had written again

rules: a schedule that must hold is checked in one place (it stood in the test of silent callers too), the entries that live and answer are walked in one place, and whether an entry stands still is read in one. coord: one coordinator that may stand still, one check that nothing was sent.

--- a/internal/disp/coord/confirm_test.go
+++ b/internal/disp/coord/confirm_test.go
@@ -19,13 +19,19 @@
 
 func (s *testStall) lastEnd() boot.Time { return boot.Time(s.end.Load()) }
 
+// stallableCoordinator returns a coordinator whose process the test may let stand still.
+func stallableCoordinator(f *fakeGates) (*Coordinator, *testStall) {
+	c, s := f.coordinator(), &testStall{}
+	c.LastStall = s.lastEnd
+	return c, s
+}
+
 // stalledCoordinator returns a coordinator whose process goes on at the present time, after
 // it has stood still, and which counts the questions to the other entries. These run each job or none.
 func stalledCoordinator(f *fakeGates, runsElsewhere bool) (c *Coordinator, asked *atomic.Int32) {
-	c, asked = f.coordinator(), &atomic.Int32{}
-	s := &testStall{}
+	c, s := stallableCoordinator(f)
 	s.stall()
-	c.LastStall = s.lastEnd
+	asked = &atomic.Int32{}
 	c.RunsElsewhere = func(context.Context, string) bool {
 		asked.Add(1)
 		return runsElsewhere
@@ -33,6 +39,18 @@
 	return c, asked
 }
 
+// mustNotStart submits a job that has to be abandoned for the given reason before any task
+// is sent.
+func mustNotStart(t *testing.T, f *fakeGates, c *Coordinator, j Job, reason string) {
+	t.Helper()
+	if a := c.Submit(context.Background(), j); a.State != Abandoned || a.Reason != reason {
+		t.Errorf("got %+v", a)
+	}
+	if n := f.receivedCount(); n != 0 {
+		t.Errorf("%d tasks were sent", n)
+	}
+}
+
 // An entry that had stood still started tasks of requests whose callers had left and were
 // served elsewhere: it learned that they had left only after the start.
 func TestRequestOfCallerThatHasLeftStartsNothing(t *testing.T) {
@@ -40,12 +58,7 @@
 	c, _ := stalledCoordinator(f, false)
 	j := newTestJob(2, 100)
 	j.HasLeft = func() bool { return true }
-	if a := c.Submit(context.Background(), j); a.State != Abandoned || a.Reason != cause.CallerDisconnected {
-		t.Errorf("got %+v", a)
-	}
-	if n := f.receivedCount(); n != 0 {
-		t.Errorf("%d tasks were sent", n)
-	}
+	mustNotStart(t, f, c, j, cause.CallerDisconnected)
 }
 
 // A request that is read just after a stall was started beside the run of another entry, as
@@ -53,12 +66,7 @@
 func TestRequestReadAfterStallDoesNotRunBesideAnother(t *testing.T) {
 	f := newFakeGates(t, 1)
 	c, _ := stalledCoordinator(f, true)
-	if a := c.Submit(context.Background(), newTestJob(2, 100)); a.State != Abandoned || a.Reason != cause.RunsElsewhere {
-		t.Errorf("got %+v", a)
-	}
-	if n := f.receivedCount(); n != 0 {
-		t.Errorf("%d tasks were sent", n)
-	}
+	mustNotStart(t, f, c, newTestJob(2, 100), cause.RunsElsewhere)
 }
 
 // A repeated request that is read after a stall must not end the run of the entry that its
@@ -95,10 +103,8 @@
 	for name, left := range map[string]bool{"the caller has left": true, "another entry runs the job": false} {
 		t.Run(name, func(t *testing.T) {
 			f := newFakeGates(t, 1)
-			c := f.coordinator()
-			var s testStall
+			c, s := stallableCoordinator(f)
 			var hasLeft atomic.Bool
-			c.LastStall = s.lastEnd
 			c.RunsElsewhere = func(context.Context, string) bool { return !left }
 			f.respond = func(int, msgs.Task) msgs.TaskReply {
 				hasLeft.Store(left)
@@ -121,29 +127,20 @@
 // which another entry got the job.
 func TestTaskIsNotSentAfterStallSinceItsPlacement(t *testing.T) {
 	f := newFakeGates(t, 1)
-	c := f.coordinator()
-	var s testStall
-	c.LastStall = s.lastEnd
+	c, s := stallableCoordinator(f)
 	c.RunsElsewhere = func(context.Context, string) bool { return true }
 	c.Trace = func(event string, _ ...any) {
 		if event == "task_placed" {
 			s.stall()
 		}
 	}
-	if a := c.Submit(context.Background(), newTestJob(1, 100)); a.State != Abandoned || a.Reason != cause.RunsElsewhere {
-		t.Errorf("got %+v", a)
-	}
-	if n := f.receivedCount(); n != 0 {
-		t.Errorf("%d tasks were sent", n)
-	}
+	mustNotStart(t, f, c, newTestJob(1, 100), cause.RunsElsewhere)
 }
 
 // A job goes on while one of its callers waits, though the other has left.
 func TestJobGoesOnForTheCallerThatWaits(t *testing.T) {
 	f := newFakeGates(t, 1)
-	c := f.coordinator()
-	var s testStall
-	c.LastStall = s.lastEnd
+	c, s := stallableCoordinator(f)
 	released := make(chan struct{})
 	f.respond = func(int, msgs.Task) msgs.TaskReply {
 		if f.receivedCount() > 1 {
--- a/internal/disp/rules/cluster_test.go
+++ b/internal/disp/rules/cluster_test.go
@@ -211,11 +211,7 @@
 // giveUpElsewhere makes all entries but the given one give up a job, and waits until
 // they have, unless they die.
 func (c *cluster) giveUpElsewhere(ctx context.Context, entry int, job string) {
-	for i := range c.entries {
-		p := c.entryAt(i)
-		if i == entry || p.ctx.Err() != nil || !c.answers(i) {
-			continue
-		}
+	for p := range c.othersThatAnswer(entry) {
 		time.Sleep(oneWayDelay)
 		alive, cancel := context.WithCancel(ctx)
 		stop := context.AfterFunc(p.ctx, cancel)
--- a/internal/disp/rules/rules_test.go
+++ b/internal/disp/rules/rules_test.go
@@ -115,6 +115,16 @@
 	})
 }
 
+// mustHold simulates a schedule and reports the rules that are violated.
+func mustHold(t *testing.T, sched schedule) {
+	t.Helper()
+	var violations []string
+	synctest.Test(t, func(*testing.T) { violations = simulate(sched) })
+	if len(violations) > 0 {
+		t.Error(violations)
+	}
+}
+
 // TestRulesHoldWhateverFails checks that no rule is violated under failures of any
 // kind, and that all jobs are done again after the failures have ended.
 func TestRulesHoldWhateverFails(t *testing.T) { checkRules(t, allKinds(), 0) }
@@ -180,11 +190,7 @@
 		Jobs:     []jobSpec{{Tasks: 2, Work: work{CPU: 100, MS: longRunMS}, Attempts: 1, Wait: patience}},
 		SubmitMS: []int{100},
 	}
-	var violations []string
-	synctest.Test(t, func(*testing.T) { violations = simulate(sched) })
-	if len(violations) > 0 {
-		t.Error(violations)
-	}
+	mustHold(t, sched)
 }
 
 // TestRulesHoldWhenStopsGetLost has orders to stop a run get lost while entries die or lose
--- a/internal/disp/rules/stall_test.go
+++ b/internal/disp/rules/stall_test.go
@@ -1,8 +1,8 @@
 package rules
 
 import (
+	"iter"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
@@ -32,11 +32,17 @@
 	}
 }
 
+// stalled returns a channel that is closed when entry i goes on; nil if it doesn't stand
+// still.
+func (c *cluster) stalled(i int) <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stalls[i]
+}
+
 // awaitEntry waits while entry i stands still and reports whether it does.
 func (c *cluster) awaitEntry(i int) bool {
-	c.mu.Lock()
-	stalled := c.stalls[i]
-	c.mu.Unlock()
+	stalled := c.stalled(i)
 	if stalled == nil {
 		return false
 	}
@@ -47,9 +53,7 @@
 // answers waits until entry i answers, for answerTimeout at most, and reports whether it
 // does.
 func (c *cluster) answers(i int) bool {
-	c.mu.Lock()
-	stalled := c.stalls[i]
-	c.mu.Unlock()
+	stalled := c.stalled(i)
 	if stalled == nil {
 		return true
 	}
@@ -61,6 +65,19 @@
 	}
 }
 
+// othersThatAnswer yields the entries but the given one that live and answer, one after the
+// other.
+func (c *cluster) othersThatAnswer(entry int) iter.Seq[*entryProcess] {
+	return func(yield func(*entryProcess) bool) {
+		for i := range c.entries {
+			p := c.entryAt(i)
+			if i != entry && p.ctx.Err() == nil && c.answers(i) && !yield(p) {
+				return
+			}
+		}
+	}
+}
+
 // lastStall returns the end of the latest stall of entry i; 0 if there was none.
 func (c *cluster) lastStall(i int) boot.Time {
 	c.mu.Lock()
@@ -70,11 +87,7 @@
 
 // runsElsewhere reports whether an entry other than the given one runs a job.
 func (c *cluster) runsElsewhere(entry int, job string) bool {
-	for i := range c.entries {
-		p := c.entryAt(i)
-		if i == entry || p.ctx.Err() != nil || !c.answers(i) {
-			continue
-		}
+	for p := range c.othersThatAnswer(entry) {
 		time.Sleep(2 * oneWayDelay)
 		if s, ok := p.coord.State(job); ok && (s == coord.Waiting || s == coord.Working) {
 			return true
@@ -95,16 +108,6 @@
 	})
 }
 
-// mustHold simulates a schedule and reports the rules that are violated.
-func mustHold(t *testing.T, sched schedule) {
-	t.Helper()
-	var violations []string
-	synctest.Test(t, func(*testing.T) { violations = simulate(sched) })
-	if len(violations) > 0 {
-		t.Error(violations)
-	}
-}
-
 // An entry stands still while requests arrive. Their callers leave, and some are just served
 // elsewhere when the entry goes on and reads the requests. The run time is so short that the
 // first submissions don't count as repeated.
