--- a/cmd/gypsumlanding/process.go
+++ b/cmd/gypsumlanding/process.go
@@ -16,6 +16,7 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/memb"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/proc"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/report"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/rotate"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/stall"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/peer"
 	"github.com/gypsumlanding/gypsumlanding/platform"
@@ -71,7 +72,7 @@
 	e := &proc.Entry{
 		Name: p.cfg.Name, Incarnation: p.incarnation, Addr: p.cfg.InternalAddr,
 		ParseConfig: platform.DecodeConfig, Register: store.Register, Deregister: store.Deregister, Event: p.log.Event,
-		LastStall: stalls.LastEnd,
+		LastStall: stalls.LastEnd, Rotation: rotate.Monitor{ResubmitDelay: p.cfg.ResubmitDelay, Event: p.log.Event},
 	}
 	e.SetSeeds(p.cfg.Seeds)
 	go p.watchSettings(e.SetSeeds)
@@ -231,13 +232,14 @@
 // is ready, and with status 503 if it isn't or if draining is closed.
 func readinessHandler(e *proc.Entry, draining <-chan struct{}) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		passed := e.Ready()
 		select {
 		case <-draining:
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
+			passed = false
 		default:
 		}
-		if !e.Ready() {
+		e.Rotation.Observe(passed)
+		if !passed {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
--- a/internal/disp/proc/entry.go
+++ b/internal/disp/proc/entry.go
@@ -9,6 +9,7 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/coord"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/link"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/memb"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/rotate"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/route"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/peer"
@@ -35,6 +36,8 @@
 	// LastStall returns when the process last went on after it had stood still, or 0 if it
 	// has not; nil means 0. See stall.Detector.
 	LastStall func() boot.Time
+	// Rotation tells whether the load balancer has this entry in rotation.
+	Rotation rotate.Monitor
 	// Event logs an event with pairs of keys and values.
 	Event func(event string, pairs ...any)
 
@@ -65,6 +68,7 @@
 	go register(ctx, e.Register, memb.Member{Role: memb.Entry, Addr: e.Addr}, e.Event)
 	expire := boot.Now().Add(expiryInterval)
 	for ctx.Err() == nil {
+		e.Rotation.Out()
 		e.gossip(ctx)
 		e.recordGateContacts()
 		e.updateLinks()
@@ -72,7 +76,7 @@
 			expire = now.Add(expiryInterval)
 			e.expire(ctx, now)
 		}
-		boot.Sleep(ctx, gossipInterval)
+		boot.Await(ctx, e.Rotation.Changed(), min(gossipInterval, e.Rotation.UntilOverdue()))
 	}
 }
 
--- /dev/null
+++ b/internal/disp/rotate/monitor.go
@@ -0,0 +1,143 @@
+package rotate
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+)
+
+const (
+	checkInterval = time.Second // between the load balancer's checks
+	// checkTolerance is how late a check may be. Callers that have lost their connection
+	// arrive elsewhere after the resubmit delay, 1.3 s or more: the other entries must have
+	// been told, or the jobs given up, by then.
+	checkTolerance = 150 * time.Millisecond
+)
+
+// Monitor tells from the load balancer's checks whether its entry is in rotation. Set the
+// exported fields before use. The zero value is an entry that has never passed a check,
+// which counts as in rotation, since no callers have come to it through the balancer. It is
+// safe for concurrent use.
+type Monitor struct {
+	// ResubmitDelay is the delay after which callers whose connection was lost submit their
+	// job again. For as long the entry counts as out of rotation after it has returned.
+	ResubmitDelay time.Duration
+	// Now returns the present time; nil means boot.Now.
+	Now func() boot.Time
+	// Event logs when the entry leaves the rotation or returns; nil discards it.
+	Event func(event string, pairs ...any)
+
+	mu        sync.Mutex
+	lastCheck boot.Time // the latest one since the first that was passed; 0 before
+	failing   bool      // the latest check was failed
+	outUntil  boot.Time // until when callers that were lost may arrive elsewhere
+	wasOut    bool      // as last logged
+	wake      chan struct{}
+}
+
+// Observe records a check that is being answered, and whether the entry passes it.
+func (m *Monitor) Observe(passed bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.lastCheck == 0 && !passed {
+		return
+	}
+	now := m.now()
+	m.logChange(now)
+	if m.absent(now) || !passed {
+		m.outUntil = now.Add(m.ResubmitDelay + checkTolerance)
+	}
+	m.lastCheck, m.failing = now, !passed
+	if m.logChange(now) {
+		m.notify()
+	}
+}
+
+// Out reports whether the callers of the entry may submit their jobs to other entries
+// although the entry runs them: the balancer has not checked it in time, it has failed the
+// latest check, or this was so not long ago.
+func (m *Monitor) Out() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
+	m.logChange(now)
+	return m.out(now)
+}
+
+// Unchecked reports whether the latest check is overdue, so that the entry may have been
+// partitioned from the balancer.
+func (m *Monitor) Unchecked() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.unchecked(m.now())
+}
+
+// UntilOverdue returns the time until the next check is overdue. It is the longest duration
+// if it is overdue already or none is expected.
+func (m *Monitor) UntilOverdue() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if now := m.now(); m.lastCheck != 0 && !m.unchecked(now) {
+		return m.lastCheck.Add(checkInterval + checkTolerance).Sub(now)
+	}
+	return math.MaxInt64
+}
+
+// Changed returns a channel that receives a value when a check has made the entry leave the
+// rotation or return.
+func (m *Monitor) Changed() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.wakeChannel()
+}
+
+// out is Out at now. The caller holds mu.
+func (m *Monitor) out(now boot.Time) bool { return m.absent(now) || now < m.outUntil }
+
+// absent reports whether the balancer can't have seen the entry pass a check lately. The
+// caller holds mu.
+func (m *Monitor) absent(now boot.Time) bool { return m.failing || m.unchecked(now) }
+
+// unchecked is Unchecked at now. The caller holds mu.
+func (m *Monitor) unchecked(now boot.Time) bool {
+	return m.lastCheck != 0 && now.Sub(m.lastCheck) >= checkInterval+checkTolerance
+}
+
+// logChange logs whether the entry is out of rotation if that has changed, and reports
+// whether it has. The caller holds mu.
+func (m *Monitor) logChange(now boot.Time) bool {
+	out := m.out(now)
+	if out == m.wasOut {
+		return false
+	}
+	m.wasOut = out
+	if m.Event != nil {
+		m.Event("rotation", "out", out, "failing", m.failing, "checked", now.Sub(m.lastCheck))
+	}
+	return true
+}
+
+// notify makes Changed receive a value. The caller holds mu.
+func (m *Monitor) notify() {
+	select {
+	case m.wakeChannel() <- struct{}{}:
+	default:
+	}
+}
+
+// wakeChannel returns wake, and makes it first if it is nil. The caller holds mu.
+func (m *Monitor) wakeChannel() chan struct{} {
+	if m.wake == nil {
+		m.wake = make(chan struct{}, 1)
+	}
+	return m.wake
+}
+
+func (m *Monitor) now() boot.Time {
+	if m.Now != nil {
+		return m.Now()
+	}
+	return boot.Now()
+}
--- /dev/null
+++ b/internal/disp/rotate/monitor_test.go
@@ -0,0 +1,97 @@
+package rotate
+
+import (
+	"testing"
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+)
+
+const (
+	resubmitDelay = 1300 * time.Millisecond
+	overdue       = checkInterval + checkTolerance
+)
+
+// newMonitor returns a monitor and a function that lets time pass for it.
+func newMonitor() (*Monitor, func(time.Duration)) {
+	now := boot.Time(time.Hour)
+	m := &Monitor{ResubmitDelay: resubmitDelay, Now: func() boot.Time { return now }}
+	return m, func(d time.Duration) { now = now.Add(d) }
+}
+
+// mustBe reports an error if the entry of m counts as in rotation, or not, contrary to want.
+func mustBe(t *testing.T, m *Monitor, wantOut bool, when string) {
+	t.Helper()
+	if out := m.Out(); out != wantOut {
+		t.Errorf("%s: out of rotation is %v, want %v", when, out, wantOut)
+	}
+}
+
+// An entry that the balancer did not check any more counted as in rotation for as long as it
+// ran jobs, though its callers were elsewhere.
+func TestUncheckedEntryIsOutBeforeItsCallersCanBeElsewhere(t *testing.T) {
+	m, pass := newMonitor()
+	m.Observe(true)
+	if until := m.UntilOverdue(); until != overdue || until >= resubmitDelay {
+		t.Errorf("overdue after %v, want %v, which must be less than %v", until, overdue, resubmitDelay)
+	}
+	pass(overdue - 1)
+	mustBe(t, m, false, "before the check is overdue")
+	pass(1)
+	mustBe(t, m, true, "when the check is overdue")
+	if !m.Unchecked() {
+		t.Error("the entry counts as checked")
+	}
+}
+
+// Callers that lost their connection during a partition submit their jobs again for some time
+// after it.
+func TestEntryThatReturnsStaysOutWhileItsCallersMayArriveElsewhere(t *testing.T) {
+	m, pass := newMonitor()
+	m.Observe(true)
+	pass(5 * time.Second)
+	for range 2 {
+		m.Observe(true)
+		mustBe(t, m, true, "just after the return")
+		pass(resubmitDelay / 2)
+	}
+	m.Observe(true)
+	mustBe(t, m, true, "within the resubmit delay")
+	pass(checkTolerance)
+	mustBe(t, m, false, "after the resubmit delay")
+	if m.Unchecked() {
+		t.Error("the entry counts as unchecked")
+	}
+}
+
+// The balancer sends callers elsewhere that lose their connection to an entry which is being
+// stopped, at once.
+func TestEntryThatFailsACheckIsOutAtOnce(t *testing.T) {
+	m, pass := newMonitor()
+	m.Observe(true)
+	changed := m.Changed()
+	m.Observe(false)
+	mustBe(t, m, true, "after a check that was failed")
+	select {
+	case <-changed:
+	default:
+		t.Error("the change was not announced")
+	}
+	pass(checkInterval)
+	m.Observe(true)
+	mustBe(t, m, true, "just after the return")
+}
+
+// An entry that starts, or that no balancer checks, is not out of rotation.
+func TestEntryThatWasNeverInRotationIsNotOut(t *testing.T) {
+	m, pass := newMonitor()
+	m.Observe(false)
+	pass(time.Minute)
+	m.Observe(false)
+	mustBe(t, m, false, "before the first check is passed")
+	if m.Unchecked() || m.UntilOverdue() < time.Hour {
+		t.Error("a check is overdue")
+	}
+	m.Observe(true)
+	mustBe(t, m, false, "after the first check is passed")
+}
