Keep asking an entry whose row was deleted while it lives

An entry deletes the rows of members that it has not reached for two minutes. One that was partitioned itself deletes the rows of all others when it returns, and these then forget each other until the next round of gossip. Until then they were not asked whether they had a job that was submitted again, and a second run could start beside theirs (TWICE).

--- a/internal/disp/proc/entry.go
+++ b/internal/disp/proc/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -152,8 +153,12 @@
 }
 
 // RemoveMember removes a member, such as one whose row was deleted, and retires the link
-// to it.
+// to it. An entry that was in contact lately stays, since it lives, and has to be asked about
+// jobs, though the entry that deleted the row may not have reached it.
 func (e *Entry) RemoveMember(m memb.Member) {
+	if m.Role == memb.Entry && slices.Contains(e.members.Recent(boot.Now()), m) {
+		return
+	}
 	e.members.Remove(m)
 	if m.Role == memb.Gate {
 		e.retire(m.Addr)
--- a/internal/disp/proc/giveup_test.go
+++ b/internal/disp/proc/giveup_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/coord"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/link"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/memb"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/route"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/rsrc"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
@@ -87,6 +89,29 @@
 	}
 }
 
+// An entry whose row was deleted by another one that had not reached it for long was not asked
+// any more, though it lived and ran the job.
+func TestEntryWhoseRowWasDeletedIsStillAsked(t *testing.T) {
+	e, answers := newCheckedPeer(t)
+	addr := serve(t, map[string]any{EntryServiceName: e.Service()})
+	asks := newPeer(addr)
+	member := memb.Member{Role: memb.Entry, Addr: addr}
+	asks.members.RecordContact(member, boot.Now())
+	asks.RemoveMember(member)
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	asks.GiveUpElsewhere(ctx, "j", true)
+	if len(answers) == 0 {
+		t.Error("the entry was not asked to give the job up")
+	}
+	gone := memb.Member{Role: memb.Entry, Addr: "127.0.0.1:1"}
+	asks.AddMember(gone)
+	asks.RemoveMember(gone)
+	if entries := asks.Entries(); !slices.Equal(entries, []string{addr}) {
+		t.Errorf("the entries %v are known, want %v", entries, addr)
+	}
+}
+
 // Repeated jobs waited for an entry that can't be reached, or were not known there.
 func TestUnreachableEntryDelaysRepeatedJobsLittle(t *testing.T) {
 	silent, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
--- a/test/mutant_test.go
+++ b/test/mutant_test.go
@@ -182,6 +182,7 @@
 	{rule: "TWICE check overdue", file: dispRotate + "monitor.go", old: "return m.lastCheck != 0 && now.Sub(m.lastCheck) >= checkInterval+checkTolerance", new: "return false", test: "internal/disp/proc TestEntryThatIsNotCheckedIsAskedToGiveItsJobsUp"},
 	{rule: "TWICE callers that were lost", file: dispRotate + "monitor.go", old: "m.outUntil = now.Add(m.ResubmitDelay + checkTolerance)", new: "m.outUntil = 0", test: "internal/disp/rotate TestEntryThatReturnsStaysOutWhileItsCallersMayArriveElsewhere"},
 	{rule: "TWICE entry cut off", file: dispRotate + "guard.go", old: "g.EndJobs(unwarned)", new: "_ = unwarned", test: "internal/disp/proc TestCutOffEntryEndsItsJobs"},
+	{rule: "TWICE member whose row was deleted", file: dispProc + "entry.go", old: "if m.Role == memb.Entry && slices.Contains", new: "if false && slices.Contains", test: "internal/disp/proc TestEntryWhoseRowWasDeletedIsStillAsked"},
 	{rule: "LOST old order to give up", file: dispProc + "service.go", old: "if s.entry.mayBeOld(boot.Time(m.EchoedTimestamp)) {", new: "if false {", test: "internal/disp/proc TestOldOrderToGiveUpEndsNoJob"},
 	{rule: "TWICE order to give up after a stall", file: dispProc + "giveup.go", old: "if err == nil && reply.Timestamp != 0 {", new: "if false {", test: "internal/disp/proc TestStalledEntryGivesJobUpWhenAskedNow"},
 	{rule: "LOST run that is not stuck", file: dispGate + "apply.go", old: "r.progressedAt = r.progressedAt.Add(stalled)", new: "_ = stalled", test: "internal/disp/gate TestRunIsNotStuckBecauseTheGateStoodStill"},
