Pin the pauses between failed calls in tests

The doubled pauses of register, recall.Keeper and Store.Follow are to be shared, and no test said how long they are.

--- a/internal/disp/recall/recall_test.go
+++ b/internal/disp/recall/recall_test.go
@@ -30,6 +30,13 @@
 	return nil
 }
 
+// failFor lets the next n calls fail.
+func (f *fakeTable) failFor(n int) {
+	f.mu.Lock()
+	f.failures = n
+	f.mu.Unlock()
+}
+
 func (f *fakeTable) keeper() *Keeper {
 	return &Keeper{
 		Read: func(context.Context) (targ.Incarnation, bool, error) {
@@ -139,3 +146,43 @@
 		}
 	})
 }
+
+// TestKeeperPauses lets the table fail eight times in succession when the record is read,
+// as often when it is written, and twice when it is written again.
+func TestKeeperPauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeTable{failures: 8}
+		k := f.keeper()
+		var failed []time.Time
+		k.Event = func(string, ...any) { failed = append(failed, time.Now()) }
+		ctx, cancel := context.WithCancel(t.Context())
+		go k.Run(ctx, func(targ.Incarnation) {})
+		time.Sleep(time.Minute)
+		f.failFor(8)
+		k.Observe(first)
+		time.Sleep(time.Minute)
+		f.failFor(2)
+		k.Observe(second)
+		time.Sleep(time.Minute)
+		cancel()
+		synctest.Wait()
+		if len(failed) != 18 {
+			t.Fatalf("%d failures, want 18", len(failed))
+		}
+		checkPauses(t, failed[:8])
+		checkPauses(t, failed[8:16])
+		checkPauses(t, failed[16:])
+	})
+}
+
+// checkPauses checks that each pause between failed calls is at least the one that is due
+// and less than twice that.
+func checkPauses(t *testing.T, calls []time.Time) {
+	t.Helper()
+	for i, want := range []time.Duration{100, 200, 400, 800, 1600, 3200, 5000}[:len(calls)-1] {
+		want *= time.Millisecond
+		if got := calls[i+1].Sub(calls[i]); got < want || got >= 2*want {
+			t.Errorf("pause %d of %v, want from %v to less than twice that", i, got, want)
+		}
+	}
+}
