--- a/internal/disp/proc/node.go
+++ b/internal/disp/proc/node.go
@@ -107,14 +107,15 @@
 	if write == nil {
 		return
 	}
-	for pause := minRegisterPause; ctx.Err() == nil; pause = min(2*pause, maxRegisterPause) {
+	backoff := boot.Backoff{Min: minRegisterPause, Max: maxRegisterPause}
+	for ctx.Err() == nil {
 		err := write(ctx, m)
 		if err == nil {
 			event("registered", "member", m)
 			return
 		}
 		event("register_failed", "member", m, "err", err)
-		boot.Sleep(ctx, pause)
+		boot.Sleep(ctx, backoff.Next())
 	}
 }
 
--- a/internal/disp/recall/recall.go
+++ b/internal/disp/recall/recall.go
@@ -44,7 +44,7 @@
 // can be read. Then it keeps the record up to date until ctx ends.
 func (k *Keeper) Run(ctx context.Context, use func(targ.Incarnation)) {
 	recorded, exists := k.recall(ctx, use)
-	pause := minPause
+	backoff := boot.Backoff{Min: minPause, Max: maxPause}
 	for ctx.Err() == nil {
 		current, known, due := k.next(recorded, exists)
 		if !due {
@@ -53,18 +53,19 @@
 		}
 		if err := k.store(ctx, current, known); err != nil {
 			k.Event("record_failed", "target", current.ID, "err", err)
-			boot.Sleep(ctx, spread(pause))
-			pause = min(2*pause, maxPause)
+			boot.Sleep(ctx, spread(backoff.Next()))
 			continue
 		}
-		recorded, exists, pause = current, known, minPause
+		recorded, exists = current, known
+		backoff.Reset()
 	}
 }
 
 // recall reads the record, repeatedly if that fails, until a heartbeat arrives. It
 // passes it to use and returns it. It reports false if there is certainly no record.
 func (k *Keeper) recall(ctx context.Context, use func(targ.Incarnation)) (inc targ.Incarnation, mayExist bool) {
-	for pause := minPause; ctx.Err() == nil && !k.hasObserved(); pause = min(2*pause, maxPause) {
+	backoff := boot.Backoff{Min: minPause, Max: maxPause}
+	for ctx.Err() == nil && !k.hasObserved() {
 		inc, found, err := k.Read(ctx)
 		if err == nil {
 			if found && !k.hasObserved() {
@@ -73,7 +74,7 @@
 			return inc, found
 		}
 		k.Event("recall_failed", "err", err)
-		k.await(ctx, spread(pause))
+		k.await(ctx, spread(backoff.Next()))
 	}
 	return targ.Incarnation{}, true
 }
