Share the waking of a loop that waits

gate, link and recall each made a channel of one value when it was first used, put a value in it without blocking, and waited for it. boot.Waker does so now; its zero value is ready, so that the locks no longer guard it. Waits and what ends them are the same, also that of two poll loops of a gate only one is woken.

--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -67,9 +67,9 @@
 	breaker      cbreak.Breaker
 	speed        estim.Speed
 	replyTimes   estim.ReplyTimes
-	nextLoadLog  boot.Time     // when the load is logged next
-	checkedAt    boot.Time     // when the progress of runs was last checked
-	wake         chan struct{} // wakes pollLoop; use wakeChan
+	nextLoadLog  boot.Time  // when the load is logged next
+	checkedAt    boot.Time  // when the progress of runs was last checked
+	waker        boot.Waker // makes pollLoop check the state without delay
 }
 
 // taskID identifies a task as its sender does.
@@ -281,7 +281,7 @@
 	}
 	g.logEnded(r, previous)
 	close(r.finished)
-	g.wakePollLoop()
+	g.waker.Wake()
 }
 
 // load returns the target's capacity and use, and whether it takes tasks.
@@ -334,19 +334,3 @@
 	}
 	return g.now()
 }
-
-// wakePollLoop makes the poll loop check the state without delay.
-func (g *Gate) wakePollLoop() {
-	select {
-	case g.wakeChan() <- struct{}{}:
-	default:
-	}
-}
-
-// wakeChan returns the channel that wakes the poll loop. The lock must be held.
-func (g *Gate) wakeChan() chan struct{} {
-	if g.wake == nil {
-		g.wake = make(chan struct{}, 1)
-	}
-	return g.wake
-}
--- a/internal/disp/gate/heartbeat.go
+++ b/internal/disp/gate/heartbeat.go
@@ -70,7 +70,7 @@
 func (g *Gate) awaitEnd(inc targ.Incarnation) {
 	g.event("target_announced", "target", inc.ID, "current", g.incarnation.ID, "running", len(g.runs))
 	g.successor = inc
-	g.wakePollLoop()
+	g.waker.Wake()
 }
 
 // adoptSuccessor starts to use the announced successor of an incarnation that has ended.
--- a/internal/disp/gate/incarnation.go
+++ b/internal/disp/gate/incarnation.go
@@ -64,7 +64,7 @@
 	}
 	g.fence++ // so that orders for previous incarnations have no effect at this one
 	g.event("target", "target", inc.ID, "service", inc.Service, "cpu", inc.Capacity.CPU, "memory", inc.Capacity.Memory)
-	g.wakePollLoop()
+	g.waker.Wake()
 }
 
 // refuseQueueIfLeaving refuses all queued tasks once the target takes no more.
--- a/internal/disp/gate/order.go
+++ b/internal/disp/gate/order.go
@@ -225,7 +225,7 @@
 	case err == nil:
 		r.stopAckClock = clock
 		g.clock.Update(clock, g.steady())
-		g.wakePollLoop()
+		g.waker.Wake()
 	case errors.Is(err, targ.ErrFenced):
 		g.raiseFence()
 	case errors.Is(err, targ.ErrRestarted):
--- a/internal/disp/gate/poll.go
+++ b/internal/disp/gate/poll.go
@@ -51,7 +51,7 @@
 func (g *Gate) pollOnce(ctx context.Context) {
 	incarnation, renewal, pause := g.nextPoll()
 	if pause > 0 {
-		g.awaitWake(ctx, pause)
+		g.waker.Await(ctx, pause)
 		return
 	}
 	call, cancel := context.WithTimeout(ctx, time.Duration(renewal.Wait)*time.Millisecond+pollTimeout)
@@ -106,14 +106,6 @@
 	return false
 }
 
-// awaitWake waits until the loop is woken, for d at most.
-func (g *Gate) awaitWake(ctx context.Context, d time.Duration) {
-	g.mu.Lock()
-	wake := g.wakeChan()
-	g.mu.Unlock()
-	boot.Await(ctx, wake, d)
-}
-
 // handlePollReply processes the outcome of a poll. It reports false if the poll
 // failed while the incarnation that it was sent to is current.
 func (g *Gate) handlePollReply(incarnation targ.Incarnation, renewal targ.Renewal, l targ.Listing, err error) bool {
--- a/internal/disp/gate/queue.go
+++ b/internal/disp/gate/queue.go
@@ -33,7 +33,7 @@
 		g.observeWait(r, now)
 		r.phase = ordered
 		g.runs[r.msg.Name] = r
-		g.wakePollLoop()
+		g.waker.Wake()
 		go g.orderStart(r)
 	}
 }
--- a/internal/disp/link/link.go
+++ b/internal/disp/link/link.go
@@ -69,7 +69,7 @@
 	outstanding    int                 // tasks sent whose outcome is unknown
 	retired        bool                // Run ends once no task or cancellation needs it
 	closed         bool                // Run has ended, or ends without another call; final
-	wake           chan struct{}       // receives a value when Run has to look at the state at once
+	waker          boot.Waker          // makes Run look at the state, and make a Sync call, at once
 }
 
 // recentTask is a task that was sent so recently that the newest load may not
@@ -101,7 +101,7 @@
 func (l *Link) waitUntilSyncDue(ctx context.Context) {
 	for ctx.Err() == nil {
 		untilDue := l.untilDue()
-		if untilDue <= 0 || l.waitOrWake(ctx, untilDue) {
+		if untilDue <= 0 || l.waker.Await(ctx, untilDue) {
 			return
 		}
 	}
@@ -116,7 +116,7 @@
 		l.cancels = map[uint64]struct{}{}
 	}
 	l.cancels[id] = struct{}{}
-	l.wakeRun()
+	l.waker.Wake()
 }
 
 // View returns what is known about the gate at now.
@@ -341,31 +341,6 @@
 	return max(min(l.lastEcho, l.loadReceived).Add(interval), l.lastSync.Add(minSyncInterval)).Sub(now)
 }
 
-// waitOrWake waits for d, until ctx ends or until Run is woken, and reports whether it
-// was woken.
-func (l *Link) waitOrWake(ctx context.Context, d time.Duration) bool {
-	l.mu.Lock()
-	wake := l.wakeChannel()
-	l.mu.Unlock()
-	return boot.Await(ctx, wake, d)
-}
-
-// wakeRun makes Run look at the state and make a Sync call at once. The caller holds mu.
-func (l *Link) wakeRun() {
-	select {
-	case l.wakeChannel() <- struct{}{}:
-	default:
-	}
-}
-
-// wakeChannel returns wake, and makes it first if it is nil. The caller holds mu.
-func (l *Link) wakeChannel() chan struct{} {
-	if l.wake == nil {
-		l.wake = make(chan struct{}, 1)
-	}
-	return l.wake
-}
-
 func (l *Link) now() boot.Time {
 	if l.Now != nil {
 		return l.Now()
--- a/internal/disp/link/retire.go
+++ b/internal/disp/link/retire.go
@@ -8,7 +8,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.retired = true
-	l.wakeRun()
+	l.waker.Wake()
 }
 
 // Retired reports whether Retire was called and not undone since.
--- a/internal/disp/recall/recall.go
+++ b/internal/disp/recall/recall.go
@@ -31,7 +31,7 @@
 	observed bool             // Observe or Forget was called
 	known    bool             // there is a target to record
 	current  targ.Incarnation // valid if known
-	wake     chan struct{}    // wakes Run; use wakeChan
+	waker    boot.Waker       // wakes Run
 }
 
 // Observe processes a heartbeat of the target.
@@ -48,7 +48,7 @@
 	for ctx.Err() == nil {
 		current, known, due := k.next(recorded, exists)
 		if !due {
-			k.await(ctx, maxPause)
+			k.waker.Await(ctx, maxPause)
 			continue
 		}
 		if err := k.store(ctx, current, known); err != nil {
@@ -74,7 +74,7 @@
 			return inc, found
 		}
 		k.Event("recall_failed", "err", err)
-		k.await(ctx, spread(backoff.Next()))
+		k.waker.Await(ctx, spread(backoff.Next()))
 	}
 	return targ.Incarnation{}, true
 }
@@ -108,10 +108,7 @@
 	k.mu.Lock()
 	k.observed, k.current, k.known = true, inc, known
 	k.mu.Unlock()
-	select {
-	case k.wakeChan() <- struct{}{}:
-	default:
-	}
+	k.waker.Wake()
 }
 
 func (k *Keeper) hasObserved() bool {
@@ -120,18 +117,6 @@
 	return k.observed
 }
 
-// await waits for d, until set is called or until ctx ends.
-func (k *Keeper) await(ctx context.Context, d time.Duration) { boot.Await(ctx, k.wakeChan(), d) }
-
-func (k *Keeper) wakeChan() chan struct{} {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.wake == nil {
-		k.wake = make(chan struct{}, 1)
-	}
-	return k.wake
-}
-
 // spread returns d and a random time of up to the same length, so that nodes that
 // failed together do not call again together.
 func spread(d time.Duration) time.Duration { return d + rand.N(d) }
