--- a/internal/disp/recall/recall.go
+++ b/internal/disp/recall/recall.go
@@ -31,7 +31,7 @@
 	observed bool             // Observe or Forget was called
 	known    bool             // there is a target to record
 	current  targ.Incarnation // valid if known
-	wake     chan struct{}    // wakes Run; use wakeChan
+	waker    boot.Waker       // wakes Run
 }
 
 // Observe processes a heartbeat of the target.
@@ -44,27 +44,28 @@
 // can be read. Then it keeps the record up to date until ctx ends.
 func (k *Keeper) Run(ctx context.Context, use func(targ.Incarnation)) {
 	recorded, exists := k.recall(ctx, use)
-	pause := minPause
+	backoff := boot.Backoff{Min: minPause, Max: maxPause}
 	for ctx.Err() == nil {
 		current, known, due := k.next(recorded, exists)
 		if !due {
-			k.await(ctx, maxPause)
+			k.waker.Await(ctx, maxPause)
 			continue
 		}
 		if err := k.store(ctx, current, known); err != nil {
 			k.Event("record_failed", "target", current.ID, "err", err)
-			boot.Sleep(ctx, spread(pause))
-			pause = min(2*pause, maxPause)
+			boot.Sleep(ctx, spread(backoff.Next()))
 			continue
 		}
-		recorded, exists, pause = current, known, minPause
+		recorded, exists = current, known
+		backoff.Reset()
 	}
 }
 
 // recall reads the record, repeatedly if that fails, until a heartbeat arrives. It
 // passes it to use and returns it. It reports false if there is certainly no record.
 func (k *Keeper) recall(ctx context.Context, use func(targ.Incarnation)) (inc targ.Incarnation, mayExist bool) {
-	for pause := minPause; ctx.Err() == nil && !k.hasObserved(); pause = min(2*pause, maxPause) {
+	backoff := boot.Backoff{Min: minPause, Max: maxPause}
+	for ctx.Err() == nil && !k.hasObserved() {
 		inc, found, err := k.Read(ctx)
 		if err == nil {
 			if found && !k.hasObserved() {
@@ -73,7 +74,7 @@
 			return inc, found
 		}
 		k.Event("recall_failed", "err", err)
-		k.await(ctx, spread(pause))
+		k.waker.Await(ctx, spread(backoff.Next()))
 	}
 	return targ.Incarnation{}, true
 }
@@ -107,10 +108,7 @@
 	k.mu.Lock()
 	k.observed, k.current, k.known = true, inc, known
 	k.mu.Unlock()
-	select {
-	case k.wakeChan() <- struct{}{}:
-	default:
-	}
+	k.waker.Wake()
 }
 
 func (k *Keeper) hasObserved() bool {
@@ -119,18 +117,6 @@
 	return k.observed
 }
 
-// await waits for d, until set is called or until ctx ends.
-func (k *Keeper) await(ctx context.Context, d time.Duration) { boot.Await(ctx, k.wakeChan(), d) }
-
-func (k *Keeper) wakeChan() chan struct{} {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.wake == nil {
-		k.wake = make(chan struct{}, 1)
-	}
-	return k.wake
-}
-
 // spread returns d and a random time of up to the same length, so that nodes that
 // failed together do not call again together.
 func spread(d time.Duration) time.Duration { return d + rand.N(d) }
