Let the monitor of the rotation wait by the shared waker

Await serves the entry's loop in place of a channel and a duration that its caller had to combine. No change of behaviour; the tests of rotate and proc pass.

--- a/internal/disp/proc/entry.go
+++ b/internal/disp/proc/entry.go
@@ -82,7 +82,7 @@
 			expire = now.Add(expiryInterval)
 			go e.expire(ctx, now)
 		}
-		boot.Await(ctx, e.Rotation.Changed(), min(gossipInterval, e.Rotation.UntilOverdue()))
+		e.Rotation.Await(ctx, gossipInterval)
 	}
 }
 
--- a/internal/disp/rotate/monitor.go
+++ b/internal/disp/rotate/monitor.go
@@ -1,6 +1,7 @@
 package rotate
 
 import (
+	"context"
 	"math"
 	"sync"
 	"time"
@@ -30,11 +31,11 @@
 	Event func(event string, pairs ...any)
 
 	mu        sync.Mutex
-	lastCheck boot.Time // the latest one since the first that was passed; 0 before
-	failing   bool      // the latest check was failed
-	outUntil  boot.Time // until when callers that were lost may arrive elsewhere
-	wasOut    bool      // as last logged
-	wake      chan struct{}
+	lastCheck boot.Time  // the latest one since the first that was passed; 0 before
+	failing   bool       // the latest check was failed
+	outUntil  boot.Time  // until when callers that were lost may arrive elsewhere
+	wasOut    bool       // as last logged
+	waker     boot.Waker // ends Await
 }
 
 // Observe records a check that is being answered, and whether the entry passes it.
@@ -51,7 +52,7 @@
 	}
 	m.lastCheck, m.failing = now, !passed
 	if m.logChange(now) {
-		m.notify()
+		m.waker.Wake()
 	}
 }
 
@@ -74,9 +75,15 @@
 	return m.unchecked(m.now())
 }
 
-// UntilOverdue returns the time until the next check is overdue. It is the longest duration
+// Await waits until the entry leaves the rotation or the check is overdue, for d at most, or
+// until ctx ends.
+func (m *Monitor) Await(ctx context.Context, d time.Duration) {
+	m.waker.Await(ctx, min(d, m.untilOverdue()))
+}
+
+// untilOverdue returns the time until the next check is overdue. It is the longest duration
 // if it is overdue already or none is expected.
-func (m *Monitor) UntilOverdue() time.Duration {
+func (m *Monitor) untilOverdue() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if now := m.now(); m.lastCheck != 0 && !m.unchecked(now) {
@@ -85,14 +92,6 @@
 	return math.MaxInt64
 }
 
-// Changed returns a channel that receives a value when a check has made the entry leave the
-// rotation or return.
-func (m *Monitor) Changed() <-chan struct{} {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.wakeChannel()
-}
-
 // out is Out at now. The caller holds mu.
 func (m *Monitor) out(now boot.Time) bool { return m.absent(now) || now < m.outUntil }
 
@@ -119,22 +118,6 @@
 	return true
 }
 
-// notify makes Changed receive a value. The caller holds mu.
-func (m *Monitor) notify() {
-	select {
-	case m.wakeChannel() <- struct{}{}:
-	default:
-	}
-}
-
-// wakeChannel returns wake, and makes it first if it is nil. The caller holds mu.
-func (m *Monitor) wakeChannel() chan struct{} {
-	if m.wake == nil {
-		m.wake = make(chan struct{}, 1)
-	}
-	return m.wake
-}
-
 func (m *Monitor) now() boot.Time {
 	if m.Now != nil {
 		return m.Now()
--- a/internal/disp/rotate/monitor_test.go
+++ b/internal/disp/rotate/monitor_test.go
@@ -1,6 +1,7 @@
 package rotate
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -32,7 +33,7 @@
 func TestUncheckedEntryIsOutBeforeItsCallersCanBeElsewhere(t *testing.T) {
 	m, pass := newMonitor()
 	m.Observe(true)
-	if until := m.UntilOverdue(); until != overdue || until >= resubmitDelay {
+	if until := m.untilOverdue(); until != overdue || until >= resubmitDelay {
 		t.Errorf("overdue after %v, want %v, which must be less than %v", until, overdue, resubmitDelay)
 	}
 	pass(overdue - 1)
@@ -69,12 +70,10 @@
 func TestEntryThatFailsACheckIsOutAtOnce(t *testing.T) {
 	m, pass := newMonitor()
 	m.Observe(true)
-	changed := m.Changed()
 	m.Observe(false)
 	mustBe(t, m, true, "after a check that was failed")
-	select {
-	case <-changed:
-	default:
+	begin := time.Now()
+	if m.Await(context.Background(), time.Minute); time.Since(begin) >= checkInterval {
 		t.Error("the change was not announced")
 	}
 	pass(checkInterval)
@@ -89,7 +88,7 @@
 	pass(time.Minute)
 	m.Observe(false)
 	mustBe(t, m, false, "before the first check is passed")
-	if m.Unchecked() || m.UntilOverdue() < time.Hour {
+	if m.Unchecked() || m.untilOverdue() < time.Hour {
 		t.Error("a check is overdue")
 	}
 	m.Observe(true)
