End the jobs of an entry that is cut off as long as it is

The property of partitions, still in work, found three schedules in which the guard looked away: it looked once, when the check was overdue, so entries that were lost later were not noticed, nor those lost between the return and the end of the resubmit delay; and with the store's answer it kept the jobs of an entry that was cut off from balancer, entries and gates, whose leases ended the runs, and which placed them again when it reached the gates.

The guard looks with each round of gossip now, and doesn't ask the store: an entry that was in contact lately and can't be told is enough. Since that may be the death of the other one beside a check that is late, jobs younger than 650 ms stay until the next look; a connection that is refused counts as told, and an entry that fails its checks, as in a planned stop, ends nothing.

--- a/cmd/gypsumlanding/process.go
+++ b/cmd/gypsumlanding/process.go
@@ -72,8 +72,7 @@
 	e := &proc.Entry{
 		Name: p.cfg.Name, Incarnation: p.incarnation, Addr: p.cfg.InternalAddr,
 		ParseConfig: platform.DecodeConfig, Register: store.Register, Deregister: store.Deregister, Event: p.log.Event,
-		LastStall: stalls.LastEnd, StoreAnswers: store.Answers,
-		Rotation: rotate.Monitor{ResubmitDelay: p.cfg.ResubmitDelay, Event: p.log.Event},
+		LastStall: stalls.LastEnd, Rotation: rotate.Monitor{ResubmitDelay: p.cfg.ResubmitDelay, Event: p.log.Event},
 	}
 	e.SetSeeds(p.cfg.Seeds)
 	go p.watchSettings(e.SetSeeds)
--- a/internal/disp/coord/coord.go
+++ b/internal/disp/coord/coord.go
@@ -103,13 +103,18 @@
 	return true
 }
 
-// AbandonAll abandons all unfinished jobs for the given reason.
-func (c *Coordinator) AbandonAll(reason string) {
+// AbandonOlder abandons, for the given reason, the unfinished jobs whose latest submission
+// arrived the given age ago or earlier. It returns their number.
+func (c *Coordinator) AbandonOlder(age time.Duration, reason string) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	latest, n := c.now().Add(-age), 0
 	for _, e := range c.jobs {
-		e.finish(Answer{State: Abandoned, Reason: reason})
+		if e.abandonIfArrivedBy(latest, reason) {
+			n++
+		}
 	}
+	return n
 }
 
 // State returns the state of the job with the given ID. It reports false if this
--- a/internal/disp/coord/job.go
+++ b/internal/disp/coord/job.go
@@ -83,6 +83,7 @@
 	mu              sync.Mutex
 	hasLeft         []func() bool  // HasLeft of all submissions
 	callers         int            // submissions whose connection, as far as is known, still exists
+	lastArrived     boot.Time      // when the latest submission arrived
 	waitsUntil      boot.Time      // when the last caller stops waiting for the answer; 0 if unknown
 	inFlight        int            // tasks whose outcome the job is waiting for
 	started         bool           // a task has started or may have started
@@ -94,7 +95,7 @@
 
 // newExecution returns the execution of a job with one caller.
 func newExecution(j Job) *execution {
-	e := &execution{Job: j, callers: 1, waitsUntil: j.WaitsUntil, tasksByTarget: map[string]int{}, drained: make(chan struct{}), confirming: make(chan struct{}, 1)}
+	e := &execution{Job: j, callers: 1, lastArrived: j.Arrived, waitsUntil: j.WaitsUntil, tasksByTarget: map[string]int{}, drained: make(chan struct{}), confirming: make(chan struct{}, 1)}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.confirmedAt.Store(int64(stall.EarliestSend(j.Arrived)))
 	e.hasLeft = []func() bool{j.HasLeft}
@@ -141,6 +142,7 @@
 		return false
 	}
 	e.callers++
+	e.lastArrived = j.Arrived
 	e.hasLeft = append(e.hasLeft, j.HasLeft)
 	if j.WaitsUntil == 0 || e.waitsUntil != 0 && j.WaitsUntil > e.waitsUntil {
 		e.waitsUntil = j.WaitsUntil
@@ -148,6 +150,18 @@
 	return true
 }
 
+// abandonIfArrivedBy ends the job for the given reason if its latest submission arrived at
+// latest or before. It reports whether it ended the job.
+func (e *execution) abandonIfArrivedBy(latest boot.Time, reason string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.answer != nil || e.lastArrived > latest {
+		return false
+	}
+	e.end(Answer{State: Abandoned, Reason: reason})
+	return true
+}
+
 // finishIfLeft ends the job if all its callers are known to have closed their connections.
 // It reports whether the job has ended.
 func (e *execution) finishIfLeft() bool {
--- a/internal/disp/proc/entry.go
+++ b/internal/disp/proc/entry.go
@@ -39,9 +39,6 @@
 	LastStall func() boot.Time
 	// Rotation tells whether the load balancer has this entry in rotation.
 	Rotation rotate.Monitor
-	// StoreAnswers reports whether the platform's store answers before the context ends; nil
-	// means yes.
-	StoreAnswers func(context.Context) bool
 	// Event logs an event with pairs of keys and values.
 	Event func(event string, pairs ...any)
 
--- a/internal/disp/proc/rotation.go
+++ b/internal/disp/proc/rotation.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
+	"time"
 
-	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/memb"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/rotate"
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/peer"
 )
 
 // OthersOut reports whether another entry is out of rotation.
@@ -16,20 +18,21 @@
 func (e *Entry) rotationGuard() *rotate.Guard {
 	return &rotate.Guard{
 		Monitor: &e.Rotation, WarnOthers: e.warnOthers,
-		StoreAnswers: func(ctx context.Context) bool { return e.StoreAnswers == nil || e.StoreAnswers(ctx) },
-		EndJobs: func(unwarned int) {
-			e.Event("cut_off", "unwarned", unwarned, "jobs", e.Coord.Running())
-			e.Coord.AbandonAll(cause.CutOff)
+		EndJobs: func(age time.Duration, unwarned int) {
+			if n := e.Coord.AbandonOlder(age, cause.CutOff); n > 0 {
+				e.Event("cut_off", "unwarned", unwarned, "jobs", n)
+			}
 		},
 	}
 }
 
-// warnOthers tells the other entries that were in contact lately that this one is out of
-// rotation, and returns how many of them have not answered when ctx ends.
+// warnOthers tells the other entries that were in contact not long before the load balancer's
+// latest check, or since, that this one is out of rotation. It returns how many of them have
+// not answered when ctx ends. One that refuses the connection has ended, with its jobs.
 func (e *Entry) warnOthers(ctx context.Context) int {
 	unwarned := 0
 	answers := make(chan error)
-	for _, m := range e.members.Recent(boot.Now()) {
+	for _, m := range e.members.Recent(e.Rotation.LastCheck()) {
 		if m.Role != memb.Entry {
 			continue
 		}
@@ -44,7 +47,7 @@
 	for range unwarned {
 		select {
 		case err := <-answers:
-			if err == nil {
+			if err == nil || errors.Is(err, peer.ErrRefused) {
 				unwarned--
 			}
 		case <-ctx.Done(): // a call that has to open a connection may take longer
--- a/internal/disp/rotate/guard.go
+++ b/internal/disp/rotate/guard.go
@@ -5,45 +5,42 @@
 	"time"
 )
 
-// warnTimeout is how long the other entries and the store have to answer an entry that the
-// load balancer does not check any more.
-const warnTimeout = 100 * time.Millisecond
+const (
+	// warnTimeout is how long the other entries have to answer an entry that may have lost
+	// its callers.
+	warnTimeout = 100 * time.Millisecond
+	// maxUnguardedAge is the age from which the jobs of an entry that is cut off are ended.
+	// A job that is younger is looked at again after RepeatInterval, before its caller can
+	// have lost its connection and have come to another entry.
+	maxUnguardedAge = maxCheckAge - RepeatInterval
+)
 
-// Guard ends the jobs of an entry that has been cut off: the load balancer does not check it,
-// so callers may have lost their connections, and an entry that these callers may have come
-// to can't be told, so nobody else could end the jobs. All fields are required. Its methods
-// must not be called concurrently.
+// Guard ends the jobs of an entry that is cut off: it may have lost their callers, and can't
+// tell an entry that these may come to, so nobody else could end the jobs. All fields are
+// required. Its methods must not be called concurrently.
 type Guard struct {
 	Monitor *Monitor
 	// WarnOthers tells the other entries that were in contact lately that this one is out of
 	// rotation. It returns how many have not answered when ctx ends.
 	WarnOthers func(ctx context.Context) (unwarned int)
-	// StoreAnswers reports whether the platform's store answers before ctx ends. An entry
-	// that has the store is not partitioned: it's the silent entries that are away.
-	StoreAnswers func(ctx context.Context) bool
-	// EndJobs ends all jobs of this entry, which could not warn so many others.
-	EndJobs func(unwarned int)
-
-	unchecked bool // at the last call of Check
+	// EndJobs ends the jobs of this entry whose callers last arrived the given age ago or
+	// earlier.
+	EndJobs func(age time.Duration, unwarned int)
 }
 
-// Check looks whether the balancer has ceased to check the entry since the last call. If so,
-// it warns the other entries, and ends the jobs of an entry that is cut off, without waiting
-// for that.
+// Check warns the other entries if this one may have lost its callers, and ends its jobs if it
+// is cut off. It does not wait for that. It is to be called at least every RepeatInterval, and
+// when Monitor.Await returns.
 func (g *Guard) Check(ctx context.Context) {
-	unchecked := g.Monitor.Unchecked()
-	if unchecked && !g.unchecked {
+	if g.Monitor.MayHaveLostCallers() {
 		go g.endJobsIfCutOff(ctx)
 	}
-	g.unchecked = unchecked
 }
 
 func (g *Guard) endJobsIfCutOff(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, warnTimeout)
 	defer cancel()
-	storeAnswers := make(chan bool, 1)
-	go func() { storeAnswers <- g.StoreAnswers(ctx) }()
-	if unwarned := g.WarnOthers(ctx); unwarned > 0 && !<-storeAnswers {
-		g.EndJobs(unwarned)
+	if unwarned := g.WarnOthers(ctx); unwarned > 0 {
+		g.EndJobs(maxUnguardedAge, unwarned)
 	}
 }
--- a/internal/disp/rotate/monitor.go
+++ b/internal/disp/rotate/monitor.go
@@ -15,6 +15,7 @@
 	// arrive elsewhere after the resubmit delay, 1.3 s or more: the other entries must have
 	// been told, or the jobs given up, by then.
 	checkTolerance = 150 * time.Millisecond
+	maxCheckAge    = checkInterval + checkTolerance // from which a check is overdue
 )
 
 // Monitor tells from the load balancer's checks whether its entry is in rotation. Set the
@@ -67,12 +68,21 @@
 	return m.out(now)
 }
 
-// Unchecked reports whether the latest check is overdue, so that the entry may have been
-// partitioned from the balancer.
-func (m *Monitor) Unchecked() bool {
+// MayHaveLostCallers reports whether callers may have lost their connections without a sign
+// of it at the entry: the balancer's check is overdue, or was not long ago. An entry that
+// merely fails the checks, since it is being stopped for instance, has not lost them.
+func (m *Monitor) MayHaveLostCallers() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.unchecked(m.now())
+	now := m.now()
+	return m.unchecked(now) || !m.failing && now < m.outUntil
+}
+
+// LastCheck returns when the balancer last checked the entry; 0 if the entry has never passed.
+func (m *Monitor) LastCheck() boot.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.lastCheck
 }
 
 // Await waits until the entry leaves the rotation or the check is overdue, for d at most, or
@@ -87,7 +97,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if now := m.now(); m.lastCheck != 0 && !m.unchecked(now) {
-		return m.lastCheck.Add(checkInterval + checkTolerance).Sub(now)
+		return m.lastCheck.Add(maxCheckAge).Sub(now)
 	}
 	return math.MaxInt64
 }
@@ -99,9 +109,10 @@
 // caller holds mu.
 func (m *Monitor) absent(now boot.Time) bool { return m.failing || m.unchecked(now) }
 
-// unchecked is Unchecked at now. The caller holds mu.
+// unchecked reports whether the latest check is overdue, so that the entry may have been
+// partitioned from the balancer. The caller holds mu.
 func (m *Monitor) unchecked(now boot.Time) bool {
-	return m.lastCheck != 0 && now.Sub(m.lastCheck) >= checkInterval+checkTolerance
+	return m.lastCheck != 0 && now.Sub(m.lastCheck) >= maxCheckAge
 }
 
 // logChange logs whether the entry is out of rotation if that has changed, and reports
