Probe callers' connections each second

The load balancer can reset a caller's connection while a partition loses the reset, and the partition can be shorter than the time between two of its checks. The entry's connection then stayed open as long as the job ran, beside the run of the same job at the entry that the caller had come to: the library's probes come after 15 s. They come after one second now, and each second from then on, so that the entry learns of the reset within about a second of the end of the partition, and gives the job up. A caller that answers no probe for 11 s has left.

Longer partitions are noticed by the balancer's checks first (disp/rotate). What the kernel does with a lost reset can't be played on loopback without privileges, so that is not tested.

--- a/internal/daem/life/caller.go
+++ b/internal/daem/life/caller.go
@@ -43,7 +43,7 @@
 		switch {
 		case err == nil:
 			closed = n == 0
-		case errors.Is(err, unix.ECONNRESET):
+		case errors.Is(err, unix.ECONNRESET), errors.Is(err, unix.ETIMEDOUT):
 			closed = true
 		}
 	})
--- a/internal/daem/life/life.go
+++ b/internal/daem/life/life.go
@@ -33,6 +33,10 @@
 	stopTimeout       = 70 * time.Second // for closing one server
 )
 
+// keepAlive makes a server notice within about a second that a client's connection was reset
+// while the network lost the reset, once the network works again.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 10}
+
 // Daemon is a program that serves until a signal to stop arrives.
 type Daemon struct {
 	Name    string // of the program, for the kratos library
@@ -82,7 +86,7 @@
 // of headers and the time of slow clients. The server shows the counters at
 // stats.JSONPath. NewHTTPServer also makes the kratos library log to log.
 func NewHTTPServer(addr string, log logs.Logger, counters *stats.Set) (*khttp.Server, error) {
-	ln, err := net.Listen("tcp", addr)
+	ln, err := (&net.ListenConfig{KeepAliveConfig: keepAlive}).Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
