--- a/internal/disp/rules/caller_test.go
+++ b/internal/disp/rules/caller_test.go
@@ -28,6 +28,8 @@
 	// Wait is how long the caller waits for the answer to its first submission; 0 if it
 	// does not say. It waits for resubmitDelay for the answers to the others.
 	Wait time.Duration
+	// Patient callers wait for the answers to all submissions together for Wait.
+	Patient bool
 	// Submissions is how often the caller submits the job before it abandons it; 0 for as
 	// often as it takes.
 	Submissions int
@@ -51,13 +53,11 @@
 	c.callers.Add(1)
 	go func() {
 		defer c.callers.Done()
+		waitOver := time.Now().Add(s.Wait)
 		for submission := 0; callerCtx.Err() == nil; submission++ {
 			entry := (s.Entry + submission) % len(c.entries)
 			c.checker.submission(id, entry)
 			a := c.submitOnce(callerCtx, id, entry, string(spec), s)
-			if s.Wait > 0 && !s.Reset {
-				s.Wait = resubmitDelay
-			}
 			if a.State != coord.Abandoned {
 				c.checker.answer(id, a)
 				return
@@ -68,12 +68,29 @@
 			}
 			if !s.Reset {
 				boot.Sleep(callerCtx, resubmitDelay)
+				s.shortenWait(time.Until(waitOver))
+			}
+			if s.Wait < 0 {
+				c.checker.abandon(id)
+				return
 			}
 			s.Reset = false
 		}
 	}()
 }
 
+// shortenWait sets how long the caller waits for the answer to its next submission, if it
+// says so. A patient caller that has waited in vain is left with a negative wait.
+func (s *jobSpec) shortenWait(remaining time.Duration) {
+	switch {
+	case s.Wait == 0:
+	case s.Patient:
+		s.Wait = cmp.Or(remaining, -1)
+	default:
+		s.Wait = resubmitDelay
+	}
+}
+
 // submitOnce submits a job to an entry once and returns its answer. The state of the
 // answer is coord.Abandoned if the entry dies or the caller's connection breaks
 // before it answers.
@@ -81,7 +98,7 @@
 	c.mu.Lock()
 	p := c.entries[entry]
 	c.mu.Unlock()
-	if p.ctx.Err() != nil {
+	if c.awaitReset(callerCtx, entry) || p.ctx.Err() != nil {
 		return coord.Answer{State: coord.Abandoned}
 	}
 	ctx, disconnect := context.WithCancel(context.Background())
@@ -134,6 +151,7 @@
 		return a
 	case <-silent:
 		stop()
+		c.awaitReset(callerCtx, entry)
 		go func() {
 			<-c.done
 			disconnect()
--- a/internal/disp/rules/cluster_test.go
+++ b/internal/disp/rules/cluster_test.go
@@ -11,6 +11,8 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/coord"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/gate"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/link"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/memb"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/rotate"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/targ"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/peer"
@@ -43,6 +45,7 @@
 	silences        map[string]func()             // let the connection of a caller go silent, by entry and job
 	stalls          map[int]chan struct{}         // closed when the entry goes on, by the entries that stand still
 	lastStalls      map[int]boot.Time             // end of the latest stall, by entry
+	cuts            map[path]map[int]int          // how often a path is cut, by entry
 	callers         sync.WaitGroup
 }
 
@@ -65,9 +68,13 @@
 
 // entryProcess is one incarnation of an entry.
 type entryProcess struct {
-	coord *coord.Coordinator
-	ctx   context.Context
-	kill  context.CancelFunc
+	coord    *coord.Coordinator
+	ctx      context.Context
+	kill     context.CancelFunc
+	rotation rotate.Monitor
+	others   rotate.Others
+	members  memb.Set
+	silent   sync.Map // whether the last periodic message to an entry was not answered, by its index
 }
 
 // newCluster starts the given numbers of entries and gates, with one target for each
@@ -76,7 +83,7 @@
 	c := &cluster{
 		checker: newChecker(), startedAt: time.Now(), done: make(chan struct{}),
 		connections: map[[2]int]connState{}, abandonFuncs: map[string]context.CancelFunc{}, disconnects: map[string]context.CancelFunc{}, silences: map[string]func(){},
-		stalls: map[int]chan struct{}{}, lastStalls: map[int]boot.Time{},
+		stalls: map[int]chan struct{}{}, lastStalls: map[int]boot.Time{}, cuts: map[path]map[int]int{callersPath: {}, storePath: {}, peersPath: {}, gatesPath: {}},
 		gates: make([]*gateProcess, gates), records: make([]*targ.Incarnation, gates), entries: make([]*entryProcess, entries),
 	}
 	for i := range gates {
@@ -201,32 +208,24 @@
 	}
 	p.coord = &coord.Coordinator{
 		Links: func() []*link.Link { return links }, Now: now, ResubmitDelay: resubmitDelay,
-		GiveUpElsewhere: func(ctx context.Context, job string, _ bool) { c.giveUpElsewhere(ctx, i, job) },
-		RunsElsewhere:   func(_ context.Context, job string) bool { return c.runsElsewhere(i, job) },
+		GiveUpElsewhere: func(ctx context.Context, job string, repeated bool) { c.giveUpElsewhere(ctx, i, p, job, repeated) },
+		OthersOut:       func() bool { return len(p.others.Out()) > 0 },
+		RunsElsewhere:   func(ctx context.Context, job string) bool { return c.runsElsewhere(ctx, i, p, job) },
 		LastStall:       func() boot.Time { return c.lastStall(i) },
 	}
+	p.rotation.ResubmitDelay, p.rotation.Now, p.others.Now = resubmitDelay, now, now
+	go c.watchRotation(i, p)
 	c.entries[i] = p
 }
 
-// giveUpElsewhere makes all entries but the given one give up a job, and waits until
-// they have, unless they die.
-func (c *cluster) giveUpElsewhere(ctx context.Context, entry int, job string) {
-	for p := range c.othersThatAnswer(entry) {
-		time.Sleep(oneWayDelay)
-		alive, cancel := context.WithCancel(ctx)
-		stop := context.AfterFunc(p.ctx, cancel)
-		p.coord.GiveUp(alive, job)
-		stop()
-		cancel()
-		time.Sleep(oneWayDelay)
-	}
-}
-
 // connection returns the current incarnation of a gate and the state of an entry's
 // connection to it.
 func (c *cluster) connection(entry, g int) (*gateProcess, connState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.cuts[gatesPath][entry] > 0 {
+		return c.gates[g], dropsAll
+	}
 	return c.gates[g], c.connections[[2]int{entry, g}]
 }
 
--- a/internal/disp/rules/event_test.go
+++ b/internal/disp/rules/event_test.go
@@ -32,6 +32,10 @@
 	cutCallers
 	silenceCallers
 	stallEntry
+	cutCallersPath
+	cutStore
+	cutPeers
+	cutGates
 	kindCount
 )
 
@@ -42,6 +46,7 @@
 	"kill gate", "kill entry", "connection cut", "replies cut", "target restarts", "target restarts under its ID", "target leaves",
 	"target deregisters", "target shrinks", "heartbeat of before", "heartbeat delayed", "target silent", "orders lost", "stops lost",
 	"orders delayed", "target fails", "target stuck", "target unhealthy", "caller abandons job", "callers cut", "callers silent", "entry stands still",
+	"callers' path cut", "store cut", "other entries cut", "gates cut",
 }
 
 // event is a failure, restart or departure that begins at a given time and, for most
@@ -60,6 +65,8 @@
 
 // schedule is one random test case.
 type schedule struct {
+	Entries  int  // number of entries; 0 for entryCount
+	Balanced bool // a load balancer checks the entries
 	Events   []event
 	Jobs     []jobSpec
 	SubmitMS []int // times at which the jobs are submitted, by index in Jobs
@@ -98,7 +105,7 @@
 
 // inject makes an event begin and returns the function that ends it.
 func (c *cluster) inject(e event) (finish func()) {
-	g, i := e.Index%gateCount, e.Index%entryCount
+	g, i := e.Index%gateCount, e.Index%len(c.entries)
 	withFaults := func(faultMode targetFaults) func() {
 		c.targets[g].setFaults(faultMode)
 		return func() { c.targets[g].setFaults(targetFaults{}) }
@@ -166,6 +173,14 @@
 			time.Sleep(time.Duration(e.DurationMS) * time.Millisecond * (stallFactor - 1))
 			goOn()
 		}
+	case cutCallersPath:
+		return c.cutCallersPath(i)
+	case cutStore:
+		return c.cut(storePath, i)
+	case cutPeers:
+		return c.cut(peersPath, i)
+	case cutGates:
+		return c.cut(gatesPath, i)
 	}
 	return func() {}
 }
@@ -231,15 +246,13 @@
 	}
 }
 
-// allKinds returns all kinds of events but silenceCallers and stallEntry: nobody can make an
-// entry give up a job if it dies, or stands still, just before the job is submitted again, nor
-// tell it that its caller has abandoned the job.
+// allKinds returns all kinds of events but silenceCallers, stallEntry and cuts of paths: nobody
+// can make an entry give up a job if it dies, or stands still, just before the job is submitted
+// again, nor tell it that its caller has abandoned the job.
 func allKinds() []int {
 	var list []int
-	for k := range kindCount {
-		if k != silenceCallers && k != stallEntry {
-			list = append(list, k)
-		}
+	for k := range silenceCallers {
+		list = append(list, k)
 	}
 	return list
 }
--- a/internal/disp/rules/stall_test.go
+++ b/internal/disp/rules/stall_test.go
@@ -1,17 +1,12 @@
 package rules
 
 import (
-	"iter"
+	"context"
 	"testing"
-	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
-	"github.com/gypsumlanding/gypsumlanding/internal/disp/coord"
 )
 
-// answerTimeout is how long entries wait for the answer of another one.
-const answerTimeout = 400 * time.Millisecond
-
 // stallEntry lets entry i stand still and returns the function that lets it go on. Until
 // then requests and the answers of gates wait to be read, the end of a caller's connection goes
 // unnoticed, and no call is made.
@@ -50,9 +45,8 @@
 	return true
 }
 
-// answers waits until entry i answers, for answerTimeout at most, and reports whether it
-// does.
-func (c *cluster) answers(i int) bool {
+// answers waits until entry i answers, until ctx ends at most, and reports whether it does.
+func (c *cluster) answers(ctx context.Context, i int) bool {
 	stalled := c.stalled(i)
 	if stalled == nil {
 		return true
@@ -60,24 +54,11 @@
 	select {
 	case <-stalled:
 		return true
-	case <-time.After(answerTimeout):
+	case <-ctx.Done():
 		return false
 	}
 }
 
-// othersThatAnswer yields the entries but the given one that live and answer, one after the
-// other.
-func (c *cluster) othersThatAnswer(entry int) iter.Seq[*entryProcess] {
-	return func(yield func(*entryProcess) bool) {
-		for i := range c.entries {
-			p := c.entryAt(i)
-			if i != entry && p.ctx.Err() == nil && c.answers(i) && !yield(p) {
-				return
-			}
-		}
-	}
-}
-
 // lastStall returns the end of the latest stall of entry i; 0 if there was none.
 func (c *cluster) lastStall(i int) boot.Time {
 	c.mu.Lock()
@@ -85,17 +66,6 @@
 	return c.lastStalls[i]
 }
 
-// runsElsewhere reports whether an entry other than the given one runs a job.
-func (c *cluster) runsElsewhere(entry int, job string) bool {
-	for p := range c.othersThatAnswer(entry) {
-		time.Sleep(2 * oneWayDelay)
-		if s, ok := p.coord.State(job); ok && (s == coord.Waiting || s == coord.Working) {
-			return true
-		}
-	}
-	return false
-}
-
 // TestRulesHoldWhenEntriesStall lets entries stand still for longer than their callers wait.
 // An entry that goes on reads requests whose callers have left, and loses what it ran, when
 // the jobs may be running at another entry already.
--- a/test/mutant_test.go
+++ b/test/mutant_test.go
@@ -38,6 +38,7 @@
 
 	rulesTest  = "internal/disp/rules TestRulesHoldWhateverFails"
 	silentTest = "internal/disp/rules TestRulesHoldWhenCallersGoSilent"
+	cutOffTest = "internal/disp/rules TestRulesHoldWhenEntriesAreCutOff"
 	ledgerTest = "internal/core/ledger TestKeyRunsAtMostOnce"
 	startsTest = "internal/core/starts TestTaskStartsAtMostOnce"
 	editTest   = "internal/entry/edit TestEveryAcceptedEditIsMadeOnce"
@@ -149,9 +150,26 @@
 	{rule: "TWICE latest wait", file: dispCoord + "job.go", old: "\t\te.waitsUntil = j.WaitsUntil\n", new: "", test: "internal/disp/coord TestJoinedJobEndsWithTheLatestWait"},
 	{rule: "TWICE given up elsewhere", file: dispCoord + "submit.go", old: "repeated := c.GiveUpElsewhere != nil && c.isRepeated(e)", new: "repeated := false", test: silentTest},
 	{
-		rule: "TWICE given up with its tasks", file: dispCoord + "coord.go", test: silentTest,
+		rule: "TWICE entry that has lost its callers", file: dispCoord + "submit.go", test: "internal/disp/rules TestEntryCutOffFromCallersIsAsked",
+		old: "return c.GiveUpElsewhere != nil && c.OthersOut != nil && c.OthersOut()", new: "return false",
+	},
+	{
+		rule: "TWICE entry partitioned from the platform", file: dispCoord + "submit.go", test: "internal/disp/rules TestEntryCutOffFromCallersAndStoreIsAsked",
+		old: "return c.GiveUpElsewhere != nil && c.OthersOut != nil && c.OthersOut()", new: "return false",
+	},
+	{rule: "TWICE entry that nobody reaches", file: dispRotate + "guard.go", old: "g.EndJobs(unwarned)", new: "_ = unwarned", test: "internal/disp/rules TestEntryCutOffFromAllButGatesEndsItsJobs"},
+	{rule: "TWICE check overdue", file: dispRotate + "monitor.go", old: "return m.failing || m.unchecked(now)", new: "return m.failing", test: "internal/disp/rules TestEntryCutOffFromCallersIsAsked"},
+	{rule: "TWICE entry that returns", file: dispRotate + "monitor.go", old: "return m.absent(now) || now < m.outUntil", new: "return m.absent(now)", test: cutOffTest},
+	{rule: "TWICE entry that was out", file: dispRotate + "others.go", old: "now.Sub(at) >= retention", new: "now.Sub(at) >= RepeatInterval/2", test: cutOffTest},
+	{rule: "TWICE entry that nobody reaches, whatever is cut", file: dispRotate + "guard.go", old: "g.EndJobs(unwarned)", new: "_ = unwarned", test: cutOffTest},
+	{
+		rule: "TWICE given up with its tasks", file: dispCoord + "coord.go", test: "internal/disp/coord TestGiveUpWaitsForTasks",
 		old: "\tcase <-e.drained:\n\tcase <-ctx.Done():\n", new: "\tdefault:\n",
 	},
+	{
+		rule: "TWICE given up, with tasks that run", file: dispCoord + "coord.go", test: silentTest,
+		old: "\tselect {\n\tcase <-e.drained:\n\tcase <-ctx.Done():\n\t}\n\treturn true", new: "\treturn false",
+	},
 	{rule: "TWICE given up, says the other entry", file: "internal/disp/proc/service.go", old: "if m.Cancel && m.Drain {", new: "if false {", test: "internal/disp/proc TestJobIsGivenUpElsewhereWhenItsTasksHaveEnded"},
 	{
 		rule: "TWICE caller that has left", file: dispCoord + "submit.go", test: "internal/disp/coord TestRequestOfCallerThatHasLeftStartsNothing",
