--- a/internal/disp/proc/entry.go
+++ b/internal/disp/proc/entry.go
@@ -67,11 +67,12 @@
 	e.ctx = ctx
 	e.mu.Unlock()
 	e.updateLinks()
-	go register(ctx, e.Register, memb.Member{Role: memb.Entry, Addr: e.Addr}, e.Event)
+	go register(ctx, e.Register, e.member(), e.Event)
 	guard := e.rotationGuard()
 	expire := boot.Now().Add(expiryInterval)
-	for ctx.Err() == nil {
-		e.gossip(ctx)
+	e.Rotation.Begin()
+	for first := true; ctx.Err() == nil; first = false {
+		e.gossip(ctx, first)
 		guard.Check(ctx)
 		e.recordGateContacts()
 		e.updateLinks()
@@ -141,7 +142,7 @@
 // AddMember adds a process that may exist to the known members, and links to it
 // if it is a node that this entry selects. The entry itself is ignored.
 func (e *Entry) AddMember(m memb.Member) {
-	if m.Role == memb.Entry && m.Addr == e.Addr {
+	if m == e.member() {
 		return
 	}
 	if e.members.Add(m, boot.Now()) && m.Role == memb.Gate {
@@ -151,8 +152,13 @@
 
 // RemoveMember removes a member, such as one whose row was deleted, and retires the link
 // to it. An entry that was in contact lately stays, since it lives, and has to be asked about
-// jobs, though the entry that deleted the row may not have reached it.
+// jobs, though the entry that deleted the row may not have reached it. This entry's own row is
+// written again.
 func (e *Entry) RemoveMember(m memb.Member) {
+	if m == e.member() {
+		e.restoreRow()
+		return
+	}
 	if m.Role == memb.Entry && slices.Contains(e.members.Recent(boot.Now()), m) {
 		return
 	}
@@ -162,6 +168,19 @@
 	}
 }
 
+// member returns this entry as a member.
+func (e *Entry) member() memb.Member { return memb.Member{Role: memb.Entry, Addr: e.Addr} }
+
+// restoreRow writes this entry's row again, without which others may not find it.
+func (e *Entry) restoreRow() {
+	e.mu.Lock()
+	ctx := e.ctx
+	e.mu.Unlock()
+	if ctx != nil {
+		go register(ctx, e.Register, e.member(), e.Event)
+	}
+}
+
 // Cancel stops the job with this ID at whichever entry has it, and reports
 // whether one has it.
 func (e *Entry) Cancel(ctx context.Context, job string) bool {
--- a/internal/disp/proc/giveup.go
+++ b/internal/disp/proc/giveup.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/gate"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/memb"
@@ -31,13 +32,17 @@
 	giveUpRetryTime = 10 * time.Millisecond // between calls to an entry that failed
 )
 
+// errNoAnswer means that another entry has not answered that it gives up a job.
+var errNoAnswer = merry.Sentinel("no answer to an order to give up a job")
+
 // GiveUpElsewhere makes other entries give up a job, and waits until none of its tasks can
 // be running there any more, or ctx ends: all other entries if its caller counts as having
-// submitted it before, and otherwise those that are out of rotation. It does not wait
-// longer than giveUpTimeout for an entry that has not answered that it has the job.
+// submitted it before or this entry is out of rotation itself, and otherwise those that are
+// out of rotation. It does not wait longer than giveUpTimeout for an entry that has not
+// answered that it has the job.
 func (e *Entry) GiveUpElsewhere(ctx context.Context, job string, repeated bool) {
 	addrs := e.others.Out()
-	if repeated {
+	if repeated || e.Rotation.Out() {
 		addrs = e.members.Addrs(memb.Entry)
 	}
 	var asked sync.WaitGroup
@@ -64,6 +69,9 @@
 			boot.Sleep(ctx, giveUpRetryTime)
 		}
 	}
+	if ctx.Err() == nil {
+		e.logPeerChange(addr, errNoAnswer) // the next jobs wait for silentGiveUpTimeout only
+	}
 }
 
 // askToGiveUp asks another entry to give up a job, and reports whether it has the job.
--- a/internal/disp/proc/giveup_test.go
+++ b/internal/disp/proc/giveup_test.go
@@ -132,6 +132,47 @@
 	}
 }
 
+// An entry that had died delayed each job by the whole time that a living one has to answer.
+func TestEntryThatDoesNotAnswerDelaysTheNextJobsLess(t *testing.T) {
+	silent, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = silent.Close() })
+	e := newPeer(silent.Addr().String())
+	e.GiveUpElsewhere(context.Background(), "j", true)
+	start := time.Now()
+	e.GiveUpElsewhere(context.Background(), "k", true)
+	if took := time.Since(start); took > giveUpTimeout {
+		t.Errorf("took %v, want about %v", took, silentGiveUpTimeout)
+	}
+}
+
+// The row of an entry that others had not reached for long was deleted, and they did not find
+// the entry any more.
+func TestEntryWritesItsDeletedRowAgain(t *testing.T) {
+	rows := make(chan memb.Member, 2)
+	e := newPeer()
+	e.Addr = "127.0.0.1:1"
+	e.Register = func(_ context.Context, m memb.Member) error {
+		rows <- m
+		return nil
+	}
+	run(t, e)
+	if m := <-rows; m != e.member() {
+		t.Errorf("row of %v", m)
+	}
+	e.RemoveMember(e.member())
+	select {
+	case m := <-rows:
+		if m != e.member() {
+			t.Errorf("row of %v", m)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("the row was not written again")
+	}
+}
+
 // silentConn is a connection that has gone silent: it accepts writes and delivers nothing.
 type silentConn struct {
 	net.Conn
--- a/internal/disp/proc/gossip.go
+++ b/internal/disp/proc/gossip.go
@@ -19,11 +19,12 @@
 )
 
 // gossip starts a round: it calls randomly chosen entries to exchange members,
-// and to get a newer configuration and their numbers of pending jobs. While this entry is
-// out of rotation, it calls all entries, so that each of them knows.
-func (e *Entry) gossip(ctx context.Context) {
+// and to get a newer configuration and their numbers of pending jobs. In its first round,
+// and while it is out of rotation, it calls all entries, to learn which of them are out, or so
+// that each of them knows.
+func (e *Entry) gossip(ctx context.Context, first bool) {
 	peers := e.members.Addrs(memb.Entry)
-	if !e.Rotation.Out() {
+	if !first && !e.Rotation.Out() {
 		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 		peers = peers[:min(gossipFanout, len(peers))]
 	}
--- a/internal/disp/proc/rotation_test.go
+++ b/internal/disp/proc/rotation_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -58,14 +59,77 @@
 		}
 		time.Sleep(time.Millisecond)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	other.GiveUpElsewhere(ctx, "j", false)
+	caller, leave := context.WithTimeout(context.Background(), time.Second)
+	defer leave()
+	other.Coord.OthersOut, other.Coord.GiveUpElsewhere = other.OthersOut, other.GiveUpElsewhere
+	go other.Coord.Submit(caller, newLongJob())
 	if a := <-answers; a.State != coord.Abandoned || a.Reason != "cancelled" {
 		t.Errorf("got %+v", a)
 	}
-	if ctx.Err() == nil {
-		t.Error("the job counts as given up while its task runs")
+	if caller.Err() != nil {
+		t.Error("the job was not given up in time")
+	}
+}
+
+// Entries in a large fleet learned only by chance that another one was out.
+func TestAllOthersAreToldAtOnce(t *testing.T) {
+	e, _ := newCheckedPeer(t)
+	e.Addr = serve(t, map[string]any{EntryServiceName: e.Service()})
+	var others []*Entry
+	for range 4 * gossipFanout {
+		other := newPeer()
+		others = append(others, other)
+		e.AddMember(memb.Member{Role: memb.Entry, Addr: serve(t, map[string]any{EntryServiceName: other.Service()})})
+	}
+	e.Rotation.Observe(false)
+	run(t, e)
+	for begin := time.Now(); slices.ContainsFunc(others, func(o *Entry) bool { return !o.OthersOut() }); {
+		if time.Since(begin) > gossipInterval {
+			t.Fatalf("some do not know after %v", gossipInterval)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// An entry that has just started did not know that another one was out.
+func TestEntryLearnsWhoIsOutWhenItStarts(t *testing.T) {
+	e, _ := newCheckedPeer(t)
+	e.Rotation.Observe(false)
+	asks := newPeer(serve(t, map[string]any{EntryServiceName: e.Service()}))
+	run(t, asks)
+	for begin := time.Now(); !asks.OthersOut(); time.Sleep(time.Millisecond) {
+		if time.Since(begin) > gossipInterval {
+			t.Fatalf("it does not know after %v", gossipInterval)
+		}
+	}
+}
+
+// An entry that was restarted and then cut off, before the load balancer had checked it, counted
+// as in rotation.
+func TestEntryThatIsNotCheckedSinceItsStartIsOut(t *testing.T) {
+	e := newPeer()
+	run(t, e)
+	for begin := time.Now(); !e.Rotation.Out(); time.Sleep(time.Millisecond) {
+		if time.Since(begin) > resubmitDelay {
+			t.Fatalf("it does not count as out after %v", resubmitDelay)
+		}
+	}
+}
+
+// An entry that was out itself asked nobody, though it might not have heard of the others.
+func TestEntryThatIsOutItselfAsksAllOthers(t *testing.T) {
+	e, answers := newCheckedPeer(t)
+	asks := newPeer(serve(t, map[string]any{EntryServiceName: e.Service()}))
+	asks.Rotation.Observe(true)
+	asks.Rotation.Observe(false)
+	if !asks.OthersOut() {
+		t.Error("others can't be out")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	asks.GiveUpElsewhere(ctx, "j", false)
+	if len(answers) == 0 {
+		t.Error("the other entry was not asked")
 	}
 }
 
--- a/internal/disp/rotate/monitor.go
+++ b/internal/disp/rotate/monitor.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	checkInterval = time.Second // between the load balancer's checks
+	checkInterval = time.Second // between the load balancer's checks, which the platform sets
 	// checkTolerance is how late a check may be. Callers that have lost their connection
 	// arrive elsewhere after the resubmit delay, 1.3 s or more: the other entries must have
 	// been told, or the jobs given up, by then.
@@ -19,9 +19,8 @@
 )
 
 // Monitor tells from the load balancer's checks whether its entry is in rotation. Set the
-// exported fields before use. The zero value is an entry that has never passed a check,
-// which counts as in rotation, since no callers have come to it through the balancer. It is
-// safe for concurrent use.
+// exported fields before use. An entry that has not begun counts as in rotation. It is safe
+// for concurrent use.
 type Monitor struct {
 	// ResubmitDelay is the delay after which callers whose connection was lost submit their
 	// job again. For as long the entry counts as out of rotation after it has returned.
@@ -32,26 +31,35 @@
 	Event func(event string, pairs ...any)
 
 	mu        sync.Mutex
-	lastCheck boot.Time  // the latest one since the first that was passed; 0 before
-	failing   bool       // the latest check was failed
+	lastCheck boot.Time  // the latest one, or when the entry began; 0 before
+	hasPassed bool       // a check was passed
+	failing   bool       // the latest check was failed, and an earlier one passed
 	outUntil  boot.Time  // until when callers that were lost may arrive elsewhere
 	wasOut    bool       // as last logged
 	waker     boot.Waker // ends Await
 }
 
-// Observe records a check that is being answered, and whether the entry passes it.
+// Begin records that the entry begins to accept callers. The balancer may send them before its
+// first check, by its checks of a previous process or since too few entries are in rotation.
+func (m *Monitor) Begin() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lastCheck = max(m.lastCheck, m.now())
+}
+
+// Observe records a check that is being answered, and whether the entry passes it. To fail
+// before any check was passed does not put an entry out of rotation, since it is not in it.
 func (m *Monitor) Observe(passed bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.lastCheck == 0 && !passed {
-		return
-	}
 	now := m.now()
 	m.logChange(now)
-	if m.absent(now) || !passed {
+	m.hasPassed = m.hasPassed || passed
+	failing := m.hasPassed && !passed
+	if m.absent(now) || failing {
 		m.outUntil = now.Add(m.ResubmitDelay + checkTolerance)
 	}
-	m.lastCheck, m.failing = now, !passed
+	m.lastCheck, m.failing = now, failing
 	if m.logChange(now) {
 		m.waker.Wake()
 	}
@@ -75,10 +83,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.now()
-	return m.unchecked(now) || !m.failing && now < m.outUntil
+	return m.overdue(now) || !m.failing && now < m.outUntil
 }
 
-// LastCheck returns when the balancer last checked the entry; 0 if the entry has never passed.
+// LastCheck returns when the balancer last checked the entry, or when the entry began; 0 before.
 func (m *Monitor) LastCheck() boot.Time {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -88,15 +96,15 @@
 // Await waits until the entry leaves the rotation or the check is overdue, for d at most, or
 // until ctx ends.
 func (m *Monitor) Await(ctx context.Context, d time.Duration) {
-	m.waker.Await(ctx, min(d, m.untilOverdue()))
+	m.waker.Await(ctx, min(d, m.untilDue()))
 }
 
-// untilOverdue returns the time until the next check is overdue. It is the longest duration
-// if it is overdue already or none is expected.
-func (m *Monitor) untilOverdue() time.Duration {
+// untilDue returns the time until the next check is overdue. It is the longest duration
+// if it is overdue already or the entry has not begun.
+func (m *Monitor) untilDue() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if now := m.now(); m.lastCheck != 0 && !m.unchecked(now) {
+	if now := m.now(); m.lastCheck != 0 && !m.overdue(now) {
 		return m.lastCheck.Add(maxCheckAge).Sub(now)
 	}
 	return math.MaxInt64
@@ -107,11 +115,11 @@
 
 // absent reports whether the balancer can't have seen the entry pass a check lately. The
 // caller holds mu.
-func (m *Monitor) absent(now boot.Time) bool { return m.failing || m.unchecked(now) }
+func (m *Monitor) absent(now boot.Time) bool { return m.failing || m.overdue(now) }
 
-// unchecked reports whether the latest check is overdue, so that the entry may have been
+// overdue reports whether the latest check is overdue, so that the entry may have been
 // partitioned from the balancer. The caller holds mu.
-func (m *Monitor) unchecked(now boot.Time) bool {
+func (m *Monitor) overdue(now boot.Time) bool {
 	return m.lastCheck != 0 && now.Sub(m.lastCheck) >= maxCheckAge
 }
 
--- a/internal/disp/rotate/monitor_test.go
+++ b/internal/disp/rotate/monitor_test.go
@@ -33,7 +33,7 @@
 func TestUncheckedEntryIsOutBeforeItsCallersCanBeElsewhere(t *testing.T) {
 	m, pass := newMonitor()
 	m.Observe(true)
-	if until := m.untilOverdue(); until != overdue || until >= resubmitDelay {
+	if until := m.untilDue(); until != overdue || until >= resubmitDelay {
 		t.Errorf("overdue after %v, want %v, which must be less than %v", until, overdue, resubmitDelay)
 	}
 	pass(overdue - 1)
@@ -54,6 +54,9 @@
 	for range 2 {
 		m.Observe(true)
 		mustBe(t, m, true, "just after the return")
+		if !m.MayHaveLostCallers() {
+			t.Error("the entry counts as not having lost callers")
+		}
 		pass(resubmitDelay / 2)
 	}
 	m.Observe(true)
@@ -84,16 +87,31 @@
 	mustBe(t, m, true, "just after the return")
 }
 
-// An entry that starts, or that no balancer checks, is not out of rotation.
-func TestEntryThatWasNeverInRotationIsNotOut(t *testing.T) {
+// An entry that was restarted takes over the rotation of the process before, and was not out
+// though it was cut off before its first check.
+func TestEntryIsOutIfItIsNotCheckedSinceItBegan(t *testing.T) {
 	m, pass := newMonitor()
-	m.Observe(false)
+	mustBe(t, m, false, "before it begins")
 	pass(time.Minute)
-	m.Observe(false)
-	mustBe(t, m, false, "before the first check is passed")
-	if m.MayHaveLostCallers() || m.untilOverdue() < time.Hour {
-		t.Error("a check is overdue")
+	m.Begin()
+	pass(overdue - 1)
+	mustBe(t, m, false, "before the first check is overdue")
+	pass(1)
+	mustBe(t, m, true, "when the first check is overdue")
+}
+
+// An entry that starts fails checks until it is ready, but has lost no callers.
+func TestEntryThatIsNotReadyYetIsNotOut(t *testing.T) {
+	m, pass := newMonitor()
+	m.Begin()
+	for range 3 {
+		pass(checkInterval)
+		m.Observe(false)
+		mustBe(t, m, false, "before the first check is passed")
 	}
+	pass(checkInterval)
 	m.Observe(true)
 	mustBe(t, m, false, "after the first check is passed")
+	pass(overdue)
+	mustBe(t, m, true, "when the next check is overdue")
 }
--- a/internal/disp/rules/caller_test.go
+++ b/internal/disp/rules/caller_test.go
@@ -151,11 +151,8 @@
 		return a
 	case <-silent:
 		stop()
+		go c.probeConnection(entry, c.isCut(callersPath, entry), disconnect)
 		c.awaitReset(callerCtx, entry)
-		go func() {
-			<-c.done
-			disconnect()
-		}()
 	case <-p.ctx.Done():
 		disconnect()
 	case <-waitOver:
--- a/internal/disp/rules/cluster_test.go
+++ b/internal/disp/rules/cluster_test.go
@@ -46,6 +46,7 @@
 	stalls          map[int]chan struct{}         // closed when the entry goes on, by the entries that stand still
 	lastStalls      map[int]boot.Time             // end of the latest stall, by entry
 	cuts            map[path]map[int]int          // how often a path is cut, by entry
+	balanced        bool                          // a load balancer checks the entries
 	callers         sync.WaitGroup
 }
 
@@ -78,12 +79,13 @@
 }
 
 // newCluster starts the given numbers of entries and gates, with one target for each
-// gate.
-func newCluster(entries, gates int) *cluster {
+// gate, and a load balancer if it is balanced.
+func newCluster(entries, gates int, balanced bool) *cluster {
 	c := &cluster{
-		checker: newChecker(), startedAt: time.Now(), done: make(chan struct{}),
+		balanced: balanced,
+		checker:  newChecker(), startedAt: time.Now(), done: make(chan struct{}),
 		connections: map[[2]int]connState{}, abandonFuncs: map[string]context.CancelFunc{}, disconnects: map[string]context.CancelFunc{}, silences: map[string]func(){},
-		stalls: map[int]chan struct{}{}, lastStalls: map[int]boot.Time{}, cuts: map[path]map[int]int{callersPath: {}, storePath: {}, peersPath: {}, gatesPath: {}},
+		stalls: map[int]chan struct{}{}, lastStalls: map[int]boot.Time{}, cuts: map[path]map[int]int{callersPath: {}, peersPath: {}, gatesPath: {}},
 		gates: make([]*gateProcess, gates), records: make([]*targ.Incarnation, gates), entries: make([]*entryProcess, entries),
 	}
 	for i := range gates {
@@ -99,6 +101,9 @@
 	for i := range entries {
 		c.startEntry(i)
 	}
+	if balanced {
+		go c.checkEntries()
+	}
 	return c
 }
 
@@ -209,11 +214,14 @@
 	p.coord = &coord.Coordinator{
 		Links: func() []*link.Link { return links }, Now: now, ResubmitDelay: resubmitDelay,
 		GiveUpElsewhere: func(ctx context.Context, job string, repeated bool) { c.giveUpElsewhere(ctx, i, p, job, repeated) },
-		OthersOut:       func() bool { return len(p.others.Out()) > 0 },
+		OthersOut:       func() bool { return p.rotation.Out() || len(p.others.Out()) > 0 },
 		RunsElsewhere:   func(ctx context.Context, job string) bool { return c.runsElsewhere(ctx, i, p, job) },
 		LastStall:       func() boot.Time { return c.lastStall(i) },
 	}
 	p.rotation.ResubmitDelay, p.rotation.Now, p.others.Now = resubmitDelay, now, now
+	if c.balanced {
+		p.rotation.Begin()
+	}
 	go c.watchRotation(i, p)
 	c.entries[i] = p
 }
--- a/internal/disp/rules/crash_test.go
+++ b/internal/disp/rules/crash_test.go
@@ -25,7 +25,7 @@
 	var violations []string
 	served := 0
 	synctest.Test(t, func(*testing.T) {
-		c := newCluster(entryCount, gates)
+		c := newCluster(entryCount, gates, false)
 		time.Sleep(50 * time.Millisecond)
 		for i := range seconds * perSecond {
 			c.submit(fmt.Sprint("good", i), jobSpec{Tasks: 1, Work: work{CPU: 100, MS: 100}, Attempts: 1, Entry: i % entryCount, Route: "good"})
--- a/internal/disp/rules/cut_test.go
+++ b/internal/disp/rules/cut_test.go
@@ -10,12 +10,15 @@
 // reach until it resets the connection of the caller.
 const resetTime = 600 * time.Millisecond
 
+// probeInterval is the time between the keep-alive probes of an entry on the connection of a
+// caller.
+const probeInterval = time.Second
+
 // path is what connects an entry with others.
 type path int
 
 const (
 	callersPath path = iota // to the load balancer, and so to the callers
-	storePath               // to the platform's store
 	peersPath               // to the other entries
 	gatesPath               // to all gates
 )
@@ -43,7 +46,8 @@
 func (c *cluster) apart(i, j int) bool { return c.isCut(peersPath, i) || c.isCut(peersPath, j) }
 
 // cutCallersPath cuts entry i off from the load balancer. Its callers' connections go silent
-// for the entry for good; what arrives after resetTime at the callers is a reset.
+// for the entry until it probes them after the cut; what arrives after resetTime at the callers
+// is a reset.
 func (c *cluster) cutCallersPath(i int) (heal func()) {
 	heal = c.cut(callersPath, i)
 	c.silenceCallers(i)
@@ -63,6 +67,24 @@
 	return true
 }
 
+// probeConnection ends the connection of a caller that has been reset, as soon as entry i
+// learns of it: it probes the connection while the path is not cut. What has gone silent
+// without a cut stays so.
+func (c *cluster) probeConnection(i int, wasCut bool, disconnect func()) {
+	for {
+		select {
+		case <-c.done:
+			disconnect()
+			return
+		case <-time.After(probeInterval):
+		}
+		if wasCut && !c.isCut(callersPath, i) {
+			disconnect()
+			return
+		}
+	}
+}
+
 // others yields the indices of the entries but i.
 func (c *cluster) others(i int) iter.Seq[int] {
 	return func(yield func(int) bool) {
--- a/internal/disp/rules/event_test.go
+++ b/internal/disp/rules/event_test.go
@@ -33,7 +33,6 @@
 	silenceCallers
 	stallEntry
 	cutCallersPath
-	cutStore
 	cutPeers
 	cutGates
 	kindCount
@@ -46,7 +45,7 @@
 	"kill gate", "kill entry", "connection cut", "replies cut", "target restarts", "target restarts under its ID", "target leaves",
 	"target deregisters", "target shrinks", "heartbeat of before", "heartbeat delayed", "target silent", "orders lost", "stops lost",
 	"orders delayed", "target fails", "target stuck", "target unhealthy", "caller abandons job", "callers cut", "callers silent", "entry stands still",
-	"callers' path cut", "store cut", "other entries cut", "gates cut",
+	"callers' path cut", "other entries cut", "gates cut",
 }
 
 // event is a failure, restart or departure that begins at a given time and, for most
@@ -175,8 +174,6 @@
 		}
 	case cutCallersPath:
 		return c.cutCallersPath(i)
-	case cutStore:
-		return c.cut(storePath, i)
 	case cutPeers:
 		return c.cut(peersPath, i)
 	case cutGates:
--- a/internal/disp/rules/loss_test.go
+++ b/internal/disp/rules/loss_test.go
@@ -14,7 +14,7 @@
 	const runTime = 60 * time.Millisecond
 	var took time.Duration
 	synctest.Test(t, func(*testing.T) {
-		c := newCluster(1, 2)
+		c := newCluster(1, 2, false)
 		time.Sleep(50 * time.Millisecond) // until the entry has learned of the gates
 		spec := jobSpec{Tasks: 1, Work: work{CPU: targetCapacity * 3 / 4, MS: int(runTime.Milliseconds())}, Attempts: 1}
 		for _, id := range []string{"a", "b", "c", "d"} {
--- a/internal/disp/rules/order_test.go
+++ b/internal/disp/rules/order_test.go
@@ -24,7 +24,7 @@
 // a less urgent one of the other entry, and returns the tasks in the order of their starts.
 // Both can afford at least twice the wait that is expected, so that none is refused.
 func queueTwoJobs(urgentEntry int) []string {
-	c := newCluster(2, 1)
+	c := newCluster(2, 1, false)
 	time.Sleep(50 * time.Millisecond) // until the entries have learned of the gate
 	c.submit("first", jobSpec{Tasks: 1, Work: work{CPU: targetCapacity, MS: 200}, Attempts: 1})
 	time.Sleep(160 * time.Millisecond)
--- a/internal/disp/rules/partition_test.go
+++ b/internal/disp/rules/partition_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 
@@ -9,17 +10,17 @@
 )
 
 const (
-	cutEntries            = 3          // entries in the tests of partitions
-	minCutMS, maxCutMS    = 1000, 5500 // durations of cuts, ms
-	noticedCutMS          = 1300       // after this time an entry has noticed a cut, ms
-	cutJobCPU             = 50         // of the tasks in the tests of partitions, so that all have room
-	partitionStartMS      = 1500       // of the fixed partitions, ms
-	partitionJobs         = 12         // most jobs of a random schedule
-	shortestPartitionedMS = 300        // run time of the tasks that do not last, ms
+	cutEntries            = 3         // entries in the tests of partitions
+	minCutMS, maxCutMS    = 300, 5500 // durations of cuts, ms
+	cutJobCPU             = 50        // of the tasks in the tests of partitions, so that all have room
+	partitionStartMS      = 1500      // of the fixed partitions, ms
+	partitionJobs         = 12        // most jobs of a random schedule
+	shortestPartitionedMS = 300       // run time of the tasks that do not last, ms
 )
 
-// partition tells what an entry can't reach.
-type partition struct{ Callers, Store, Peers, Gates bool }
+// partition tells what an entry can't reach. Whether that includes the store matters to nothing
+// that it decides.
+type partition struct{ Callers, Peers, Gates bool }
 
 // events returns the events that cut entry i off.
 func (p partition) events(i, startMS, durationMS int) []event {
@@ -30,27 +31,16 @@
 		}
 	}
 	add(p.Callers, cutCallersPath, i)
-	add(p.Store, cutStore, i)
 	add(p.Peers, cutPeers, i)
 	add(p.Gates, cutGates, i)
 	return list
 }
 
-// unguarded reports whether nothing ends the jobs of such an entry before their callers have
-// them run elsewhere, which is so by design: it has lost its callers, and can't tell the other
-// entries, but has the store. rotate.Guard takes that for a loss of the other entries, since
-// an entry whose neighbours die must not end its jobs.
-func (p partition) unguarded() bool { return p.Callers && p.Peers && !p.Store }
-
-// drawPartition returns a random partition that is guarded.
+// drawPartition returns a random partition.
 func drawPartition(t *rapid.T, name string) partition {
 	p := partition{Callers: rapid.IntRange(0, 3).Draw(t, name+" callers") > 0}
-	p.Store = rapid.Bool().Draw(t, name+" store")
 	p.Peers = rapid.Bool().Draw(t, name+" peers")
 	p.Gates = rapid.IntRange(0, 3).Draw(t, name+" gates") == 0
-	if p.unguarded() {
-		p.Store = true
-	}
 	return p
 }
 
@@ -86,33 +76,19 @@
 	return drawPartition(t, "cut").events(drawEntry(t, "cut entry"), startMS, durationMS)
 }
 
-// severalCutOff cuts several entries off at the same time, each from others. All that have lost
-// their callers have lost the store too if one can't reach the other entries, which is unguarded
-// otherwise, and for so long that they notice.
+// severalCutOff cuts several entries off at the same time, each from others.
 func severalCutOff(t *rapid.T) (events []event) {
-	var partitions [cutEntries]partition
-	silent := false
-	for i := range partitions {
-		partitions[i] = drawPartition(t, fmt.Sprint("cut ", i))
-		silent = silent || partitions[i].Peers
-	}
 	startMS, durationMS := drawSpan(t, "cut")
-	if silent {
-		durationMS = max(durationMS, noticedCutMS)
-	}
-	for i, p := range partitions {
-		p.Store = p.Store || silent && p.Callers
-		events = append(events, p.events(i, startMS, durationMS)...)
+	for i := range cutEntries {
+		events = append(events, drawPartition(t, fmt.Sprint("cut ", i)).events(i, startMS, durationMS)...)
 	}
 	return events
 }
 
-// cutBitByBit cuts all entries off, from each of the others at another time, but not from the
-// other entries: which loss is guarded depends on what else is lost then.
+// cutBitByBit cuts all entries off, from each of the others at another time.
 func cutBitByBit(t *rapid.T) (events []event) {
 	for i := range cutEntries {
 		p := drawPartition(t, fmt.Sprint("cut ", i))
-		p.Peers = false
 		for _, e := range p.events(i, 0, 0) {
 			e.StartMS, e.DurationMS = drawSpan(t, fmt.Sprint(kindNames[e.Kind], i))
 			events = append(events, e)
@@ -141,8 +117,8 @@
 	})
 }
 
-// TestRulesHoldWhenEntriesAreCutOff cuts an entry off from its callers, the store, the other
-// entries and the gates, in all combinations that are guarded.
+// TestRulesHoldWhenEntriesAreCutOff cuts an entry off from its callers, the other entries and
+// the gates, in all combinations.
 func TestRulesHoldWhenEntriesAreCutOff(t *testing.T) { checkRulesWhenCutOff(t, oneCutOff) }
 
 // TestRulesHoldWhenSeveralEntriesAreCutOff does the same with all entries.
@@ -177,20 +153,39 @@
 // these ran at other entries already. The others reach it, and have to ask it.
 func TestEntryCutOffFromCallersIsAsked(t *testing.T) { mustHoldWhenCutOff(t, partition{Callers: true}) }
 
-// The same happened to an entry that had lost the store too, as one does that is partitioned
-// from the platform.
-func TestEntryCutOffFromCallersAndStoreIsAsked(t *testing.T) {
-	mustHoldWhenCutOff(t, partition{Callers: true, Store: true})
-}
-
-// An entry that had lost its callers, the store and the other entries went on with its jobs.
+// An entry that had lost its callers and the other entries went on with its jobs.
 // Nobody can ask it: it has to end them itself.
 func TestEntryCutOffFromAllButGatesEndsItsJobs(t *testing.T) {
-	mustHoldWhenCutOff(t, partition{Callers: true, Store: true, Peers: true})
+	mustHoldWhenCutOff(t, partition{Callers: true, Peers: true})
 }
 
 // Nobody can ask an entry that has lost the gates too, nor can it end what runs there: the
 // leases do.
 func TestJobsOfEntryCutOffFromAllEndWithTheLeases(t *testing.T) {
-	mustHoldWhenCutOff(t, partition{Callers: true, Store: true, Peers: true, Gates: true})
+	mustHoldWhenCutOff(t, partition{Callers: true, Peers: true, Gates: true})
+}
+
+// An entry that is cut off later from some than from others went on with a job that ran
+// elsewhere.
+func TestEntryCutOffInTurnEndsItsJobs(t *testing.T) {
+	for name, events := range map[string][]event{
+		// The leases end the runs, and the entry starts them again when it reaches the gates.
+		"it reaches the gates again": partition{Callers: true, Peers: true, Gates: true}.events(0, 1500, 3500),
+		// All others know that it is out. When the callers arrive, nobody reaches it.
+		"the others are lost after they were warned": append(partition{Callers: true}.events(0, 1500, 5500), partition{Peers: true}.events(0, 3000, 4000)...),
+		// The same after the load balancer has checked it again.
+		"the others are lost after the return": append(partition{Callers: true}.events(0, 1500, 1100), partition{Peers: true}.events(0, 3200, 4000)...),
+		// The load balancer has not checked it since it was restarted.
+		"it was not checked since its start": append([]event{{StartMS: 1960, Kind: killEntry, DurationMS: 50}}, partition{Callers: true}.events(0, 2500, 5500)...),
+		// Entry 0 returns before a check is overdue. Its caller comes to entry 2, which has just
+		// returned and has heard of nothing.
+		"another one did not hear of it": append(append(partition{Callers: true, Peers: true}.events(0, 2002, 1002), partition{Callers: true}.events(1, 2001, 3837)...), partition{Callers: true, Peers: true}.events(2, 2002, 3766)...),
+	} {
+		t.Run(name, func(t *testing.T) {
+			sched := partitionSchedule(partition{}, 0)
+			lost := slices.IndexFunc(events, func(e event) bool { return e.Kind == cutCallersPath })
+			sched.Events, sched.SubmitMS[0] = events, events[lost].StartMS-100
+			mustHold(t, sched)
+		})
+	}
 }
--- a/internal/disp/rules/peer_test.go
+++ b/internal/disp/rules/peer_test.go
@@ -63,37 +63,26 @@
 			go c.gossip(i, to, p)
 		}
 		guard.Check(p.ctx)
-		boot.Await(p.ctx, p.rotation.Changed(), min(rotate.RepeatInterval, p.rotation.UntilOverdue()))
+		p.rotation.Await(p.ctx, rotate.RepeatInterval)
 	}
 }
 
 // guard returns the guard of an incarnation of entry i.
 func (c *cluster) guard(i int, p *entryProcess) *rotate.Guard {
 	return &rotate.Guard{
-		Monitor:      &p.rotation,
-		WarnOthers:   func(ctx context.Context) int { return c.warnOthers(ctx, i, p) },
-		StoreAnswers: func(ctx context.Context) bool { return c.storeAnswers(ctx, i) },
-		EndJobs: func(int) {
+		Monitor:    &p.rotation,
+		WarnOthers: func(ctx context.Context) int { return c.warnOthers(ctx, i, p) },
+		EndJobs: func(age time.Duration, _ int) {
 			c.awaitEntry(i)
-			p.coord.AbandonAll(cause.CutOff)
+			p.coord.AbandonOlder(age, cause.CutOff)
 		},
 	}
 }
 
-// storeAnswers reports whether the store answers entry i before ctx ends.
-func (c *cluster) storeAnswers(ctx context.Context, i int) bool {
-	time.Sleep(2 * oneWayDelay)
-	if !c.isCut(storePath, i) {
-		return true
-	}
-	<-ctx.Done()
-	return false
-}
-
-// warnOthers exchanges messages with the other entries that were in contact with entry i
-// lately, and returns how many have not answered when ctx ends.
+// warnOthers exchanges messages with the other entries that were in contact with entry i not
+// long before its last check, and returns how many have not answered when ctx ends.
 func (c *cluster) warnOthers(ctx context.Context, i int, p *entryProcess) int {
-	recent := p.members.Recent(c.entryNow(i))
+	recent := p.members.Recent(p.rotation.LastCheck())
 	var unwarned atomic.Int32
 	var calls sync.WaitGroup
 	for to := range c.others(i) {
@@ -101,7 +90,7 @@
 			continue
 		}
 		calls.Go(func() {
-			if c.exchange(ctx, i, to, p) != nil {
+			if err := c.exchange(ctx, i, to, p); err != nil && !errors.Is(err, peer.ErrRefused) {
 				unwarned.Add(1)
 			}
 		})
@@ -162,12 +151,13 @@
 }
 
 // giveUpElsewhere makes other entries give up a job, and waits until they have: all of them
-// if it was submitted repeatedly, and otherwise those that are out of rotation.
+// if it was submitted repeatedly or this entry is out of rotation itself, and otherwise those
+// that are out of rotation.
 func (c *cluster) giveUpElsewhere(ctx context.Context, i int, p *entryProcess, job string, repeated bool) {
-	out := p.others.Out()
+	out, all := p.others.Out(), repeated || p.rotation.Out()
 	var asked sync.WaitGroup
 	for to := range c.others(i) {
-		if repeated || slices.Contains(out, entryAddr(to)) {
+		if all || slices.Contains(out, entryAddr(to)) {
 			asked.Go(func() { c.giveUpAt(ctx, i, to, p, job) })
 		}
 	}
--- a/internal/disp/rules/recall_test.go
+++ b/internal/disp/rules/recall_test.go
@@ -14,7 +14,7 @@
 	served := 0
 	var violations []string
 	synctest.Test(t, func(*testing.T) {
-		c := newCluster(entryCount, gateCount)
+		c := newCluster(entryCount, gateCount, false)
 		time.Sleep(heartbeatTime + 50*time.Millisecond)
 		for i := range gateCount {
 			c.gateAt(i).kill()
--- a/internal/disp/rules/rules_test.go
+++ b/internal/disp/rules/rules_test.go
@@ -45,10 +45,7 @@
 // simulateCount runs a schedule and returns descriptions of the rule violations, and
 // the number of jobs of the schedule that were done.
 func simulateCount(sched schedule) ([]string, int) {
-	c := newCluster(cmp.Or(sched.Entries, entryCount), gateCount)
-	if sched.Balanced {
-		go c.checkEntries()
-	}
+	c := newCluster(cmp.Or(sched.Entries, entryCount), gateCount, sched.Balanced)
 	time.Sleep(50 * time.Millisecond) // until the entries have learned of the gates
 	for _, e := range sched.Events {
 		go func() {
--- a/internal/disp/rules/syncs_test.go
+++ b/internal/disp/rules/syncs_test.go
@@ -15,7 +15,7 @@
 	var violations []string
 	starts := 0
 	synctest.Test(t, func(*testing.T) {
-		c := newCluster(entryCount, gateCount)
+		c := newCluster(entryCount, gateCount, false)
 		c.degrade(0, 1, dropsAll)
 		c.degrade(0, 2, dropsAll)
 		time.Sleep(100 * time.Millisecond) // until the entries have learned of the gates
--- a/internal/disp/rules/wait_test.go
+++ b/internal/disp/rules/wait_test.go
@@ -22,7 +22,7 @@
 // entry 0 is not told to give the job up. Entry 0 is cut off from all gates between the
 // two given times, unless they are equal. It returns the violations.
 func waitingSchedule(runTime, cutFrom, cutUntil time.Duration) []string {
-	c := newCluster(2, 3)
+	c := newCluster(2, 3, false)
 	time.Sleep(50 * time.Millisecond) // until the entries have learned of the gates
 	c.checker.expect("a", 1, 1)
 	spec, err := json.Marshal(work{CPU: 100, MS: int(runTime.Milliseconds())})
