Let only entries that were cut off ask all others

An entry that is being stopped hears of the others as before; to ask all of them for each job that it still takes would cost a large fleet N-1 messages a job for no evidence.

--- a/internal/disp/coord/submit.go
+++ b/internal/disp/coord/submit.go
@@ -37,8 +37,8 @@
 	return c.GiveUpElsewhere != nil && c.OthersOut != nil && c.OthersOut()
 }
 
-// startAlone starts a job that another entry may have. If its caller has submitted it
-// before, or may have, the other entries give it up first.
+// startAlone starts a job that another entry may have. If its caller counts as having submitted
+// it before, or may have without a sign of that, other entries give it up first.
 func (c *Coordinator) startAlone(e *execution, repeated bool) {
 	if !c.confirm(e) {
 		return
--- a/internal/disp/proc/giveup.go
+++ b/internal/disp/proc/giveup.go
@@ -37,12 +37,12 @@
 
 // GiveUpElsewhere makes other entries give up a job, and waits until none of its tasks can
 // be running there any more, or ctx ends: all other entries if its caller counts as having
-// submitted it before or this entry is out of rotation itself, and otherwise those that are
-// out of rotation. It does not wait longer than giveUpTimeout for an entry that has not
+// submitted it before or this entry may have been cut off itself, and otherwise those that
+// are out of rotation. It does not wait longer than giveUpTimeout for an entry that has not
 // answered that it has the job.
 func (e *Entry) GiveUpElsewhere(ctx context.Context, job string, repeated bool) {
 	addrs := e.others.Out()
-	if repeated || e.Rotation.Out() {
+	if repeated || e.Rotation.MayHaveLostCallers() {
 		addrs = e.members.Addrs(memb.Entry)
 	}
 	var asked sync.WaitGroup
