--- a/internal/disp/rules/partition_test.go
+++ b/internal/disp/rules/partition_test.go
@@ -106,6 +106,7 @@
 // checkRulesWhenCutOff simulates random schedules with the events of draw. The callers are sent
 // to other entries and don't say that they have submitted their jobs before.
 func checkRulesWhenCutOff(t *testing.T, draw func(*rapid.T) []event) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		sched := drawCutOff(rt)
 		sched.Events = draw(rt)
@@ -144,6 +145,7 @@
 // checked the entry.
 func mustHoldWhenCutOff(t *testing.T, p partition) {
 	t.Helper()
+	t.Parallel()
 	for sinceCheck := 0; sinceCheck < int(checkInterval.Milliseconds()); sinceCheck += 100 {
 		mustHold(t, partitionSchedule(p, partitionStartMS+sinceCheck))
 	}
