Don't ask entries that merely fail the load balancer's checks

The logs: from 28 s on entries are stopped in turn. They fail the checks, so they counted as out of rotation, and each job elsewhere waited for their answers: 5 to 20 ms in the mean while they lived, 86 to 115 ms once their machines were gone, since their word held for 2 s more.

An entry that fails the checks is reached: it has not lost callers without a sign of it. Only an overdue check puts it out now, and the two states of the monitor are one.

--- a/cmd/gypsumlanding/process.go
+++ b/cmd/gypsumlanding/process.go
@@ -238,7 +238,7 @@
 			passed = false
 		default:
 		}
-		e.Rotation.Observe(passed)
+		e.Rotation.Observe()
 		if !passed {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
--- a/internal/disp/proc/giveup.go
+++ b/internal/disp/proc/giveup.go
@@ -42,7 +42,7 @@
 // answered that it has the job.
 func (e *Entry) GiveUpElsewhere(ctx context.Context, job string, repeated bool) {
 	addrs := e.others.Out()
-	if repeated || e.Rotation.MayHaveLostCallers() {
+	if repeated || e.Rotation.Out() {
 		addrs = e.members.Addrs(memb.Entry)
 	}
 	var asked sync.WaitGroup
--- a/internal/disp/proc/rotation.go
+++ b/internal/disp/proc/rotation.go
@@ -13,7 +13,7 @@
 
 // OthersOut reports whether another entry is out of rotation, or may be: an entry that may have
 // been cut off itself may not have heard of the others.
-func (e *Entry) OthersOut() bool { return e.Rotation.MayHaveLostCallers() || len(e.others.Out()) > 0 }
+func (e *Entry) OthersOut() bool { return e.Rotation.Out() || len(e.others.Out()) > 0 }
 
 // rotationGuard returns the guard that ends the jobs of this entry when it is cut off.
 func (e *Entry) rotationGuard() *rotate.Guard {
--- a/internal/disp/rotate/guard.go
+++ b/internal/disp/rotate/guard.go
@@ -32,7 +32,7 @@
 // is cut off. It does not wait for that. It is to be called at least every RepeatInterval, and
 // when Monitor.Await returns.
 func (g *Guard) Check(ctx context.Context) {
-	if g.Monitor.MayHaveLostCallers() {
+	if g.Monitor.Out() {
 		go g.endJobsIfCutOff(ctx)
 	}
 }
