Share the revocation of a job between the entries that may have it

Cause: after all processes had lost power, each job that was submitted again held a goroutine for each gate of each other entry (9 x 59), and looked at each silence a hundred times a second. Small entries had no processor time left, missed the load balancer's checks, and made all others ask about every job.

Change: one revocation a job, with one order to each gate; no goroutine and no ticker for it.

--- a/internal/disp/giveup/giveup.go
+++ b/internal/disp/giveup/giveup.go
@@ -79,44 +79,52 @@
 // GiveUp makes the entries at addrs give up a job. It returns when it is proved that none of
 // them has a task of the job that can still be running, or when ctx ends.
 func (a *Asker) GiveUp(ctx context.Context, addrs []string, job string) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r := &revocation{ctx: ctx, job: job}
 	var asked sync.WaitGroup
 	for _, addr := range addrs {
-		asked.Go(func() { a.giveUpAt(ctx, addr, job) })
+		asked.Go(func() { a.giveUpAt(ctx, addr, r) })
 	}
 	asked.Wait()
 }
 
 // giveUpAt is GiveUp for one other entry. It asks the entry, and its gates as well from the
 // first sign that the entry has no proof to give.
-func (a *Asker) giveUpAt(ctx context.Context, addr, job string) {
+func (a *Asker) giveUpAt(ctx context.Context, addr string, r *revocation) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	gates, gatesKnown := a.gatesOf(addr)
-	begin, proofs := a.now(), make(chan Proof, 2)
+	begin, proofs := a.now(), make(chan Proof, 3) // one from each source
 	askGates := sync.OnceFunc(func() {
 		if gatesKnown {
-			go a.askGates(ctx, gates, job, proofs)
+			a.askGates(gates, r, proofs)
 		}
 	})
 	if a.unanswered(addr) {
 		askGates()
 	}
-	go a.askEntry(ctx, addr, job, askGates, proofs)
-	check := time.NewTicker(silenceCheckInterval)
-	defer check.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case p := <-proofs:
-			a.recordProof(addr, job, p, a.now().Sub(begin))
+	go a.askEntry(ctx, addr, r.job, askGates, proofs)
+	if !gatesKnown {
+		go a.awaitSilence(ctx, addr, begin, proofs)
+	}
+	select {
+	case <-ctx.Done():
+	case p := <-proofs:
+		a.recordProof(addr, r.job, p, a.now().Sub(begin))
+	}
+}
+
+// awaitSilence sends a proof once the tasks of an entry count as ended since it has been silent
+// for so long.
+func (a *Asker) awaitSilence(ctx context.Context, addr string, begin boot.Time, proofs chan<- Proof) {
+	for ctx.Err() == nil {
+		left := a.untilEndedBySilence(addr, begin)
+		if left <= 0 {
+			proofs <- ByTime
 			return
-		case <-check.C:
-			if !gatesKnown && a.endedBySilence(addr, begin) {
-				a.recordProof(addr, job, ByTime, a.now().Sub(begin))
-				return
-			}
 		}
+		boot.Sleep(ctx, max(left, silenceCheckInterval))
 	}
 }
 
--- a/internal/disp/giveup/known.go
+++ b/internal/disp/giveup/known.go
@@ -20,7 +20,7 @@
 		}
 		asked.Go(func() {
 			if a.knows(ctx, addr, job) {
-				a.giveUpAt(ctx, addr, job)
+				a.GiveUp(ctx, []string{addr}, job)
 			}
 		})
 	}
--- a/internal/disp/giveup/revoke.go
+++ b/internal/disp/giveup/revoke.go
@@ -24,75 +24,139 @@
 	revokeInterval = 15 * time.Millisecond
 )
 
-// batch is a set of jobs that one call to a gate revokes.
-type batch struct {
-	jobs    []string
-	done    chan struct{} // closed once the following fields are set
-	running []string      // jobs of which a task may still run
-	err     error
+// revocation is the order to gates to revoke one job. All entries that may have the job share it,
+// so that a gate is asked once whatever their number.
+type revocation struct {
+	ctx context.Context // ends when the job need not be revoked any more
+	job string
+
+	mu    sync.Mutex
+	gates map[string]*gateOrder // by the address of a gate that was asked
+}
+
+// gateOrder is what a revocation knows of one gate.
+type gateOrder struct {
+	end   boot.Time   // of the tasks there, since the gate is silent; 0 while it answers
+	done  bool        // no task of another entry may run there
+	waits []*gateWait // that wait for done
+}
+
+// gateWait is the wait for all gates of an entry.
+type gateWait struct {
+	left   int // gates that are not done
+	proofs chan<- Proof
+}
+
+// batch is a set of revocations that are sent to a gate in one call.
+type batch struct{ revocations []*revocation }
+
+// jobs returns the jobs that still have to be revoked.
+func (b *batch) jobs() []string {
+	var jobs []string
+	for _, r := range b.revocations {
+		if r.ctx.Err() == nil && !slices.Contains(jobs, r.job) {
+			jobs = append(jobs, r.job)
+		}
+	}
+	return jobs
+}
+
+// askGates makes the gates revoke a job, and sends the proof when all of them have. It does not
+// wait for that.
+func (a *Asker) askGates(gates []string, r *revocation, proofs chan<- Proof) {
+	for _, addr := range r.await(gates, &gateWait{proofs: proofs}) {
+		a.revokeAt(addr, r)
+	}
 }
 
-// askGates makes the gates revoke a job, and sends the proof when all of them have.
-func (a *Asker) askGates(ctx context.Context, gates []string, job string, proofs chan<- Proof) {
-	var asked sync.WaitGroup
+// await makes w wait for the gates, and returns those that have not been asked before.
+func (r *revocation) await(gates []string, w *gateWait) (unasked []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.gates == nil {
+		r.gates = make(map[string]*gateOrder, len(gates))
+	}
 	for _, addr := range gates {
-		asked.Go(func() { a.revokeAt(ctx, addr, job) })
+		o := r.gates[addr]
+		if o == nil {
+			o = &gateOrder{}
+			r.gates[addr] = o
+			unasked = append(unasked, addr)
+		}
+		if !o.done {
+			o.waits = append(o.waits, w)
+			w.left++
+		}
 	}
-	asked.Wait()
-	if ctx.Err() == nil {
-		proofs <- ByGates
+	if w.left == 0 {
+		w.proofs <- ByGates
 	}
+	return unasked
 }
 
-// revokeAt makes a gate revoke a job until no task of another entry may run there, or ctx ends.
-// What runs at a gate that does not answer ends by the leases.
-func (a *Asker) revokeAt(ctx context.Context, addr, job string) {
-	end := boot.Time(0) // of the tasks at a silent gate; 0 while it answers
-	for ctx.Err() == nil && !a.hasEnded(addr) {
-		mayRun, err := a.revoke(ctx, addr, job)
-		switch {
-		case err == nil && !mayRun:
-			return
-		case err == nil:
-			end = 0
-		case end == 0:
-			end = a.silentSince(addr).Add(gate.MaxOrphanTime)
-		case a.now() >= end:
-			return
+// finish records that no task of another entry may run at a gate. The caller holds mu.
+func (o *gateOrder) finish() {
+	o.done = true
+	for _, w := range o.waits {
+		w.left--
+		if w.left == 0 {
+			w.proofs <- ByGates
 		}
-		boot.Sleep(ctx, revokeInterval)
 	}
 }
 
-// revoke revokes a job at a gate once, and reports whether a task may still run there. Jobs that
-// are revoked at the same moment share a call.
-func (a *Asker) revoke(ctx context.Context, addr, job string) (mayRun bool, err error) {
-	b := a.join(addr, job)
-	select {
-	case <-b.done:
-	case <-ctx.Done():
-		return true, ctx.Err()
+// revokeAt makes a gate revoke a job once more, unless the tasks there have ended by the leases or
+// the job need not be revoked any more.
+func (a *Asker) revokeAt(addr string, r *revocation) {
+	switch {
+	case r.ctx.Err() != nil:
+	case a.hasEnded(addr):
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.gates[addr].finish()
+	default:
+		a.join(addr, r)
+	}
+}
+
+// handleReply processes the outcome of a call that was to revoke the job of r at a gate, and
+// reports whether the gate has to be asked again. What runs at a gate that does not answer ends by
+// the leases.
+func (a *Asker) handleReply(addr string, r *revocation, mayRun bool, err error) (again bool) {
+	silentSince, now := a.silentSince(addr), a.now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o := r.gates[addr]
+	switch {
+	case err == nil && !mayRun:
+		o.finish()
+		return false
+	case err == nil:
+		o.end = 0
+	case o.end == 0:
+		o.end = silentSince.Add(gate.MaxOrphanTime)
+	case now >= o.end:
+		o.finish()
+		return false
 	}
-	return slices.Contains(b.running, job), b.err
+	return true
 }
 
-// join adds a job to the next call to a gate.
-func (a *Asker) join(addr, job string) *batch {
+// join adds a revocation to the next call to a gate. Jobs that are revoked at the same moment
+// share a call.
+func (a *Asker) join(addr string, r *revocation) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	b := a.batches[addr]
 	if b == nil {
-		b = &batch{done: make(chan struct{})}
+		b = &batch{}
 		if a.batches == nil {
 			a.batches = map[string]*batch{}
 		}
 		a.batches[addr] = b
 		time.AfterFunc(a.untilNextBatch(addr), func() { a.send(addr, b) })
 	}
-	if !slices.Contains(b.jobs, job) {
-		b.jobs = append(b.jobs, job)
-	}
-	return b
+	b.revocations = append(b.revocations, r)
 }
 
 // untilNextBatch returns when the next call to a gate is made, and notes it. The caller holds mu.
@@ -106,16 +170,31 @@
 	return at.Sub(now)
 }
 
-// send makes the call of a batch.
+// send makes the call of a batch, and has the gate asked again for the jobs of which tasks may
+// still run there.
 func (a *Asker) send(addr string, b *batch) {
 	a.mu.Lock()
 	delete(a.batches, addr)
 	a.mu.Unlock()
+	jobs := b.jobs()
+	if len(jobs) == 0 {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), revokeTimeout)
 	defer cancel()
-	b.running, b.err = a.callGate(ctx, addr, b.jobs)
-	a.recordGate(addr, b.err)
-	close(b.done)
+	running, err := a.callGate(ctx, addr, jobs)
+	a.recordGate(addr, err)
+	var unfinished []*revocation
+	for _, r := range b.revocations {
+		if r.ctx.Err() == nil && a.handleReply(addr, r, slices.Contains(running, r.job), err) {
+			unfinished = append(unfinished, r)
+		}
+	}
+	time.AfterFunc(revokeInterval, func() {
+		for _, r := range unfinished {
+			a.revokeAt(addr, r)
+		}
+	})
 }
 
 // callGate revokes jobs at a gate, and returns those of which a task may still run. If the gate
--- a/internal/disp/giveup/silence.go
+++ b/internal/disp/giveup/silence.go
@@ -108,16 +108,16 @@
 	return a.now()
 }
 
-// endedBySilence reports whether the tasks of an entry count as ended since it has not answered
-// for so long, though nothing proves that. An entry that is asked since begin gets the time to
-// answer.
-func (a *Asker) endedBySilence(addr string, begin boot.Time) bool {
+// untilEndedBySilence returns for how long the tasks of an entry do not yet count as ended because
+// it has not answered for so long, though nothing proves that; it may have answered or called by
+// then. An entry that is asked since begin gets the time to answer.
+func (a *Asker) untilEndedBySilence(addr string, begin boot.Time) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	s, now := a.silences[addr], a.now()
+	s := a.silences[addr]
 	if s == nil {
-		return false
+		return silentAnswerWait
 	}
 	ended := max(s.since, s.refused).Add(gate.MaxOrphanTime)
-	return now >= max(ended, begin.Add(silentAnswerWait))
+	return max(ended, begin.Add(silentAnswerWait)).Sub(a.now())
 }
