End jobs at once that can't be answered while their callers wait

Cause: of 3,487 tries that failed around an outage of all processes, 1,018 were held until their callers stopped waiting. Jobs that came within a second of a start waited for the leases of all entries, though the gates were known moments later.

--- a/internal/disp/coord/refuse.go
+++ b/internal/disp/coord/refuse.go
@@ -4,15 +4,20 @@
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/retry"
 )
 
-// refuseIfOverdue refuses the job if it has waited too long and none of its tasks may
-// have started. It reports whether it refused the job.
+// refuseIfOverdue refuses the job if it has waited too long, or can't be answered while its callers
+// wait, and none of its tasks may have started. It reports whether the job has ended.
 func (c *Coordinator) refuseIfOverdue(e *execution, reason string) bool {
 	longest, expectedRunTime := c.longestStep(e)
-	waited := c.now().Sub(c.timing(e, expectedRunTime).FirstSubmitted())
-	if waited < e.Route.LatencyBudget(expectedRunTime)*maxStartWaitPercent/100 {
+	now := c.now()
+	if e.finishIfUnawaited(now) {
+		return true
+	}
+	waited := now.Sub(c.timing(e, expectedRunTime).FirstSubmitted())
+	if now < c.hopelessFrom(e) && waited < e.Route.LatencyBudget(expectedRunTime)*maxStartWaitPercent/100 {
 		return false
 	}
 	cands := c.findCandidates(e.Route, longest)
@@ -21,6 +26,26 @@
 	return e.refuse(Answer{State: Refused, Reason: reason, RetryAfter: c.retryDelay(e, longest, cands, wait)})
 }
 
+// hopelessFrom returns the time from which e can't be answered in the time that its callers wait,
+// unless a task of it has started.
+func (c *Coordinator) hopelessFrom(e *execution) boot.Time {
+	_, expectedRunTime := c.longestStep(e)
+	timing := c.timing(e, expectedRunTime)
+	timing.WaitsUntil = e.awaitedUntil()
+	return timing.HopelessFrom()
+}
+
+// endHopeless ends a job that can't be answered any more while its callers wait, unless a task of
+// it may have started or be at a gate. They learn it at once instead of at the end of their wait.
+// The job is refused only if this entry has begun to place it: before, another entry may run it.
+func (c *Coordinator) endHopeless(e *execution) {
+	if !e.placing.Load() {
+		e.finish(Answer{State: Abandoned, Reason: cause.TooLate})
+		return
+	}
+	c.refuseIfOverdue(e, cause.TooLate)
+}
+
 // longestStep returns the step of e with the longest expected run time of a task, and
 // that time.
 func (c *Coordinator) longestStep(e *execution) (Step, time.Duration) {
--- a/internal/disp/giveup/giveup.go
+++ b/internal/disp/giveup/giveup.go
@@ -11,9 +11,9 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
-// silenceCheckInterval is the time between two checks whether an entry has been silent for so
-// long that its tasks count as ended.
-const silenceCheckInterval = 10 * time.Millisecond
+// gatesCheckInterval is the longest time between two checks whether the gates of an entry are
+// known. They are soon after this entry has started.
+const gatesCheckInterval = 50 * time.Millisecond
 
 // Proof is what shows that an entry has no task of a job that can still be running.
 type Proof string
@@ -106,7 +106,7 @@
 	}
 	go a.askEntry(ctx, addr, r.job, askGates, proofs)
 	if !gatesKnown {
-		go a.awaitSilence(ctx, addr, begin, proofs)
+		go a.awaitGates(ctx, addr, r, begin, proofs)
 	}
 	select {
 	case <-ctx.Done():
@@ -115,16 +115,20 @@
 	}
 }
 
-// awaitSilence sends a proof once the tasks of an entry count as ended since it has been silent
-// for so long.
-func (a *Asker) awaitSilence(ctx context.Context, addr string, begin boot.Time, proofs chan<- Proof) {
+// awaitGates asks the gates of the entry at addr once they are known. Until then it sends a proof
+// if the tasks of the entry count as ended since it has been silent for so long.
+func (a *Asker) awaitGates(ctx context.Context, addr string, r *revocation, begin boot.Time, proofs chan<- Proof) {
 	for ctx.Err() == nil {
+		if gates, ok := a.gatesOf(addr); ok {
+			a.askGates(gates, r, proofs)
+			return
+		}
 		left := a.untilEndedBySilence(addr, begin)
 		if left <= 0 {
 			proofs <- ByTime
 			return
 		}
-		boot.Sleep(ctx, max(left, silenceCheckInterval))
+		boot.Sleep(ctx, min(left, gatesCheckInterval))
 	}
 }
 
--- a/internal/disp/giveup/load_test.go
+++ b/internal/disp/giveup/load_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/gate"
 )
 
 const (
@@ -53,3 +55,18 @@
 		time.Sleep(5 * time.Second) // until the calls in progress have ended
 	})
 }
+
+// Jobs that came within the second after a start waited for the leases of all entries that had
+// just started too, though the gates were known moments later and could tell.
+func TestGatesAreAskedOnceTheyAreKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const knownAfter = 300 * time.Millisecond
+		f := newFake("g")
+		f.reply.OrphansFor = gate.MaxOrphanTime
+		start := time.Now()
+		f.Gates = func(string) ([]string, bool) { return []string{"g"}, time.Since(start) >= knownAfter }
+		if took := f.timeToGiveUp("j"); took < knownAfter || took > knownAfter+2*gatesCheckInterval {
+			t.Errorf("took %v, want the gates' word soon after %v", took, knownAfter)
+		}
+	})
+}
