--- a/internal/disp/giveup/revoke.go
+++ b/internal/disp/giveup/revoke.go
@@ -123,7 +123,7 @@
 // reports whether the gate has to be asked again. What runs at a gate that does not answer ends by
 // the leases.
 func (a *Asker) handleReply(addr string, r *revocation, mayRun bool, err error) (again bool) {
-	silentSince, now := a.silentSince(addr), a.now()
+	silentSince := a.silentSince(addr)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	o := r.gates[addr]
@@ -135,7 +135,7 @@
 		o.end = 0
 	case o.end == 0:
 		o.end = silentSince.Add(gate.MaxOrphanTime)
-	case now >= o.end:
+	case a.now() >= o.end:
 		o.finish()
 		return false
 	}
--- a/test/mutants_test.go
+++ b/test/mutants_test.go
@@ -254,7 +254,7 @@
 	{rule: "TWICE entry that was just started", file: dispGiveUp + "giveup.go", old: "case reply.OrphansFor > 0:", new: "case false:", test: diesTest},
 	{rule: "TWICE silence is no end", file: dispGiveUp + "giveup.go", old: "gates, ok := a.gatesOf(addr); ok", new: "gates, ok := a.gatesOf(addr); ok && false",
 		more: []edit{{dispGiveUp + "giveup.go", "if !gatesKnown {", "if true {"}}, test: "internal/disp/giveup TestTasksOfSilentEntryEndBeforeTheJobStarts"},
-	{rule: "TWICE gate that does not answer", file: dispGiveUp + "revoke.go", old: "case now >= o.end:", new: "default:", test: "internal/disp/giveup TestSilentGateIsWaitedFor"},
+	{rule: "TWICE gate that does not answer", file: dispGiveUp + "revoke.go", old: "case a.now() >= o.end:", new: "default:", test: "internal/disp/giveup TestSilentGateIsWaitedFor"},
 	{rule: "TWICE slow entry", file: dispGiveUp + "silence.go", old: "s.refused = now\n", new: "s.refused = s.since\n", test: "internal/disp/giveup TestSlowEntryThatDiesHasTasksUntilItsLeasesEnd"},
 	{rule: "TWICE tasks of a silent entry", file: dispGate + "revoke.go", old: "running = running || r.phase != over", new: "running = false", test: silentEntryTest},
 	{rule: "TWICE later tasks of a revoked job", file: dispGate + "revoke.go", old: "return ok && g.now()", new: "return false && ok && g.now()", test: "internal/disp/gate TestTasksOfRevokedJobAreRefused"},
