Let refusals and bulkheads be examined without recording

Cause: a placement query needs the time to retry and the share of a route, but Planner.Delay promises capacity and Guard.Use and Observe record. Change: Planner.Preview returns the bounds of the delay without a promise, from the code that Delay uses; Guard.Clone returns a copy to record in. Result: go test ./retry ./bulk passes; the existing path computes the same values.

--- a/internal/disp/bulk/bulk.go
+++ b/internal/disp/bulk/bulk.go
@@ -1,6 +1,7 @@
 package bulk
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -25,6 +26,15 @@
 	routes  map[string]boot.Time // when each route last had a job
 }
 
+// Clone returns a guard in the same state that shares no memory with g. A nil Guard is
+// cloned as the zero value.
+func (g *Guard) Clone() *Guard {
+	if g == nil {
+		return &Guard{}
+	}
+	return &Guard{crashed: maps.Clone(g.crashed), crashes: slices.Clone(g.crashes), until: g.until, routes: maps.Clone(g.routes)}
+}
+
 // Observe records whether the target of a gate has crashed, as known at now. It reports
 // whether that raises the bulkheads.
 func (g *Guard) Observe(gate string, crashed bool, now boot.Time) bool {
--- a/internal/disp/bulk/bulk_test.go
+++ b/internal/disp/bulk/bulk_test.go
@@ -82,3 +82,26 @@
 		t.Errorf("with more routes than gates: %d of 2", len(share))
 	}
 }
+
+// What is recorded in a clone must not reach the original, whose shares would change.
+func TestCloneIsSeparate(t *testing.T) {
+	var g Guard
+	g.Use("a", at(0))
+	g.Observe("x", true, at(0))
+	before := fmt.Sprintf("%+v", g)
+	clone := g.Clone()
+	if text := fmt.Sprintf("%+v", *clone); text != before {
+		t.Errorf("the clone of %s is %s", before, text)
+	}
+	for i := range minCrashes {
+		clone.Use("b", at(time.Second))
+		clone.Observe(fmt.Sprint(i), true, at(time.Duration(i+1)*sameEvent))
+	}
+	clone.Share("b", []string{"x", "y"}, at(time.Hour))
+	if text := fmt.Sprintf("%+v", g); text != before {
+		t.Errorf("got %s, want %s", text, before)
+	}
+	if (*Guard)(nil).Clone().Raised(at(0)) {
+		t.Error("a clone of no guard is raised")
+	}
+}
--- a/internal/disp/retry/retry.go
+++ b/internal/disp/retry/retry.go
@@ -45,17 +45,34 @@
 func (p *Planner) Delay(r Refusal) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	class := r.class()
+	at := p.free(r)
+	p.promised[r.class()] = min(at.Add(r.Work), r.Now.Add(maxDelay))
+	return spread(at.Sub(r.Now), p.random())
+}
+
+// Preview returns the bounds of what Delay would return, and promises nothing.
+func (p *Planner) Preview(r Refusal) (shortest, longest time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delay := p.free(r).Sub(r.Now)
+	return spread(delay, 0), spread(delay, 1)
+}
+
+// free returns when there is capacity for r that is not promised. The caller holds mu.
+func (p *Planner) free(r Refusal) boot.Time {
 	at := r.Now.Add(max(r.Wait, r.Outage, minDelay))
-	for _, until := range p.promised[:class+1] {
+	for _, until := range p.promised[:r.class()+1] {
 		at = max(at, until)
 	}
-	p.promised[class] = min(at.Add(r.Work), r.Now.Add(maxDelay))
-	delay := at.Sub(r.Now)
+	return at
+}
+
+// spread bounds a delay and adds its random part, given a random number from 0 to 1.
+func spread(delay time.Duration, random float64) time.Duration {
 	if delay >= maxDelay {
-		return maxDelay/2 + time.Duration(p.random()*float64(maxDelay/2))
+		return maxDelay/2 + time.Duration(random*float64(maxDelay/2))
 	}
-	return delay + time.Duration(p.random()*float64(delay)*spreadPercent/100)
+	return delay + time.Duration(random*float64(delay)*spreadPercent/100)
 }
 
 // class returns the class of priority in which the job waits for its time. A caller that
--- a/internal/disp/retry/retry_test.go
+++ b/internal/disp/retry/retry_test.go
@@ -92,3 +92,30 @@
 		}
 	}
 }
+
+// TestPreviewBoundsDelay checks that a preview promises nothing, and that the delay that
+// follows it lies within its bounds and reaches them.
+func TestPreviewBoundsDelay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		random := 0.0
+		p := Planner{Rand: func() float64 { return random }}
+		now := boot.Time(time.Hour)
+		for range rapid.IntRange(1, 20).Draw(t, "refusals") {
+			r := Refusal{
+				Now: now, Wait: time.Duration(rapid.IntRange(0, 3000).Draw(t, "wait")) * ms, Work: time.Duration(rapid.IntRange(0, 5000).Draw(t, "work")) * ms,
+				Priority: rapid.IntRange(-1, 9).Draw(t, "priority"), Repeated: rapid.Bool().Draw(t, "repeated"),
+				Outage: time.Duration(rapid.IntRange(0, 20).Draw(t, "outage")) * time.Second,
+			}
+			before := p.promised
+			shortest, longest := p.Preview(r)
+			if p.promised != before {
+				t.Fatalf("the preview changes the promises from %v to %v", before, p.promised)
+			}
+			random = rapid.SampledFrom([]float64{0, 0.5, 1}).Draw(t, "random")
+			want := map[float64]time.Duration{0: shortest, 0.5: shortest + (longest-shortest)/2, 1: longest}[random]
+			if got := p.Delay(r); (got - want).Abs() > time.Microsecond {
+				t.Fatalf("got %v with random number %v, want %v", got, random, want)
+			}
+		}
+	})
+}
