Tell how a job would be admitted and placed

Cause: an operator cannot ask where a job would be placed, and why. Change: Coordinator.Where runs the admission and the choice of a gate on the entry's state and returns the decision, and each gate with its estimate and what counts against it.

--- a/internal/disp/coord/candidates.go
+++ b/internal/disp/coord/candidates.go
@@ -27,7 +27,8 @@
 	scratch []pick.Gate // used by longestWait
 	// allCrashed is set if there are gates and their targets have all crashed. Those are
 	// back after some seconds at the earliest.
-	allCrashed bool
+	allCrashed  bool
+	explanation *explanation // set only by placement queries
 }
 
 // serviceGate is a gate of the service, whether it can run the task or not.
@@ -48,25 +49,32 @@
 		cands = &candidates{}
 	}
 	now := c.now()
-	for _, l := range c.Links() {
-		cands.add(l, r.Service, s, now)
+	cands.collect(c.Links(), r.Service, s, now)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if cands.separate(c.guard(r.Service), r, s, now) {
+		c.trace("bulkheads_raised", "service", r.Service, "gates", len(cands.service))
+		c.count("bulkheads.raised")
 	}
-	c.separateRoutes(cands, r, s, now)
 	return cands
 }
 
-// separateRoutes removes the gates that the route may not use at now, if the targets of
-// its service crash one after the other. If none of the others can run a task of s, all
-// stay.
-func (c *Coordinator) separateRoutes(cands *candidates, r route.Route, s Step, now boot.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	g := c.guard(r.Service)
+// collect adds the gates of links that may run a task of s.
+func (cands *candidates) collect(links []*link.Link, service string, s Step, now boot.Time) {
+	for _, l := range links {
+		cands.add(l, service, s, now)
+	}
+}
+
+// separate removes the gates that the route may not use at now, if the targets of its
+// service crash one after the other. If none of the others can run a task of s, all
+// stay. It records in g what is known at now, and reports whether that raises the
+// bulkheads.
+func (cands *candidates) separate(g *bulk.Guard, r route.Route, s Step, now boot.Time) (raised bool) {
 	g.Use(r.Name, now)
 	for _, sg := range cands.service {
 		if g.Observe(sg.addr, sg.crashed, now) {
-			c.trace("bulkheads_raised", "service", r.Service, "gates", len(cands.service))
-			c.count("bulkheads.raised")
+			raised = true
 		}
 	}
 	if g.Raised(now) {
@@ -74,6 +82,7 @@
 	}
 	hasNotCrashed := func(l *link.Link) bool { return !g.Crashed(l.Addr) }
 	cands.allCrashed = len(cands.links) > 0 && !slices.ContainsFunc(cands.links, hasNotCrashed)
+	return raised
 }
 
 // serviceAddrs returns the addresses of all gates of the service.
@@ -117,6 +126,7 @@
 	n := 0
 	for i, l := range cands.links {
 		if !share[l.Addr] {
+			cands.explanation.exclude(l, cause.Separated)
 			continue
 		}
 		cands.links[n], cands.targets[n], cands.gates[n] = l, cands.targets[i], cands.gates[i]
@@ -142,11 +152,14 @@
 // add adds the gate of a link if it may run a task of s.
 func (cands *candidates) add(l *link.Link, service string, s Step, now boot.Time) {
 	v := l.View(now)
+	cands.explanation.see(l, v)
 	if !v.Available || v.Load.Service != service {
+		cands.explanation.exclude(l, unusable(v, now))
 		return
 	}
 	cands.service = append(cands.service, serviceGate{l.Addr, v.Load.BlockedReason == cause.TargetCrashed})
 	if s.RequiredLabel != "" && !slices.Contains(v.Load.Labels, s.RequiredLabel) {
+		cands.explanation.exclude(l, cause.NoLabel)
 		return
 	}
 	runTimeFactor := 1.0
--- a/internal/disp/coord/refuse.go
+++ b/internal/disp/coord/refuse.go
@@ -5,6 +5,7 @@
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/retry"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/route"
 )
 
 // refuseIfOverdue refuses the job if it has waited too long and none of its tasks may
@@ -12,7 +13,7 @@
 func (c *Coordinator) refuseIfOverdue(e *execution, reason string) bool {
 	longest, expectedRunTime := c.longestStep(e)
 	waited := c.now().Sub(c.timing(e, expectedRunTime).FirstSubmitted())
-	if waited < e.Route.LatencyBudget(expectedRunTime)*maxStartWaitPercent/100 {
+	if waited < maxStartWait(e.Route, expectedRunTime) {
 		return false
 	}
 	cands := c.findCandidates(e.Route, longest)
@@ -21,6 +22,12 @@
 	return e.refuse(Answer{State: Refused, Reason: reason, RetryAfter: c.retryDelay(e, longest, cands, wait)})
 }
 
+// maxStartWait returns how long after its first submission a job of route r is refused if
+// none of its tasks has started.
+func maxStartWait(r route.Route, expectedRunTime time.Duration) time.Duration {
+	return r.LatencyBudget(expectedRunTime) * maxStartWaitPercent / 100
+}
+
 // longestStep returns the step of e with the longest expected run time of a task, and
 // that time.
 func (c *Coordinator) longestStep(e *execution) (Step, time.Duration) {
@@ -44,17 +51,23 @@
 // largest step and the expected wait for capacity.
 func (c *Coordinator) retryDelay(e *execution, s Step, cands *candidates, wait time.Duration) time.Duration {
 	now := c.now()
+	return c.retries.Delay(c.refusal(e, s, cands, wait, now, c.outage(cands.usableCapacity() > 0, now)))
+}
+
+// refusal describes the refusal of e at now, given its largest step, the expected wait for
+// capacity and how long no gate has been able to start tasks.
+func (c *Coordinator) refusal(e *execution, s Step, cands *candidates, wait time.Duration, now boot.Time, outage time.Duration) retry.Refusal {
 	expectedRunTime := c.runTimes.Estimate(e.Route.Name, s.DeclaredRunTime)
 	capacity := cands.usableCapacity()
 	r := retry.Refusal{
-		Now: now, Wait: wait, Priority: e.Route.Priority, Outage: c.outage(capacity > 0, now),
+		Now: now, Wait: wait, Priority: e.Route.Priority, Outage: outage,
 		Repeated: c.timing(e, expectedRunTime).Repeated(),
 	}
 	if capacity > 0 {
 		share := capacity / float64(c.entries())
 		r.Work = time.Duration(float64(s.Count) * float64(s.Size.CPU) / share * float64(expectedRunTime))
 	}
-	return c.retries.Delay(r)
+	return r
 }
 
 // outage returns how long no gate has been able to start tasks, given whether one can
@@ -62,14 +75,28 @@
 func (c *Coordinator) outage(usable bool, now boot.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.outageSince = outageStart(c.outageSince, usable, now)
+	return outageDuration(c.outageSince, now)
+}
+
+// outageStart returns since when no gate can start tasks, given since when that was so far
+// and whether one can now; 0 means that one can.
+func outageStart(since boot.Time, usable bool, now boot.Time) boot.Time {
 	switch {
 	case usable:
-		c.outageSince = 0
 		return 0
-	case c.outageSince == 0:
-		c.outageSince = now
+	case since == 0:
+		return now
+	}
+	return since
+}
+
+// outageDuration returns how long an outage has lasted that began at since; 0 for none.
+func outageDuration(since, now boot.Time) time.Duration {
+	if since == 0 {
+		return 0
 	}
-	return now.Sub(c.outageSince)
+	return now.Sub(since)
 }
 
 // entries returns the number of entries that share the gates, this one included.
--- a/internal/disp/coord/task.go
+++ b/internal/disp/coord/task.go
@@ -149,14 +149,8 @@
 func (c *Coordinator) place(e *execution, s Step, ts *taskState) (*link.Link, string, msgs.Task, bool) {
 	cands := c.findCandidates(e.Route, s)
 	defer c.release(cands)
-	for i, target := range cands.targets {
-		cands.gates[i].Avoid = ts.avoid[target]
-		if s.MaxPerTarget > 0 && !e.belowLimit(stepTargetKey(ts.stepIndex, target), s.MaxPerTarget) {
-			cands.gates[i].Capacity.CPU = -1
-		}
-	}
 	expectedRunTime := c.runTimes.Estimate(e.Route.Name, s.DeclaredRunTime)
-	choice := pick.Best(cands.gates, pick.Task{Size: s.Size, RunTime: expectedRunTime})
+	choice := cands.choose(e, s, ts, expectedRunTime)
 	if choice.Gate < 0 {
 		return nil, "", msgs.Task{}, false
 	}
@@ -176,6 +170,17 @@
 	}, true
 }
 
+// choose chooses a gate for a task with the given expected run time. It records nothing.
+func (cands *candidates) choose(e *execution, s Step, ts *taskState, expectedRunTime time.Duration) pick.Choice {
+	for i, target := range cands.targets {
+		cands.gates[i].Avoid = ts.avoid[target]
+		if s.MaxPerTarget > 0 && !e.belowLimit(stepTargetKey(ts.stepIndex, target), s.MaxPerTarget) {
+			cands.gates[i].Capacity.CPU = -1
+		}
+	}
+	return pick.Best(cands.gates, pick.Task{Size: s.Size, RunTime: expectedRunTime})
+}
+
 // queueTimeLimit returns how long a task may wait in the queue of the chosen gate. It
 // is 0 if no wait is expected, so that a gate that turns out to be full refuses the
 // task at once and reports its load.
--- /dev/null
+++ b/internal/disp/coord/where_test.go
@@ -0,0 +1,300 @@
+package coord
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/link"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/rsrc"
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
+	"pgregory.net/rapid"
+)
+
+// newGatesWithLoads returns gates that have reported the given loads, and report them until
+// stop is called.
+func newGatesWithLoads(t *testing.T, loads ...msgs.Load) (f *fakeGates, stop func()) {
+	f = &fakeGates{loads: loads}
+	ctx, cancel := context.WithCancel(context.Background())
+	for i := range loads {
+		l := &link.Link{Addr: fmt.Sprint("g", i), Entry: "e", Incarnation: 1, Drop: func(string) {}}
+		l.Call = func(_ context.Context, _, method string, args, reply any) error {
+			return f.handleCall(i, method, args, reply)
+		}
+		f.links = append(f.links, l)
+		go l.Run(ctx)
+	}
+	for _, l := range f.links {
+		waitUntil(t, "the gate has answered", func() bool { return l.View(boot.Now()).LastAnswer > 0 })
+	}
+	return f, cancel
+}
+
+// frozenCoordinator returns a coordinator whose clock stands still at the returned time.
+func (f *fakeGates) frozenCoordinator() (*Coordinator, *boot.Time) {
+	now := boot.Now()
+	c := f.coordinator()
+	c.Now = func() boot.Time { return now }
+	return c, &now
+}
+
+// dump returns all of a coordinator's state that its decisions depend on as text.
+func (c *Coordinator) dump() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	text := fmt.Sprintf("%+v %+v %+v %d %d %v %d", &c.runTimes, &c.retries, &c.limiter, c.nextTaskID.Load(), len(c.jobs), c.crashes, c.outageSince)
+	for service, g := range c.guards {
+		text += fmt.Sprintf(" %s:%+v", service, g)
+	}
+	return text
+}
+
+// queryQuietly returns what Where answers. It fails the test if Where traces or counts
+// anything, sends a task, or changes the coordinator.
+func queryQuietly(t fataler, f *fakeGates, c *Coordinator, j Job) Plan {
+	c.Trace = func(event string, _ ...any) { t.Fatalf("the query traces %s", event) }
+	c.Count = func(name string) { t.Fatalf("the query counts %s", name) }
+	c.Observe = func(name string, _ time.Duration) { t.Fatalf("the query observes %s", name) }
+	before, sent := c.dump(), f.receivedCount()
+	p := c.Where(j)
+	if after := c.dump(); after != before || f.receivedCount() != sent {
+		t.Fatalf("the query changes the state from\n%s to\n%s, and sends %d tasks", before, after, f.receivedCount()-sent)
+	}
+	c.Trace, c.Count, c.Observe = nil, nil, nil
+	return p
+}
+
+// fataler is what queryQuietly uses of *testing.T and *rapid.T.
+type fataler interface {
+	Fatalf(format string, args ...any)
+}
+
+// drawLoad draws the load of a gate.
+func drawLoad(t *rapid.T) msgs.Load {
+	blocked := []string{"", "", "", "", cause.TargetCrashed, cause.Silent, cause.NoTarget, cause.TargetFailing, cause.Unhealthy}
+	return msgs.Load{
+		Incarnation: 1, Service: rapid.SampledFrom([]string{"s", "s", "s", "s", "other", ""}).Draw(t, "service"),
+		Leaving: rapid.IntRange(0, 9).Draw(t, "leaving") == 0, TargetIncarnation: "t",
+		CPU: rapid.IntRange(500, 4000).Draw(t, "cpu"), Memory: 1000, UsedCPU: rapid.IntRange(0, 4000).Draw(t, "used"),
+		QueuedWork: int64(rapid.SampledFrom([]int{0, 0, 0, 50, 900}).Draw(t, "queued")), Speed: rapid.Float64Range(0.1, 2).Draw(t, "speed"),
+		BlockedReason: rapid.SampledFrom(blocked).Draw(t, "blocked"),
+		Labels:        rapid.SampledFrom([][]string{nil, {"ssd"}, {"rack"}, {"ssd", "rack"}}).Draw(t, "labels"),
+	}
+}
+
+// drawJob draws a job that arrives at now.
+func drawJob(t *rapid.T, now boot.Time) Job {
+	j := newTestJob(1, 100)
+	j.Arrived, j.Route.Priority = now, rapid.IntRange(0, 2).Draw(t, "priority")
+	if rapid.Bool().Draw(t, "waits") {
+		j.WaitsUntil = now.Add(time.Duration(rapid.IntRange(100, 3000).Draw(t, "wait")) * time.Millisecond)
+	}
+	j.Steps = nil
+	for i := range rapid.IntRange(1, 3).Draw(t, "steps") {
+		s := Step{
+			Count: rapid.IntRange(1, 8).Draw(t, "count"), Size: rsrc.Vector{CPU: rapid.IntRange(1, 4500).Draw(t, "size"), Memory: 64},
+			DeclaredRunTime: time.Duration(rapid.IntRange(0, 900).Draw(t, "run time")) * time.Millisecond,
+			RequiredLabel:   rapid.SampledFrom([]string{"", "", "ssd"}).Draw(t, "required"),
+			PreferredLabel:  rapid.SampledFrom([]string{"", "rack"}).Draw(t, "preferred"),
+			MaxPerTarget:    rapid.IntRange(0, 1).Draw(t, "per target"),
+		}
+		if i > 0 && rapid.Bool().Draw(t, "depends") {
+			s.DependsOn = []int{i - 1}
+		}
+		j.Steps = append(j.Steps, s)
+	}
+	return j
+}
+
+// chosenGate returns the chosen gate of a step's plan, or nil.
+func (sp StepPlan) chosenGate() *GatePlan {
+	for i := range sp.Gates {
+		if sp.Gates[i].Chosen {
+			return &sp.Gates[i]
+		}
+	}
+	return nil
+}
+
+// The query must not give another answer than the admission and placement of the same job
+// just after it, over jobs that raise bulkheads, begin outages and get promises, and must
+// change nothing.
+func TestWhereIsWhatSubmissionDoes(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		loads := rapid.SliceOfN(rapid.Custom(drawLoad), 0, 6).Draw(rt, "loads")
+		f, stop := newGatesWithLoads(t, loads...)
+		defer stop()
+		c, now := f.frozenCoordinator()
+		c.ResubmitDelay = 500 * time.Millisecond
+		if rapid.Bool().Draw(rt, "separated") {
+			raiseBulkheads(c, "a", "b")
+		}
+		for range rapid.IntRange(1, 5).Draw(rt, "jobs") {
+			j := drawJob(rt, *now)
+			p := queryQuietly(rt, f, c, j)
+			checkAdmission(rt, c, p, j)
+			checkPlacements(rt, c, p, j)
+			*now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(rt, "pause")) * time.Millisecond)
+		}
+	})
+}
+
+// checkAdmission admits j and compares the answer with the plan.
+func checkAdmission(t *rapid.T, c *Coordinator, p Plan, j Job) {
+	e := newExecution(j)
+	defer e.cancel()
+	a := c.admit(e)
+	if a.Reason != p.Refused || a.RetryAfter < p.RetryEarliest || a.RetryAfter > p.RetryLatest {
+		t.Fatalf("got the answer %+v, the query said %+v", a, p.Admission)
+	}
+}
+
+// checkPlacements places the first task of each step of j and compares the gates with the
+// plan.
+func checkPlacements(t *rapid.T, c *Coordinator, p Plan, j Job) {
+	e := newExecution(j)
+	defer e.cancel()
+	for i, s := range j.Steps {
+		var wait, finish time.Duration
+		c.Trace = func(event string, pairs ...any) {
+			if event == "task_placed" {
+				wait, _ = pairs[slices.Index(pairs, any("wait"))+1].(time.Duration)
+				finish, _ = pairs[slices.Index(pairs, any("finish"))+1].(time.Duration)
+			}
+		}
+		l, _, m, ok := c.place(e, s, &taskState{stepIndex: i})
+		c.Trace = nil
+		g := p.Steps[i].chosenGate()
+		switch {
+		case ok != (g != nil):
+			t.Fatalf("step %d: placed is %t, the query said %+v", i, ok, p.Steps[i])
+		case ok && (g.Addr != l.Addr || g.IgnoreBreaker != m.IgnoreBreaker || g.Wait != wait || g.Finish != finish):
+			t.Fatalf("step %d: placed at %s, waits %v, ends after %v; the query said %+v", i, l.Addr, wait, finish, g)
+		}
+	}
+}
+
+// Each gate must be listed with what counts against it, and with nothing else.
+func TestWhereTellsWhatCountsAgainstGates(t *testing.T) {
+	base := msgs.Load{Incarnation: 1, Service: "s", TargetIncarnation: "t", CPU: 1000, Memory: 1000, Speed: 1, Labels: []string{"ssd", "rack"}}
+	for _, tt := range []struct {
+		name      string
+		change    func(*msgs.Load)
+		candidate bool
+		want      []string
+	}{
+		{"nothing", func(*msgs.Load) {}, true, nil},
+		{"leaving", func(l *msgs.Load) { l.Leaving = true }, false, []string{"leaving"}},
+		{"other service", func(l *msgs.Load) { l.Service = "other" }, false, []string{"service"}},
+		{"no target", func(l *msgs.Load) { l.Service = "" }, false, []string{"notarget"}},
+		{"label missing", func(l *msgs.Load) { l.Labels = []string{"rack"} }, false, []string{"label"}},
+		{"away from the data", func(l *msgs.Load) { l.Labels = []string{"ssd"} }, true, []string{"far: runs 1.5 times as long"}},
+		{"too small", func(l *msgs.Load) { l.CPU = 200 }, true, []string{"size: needs cpu 300, memory 0 MB, gpu 0, has cpu 200, memory 1000 MB, gpu 0"}},
+		{"crashed", func(l *msgs.Load) { l.BlockedReason = cause.TargetCrashed }, true, []string{"crashed"}},
+		{"target silent", func(l *msgs.Load) { l.BlockedReason = cause.Silent }, true, []string{"silent"}},
+		{"breaker open", func(l *msgs.Load) { l.BlockedReason = cause.TargetFailing }, true, []string{"aside: failing"}},
+		{"full", func(l *msgs.Load) { l.UsedCPU = 800 }, true, []string{"full"}},
+		{"full and away", func(l *msgs.Load) { l.UsedCPU, l.Labels = 800, []string{"ssd"} }, true, []string{"full", "far: runs 1.5 times as long"}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			load := base
+			tt.change(&load)
+			f, stop := newGatesWithLoads(t, load)
+			defer stop()
+			c, now := f.frozenCoordinator()
+			j := newTestJob(1, 300)
+			j.Arrived, j.Steps[0].RequiredLabel, j.Steps[0].PreferredLabel = *now, "ssd", "rack"
+			g := queryQuietly(t, f, c, j).Steps[0].Gates
+			if len(g) != 1 || g[0].Candidate != tt.candidate || !slices.Equal(g[0].Against, tt.want) {
+				t.Errorf("got %+v, want candidate %t against %q", g, tt.candidate, tt.want)
+			}
+		})
+	}
+}
+
+// A gate that has not answered, or not lately, must be listed as silent.
+func TestWhereListsSilentGates(t *testing.T) {
+	f, stop := newGatesWithLoads(t, msgs.Load{Incarnation: 1, Service: "s", CPU: 1000, Speed: 1})
+	f.links = append(f.links, &link.Link{Addr: "g1"})
+	c, now := f.frozenCoordinator()
+	stop()
+	*now = now.Add(10 * time.Second)
+	j := newTestJob(1, 100)
+	j.Arrived = *now
+	p := queryQuietly(t, f, c, j)
+	g := p.Steps[0].Gates
+	if len(g) != 2 || g[0].AnswerAge < 5*time.Second || g[1].AnswerAge >= 0 {
+		t.Fatalf("got %+v, want an old answer and none", g)
+	}
+	for _, g := range g {
+		if g.Candidate || !slices.Equal(g.Against, []string{"silent"}) {
+			t.Errorf("got %+v, want it to be silent", g)
+		}
+	}
+	// Without gates the job is admitted, and refused if none is found in time: twice the
+	// budget of 1.6 times 100 ms and 60 ms.
+	if p.Refused != "" || p.RefusedAfter != 440*time.Millisecond {
+		t.Errorf("got %+v", p)
+	}
+}
+
+// The gates that the bulkheads keep for other routes must be listed as separated.
+func TestWhereListsSeparatedGates(t *testing.T) {
+	load := msgs.Load{Incarnation: 1, Service: "s", CPU: 1000, Speed: 1}
+	f, stop := newGatesWithLoads(t, load, load, load, load)
+	defer stop()
+	c, now := f.frozenCoordinator()
+	raiseBulkheads(c, "b", "r")
+	j := newTestJob(1, 100)
+	j.Arrived = *now
+	separated := 0
+	for _, g := range queryQuietly(t, f, c, j).Steps[0].Gates {
+		if !g.Candidate && slices.Equal(g.Against, []string{"separated"}) {
+			separated++
+		}
+	}
+	if separated != 2 {
+		t.Errorf("%d gates are separated, want 2 of 4", separated)
+	}
+}
+
+// An overload must be told with a time to retry, a job that no target can run without one.
+func TestWhereTellsRefusals(t *testing.T) {
+	full := msgs.Load{Incarnation: 1, Service: "s", CPU: 1000, Memory: 1000, Speed: 1, UsedCPU: 1000, QueuedWork: 900}
+	f, stop := newGatesWithLoads(t, full, full)
+	defer stop()
+	c, now := f.frozenCoordinator()
+	for _, tt := range []struct {
+		cpu   int
+		want  string
+		retry bool
+	}{{1000, cause.Overload, true}, {1001, cause.TooLarge, false}} {
+		j := newTestJob(1, tt.cpu)
+		j.Arrived = *now
+		p := queryQuietly(t, f, c, j)
+		if p.Refused != tt.want || tt.retry != (p.RetryEarliest >= 900*time.Millisecond) || p.RetryLatest < p.RetryEarliest {
+			t.Errorf("cpu %d: got %+v, want %s", tt.cpu, p.Admission, tt.want)
+		}
+	}
+}
+
+// A job with very many steps must not make the answer exceed the memory of an entry.
+func TestWhereListsGatesOfFirstStepsOnly(t *testing.T) {
+	f, stop := newGatesWithLoads(t, msgs.Load{Incarnation: 1, Service: "s", CPU: 1000, Speed: 1})
+	defer stop()
+	c, now := f.frozenCoordinator()
+	j := newTestJob(1, 100)
+	j.Arrived, j.Steps = *now, slices.Repeat(j.Steps, 2*maxListedSteps)
+	listed := 0
+	steps := queryQuietly(t, f, c, j).Steps
+	for _, s := range steps {
+		listed += len(s.Gates)
+	}
+	if len(steps) != 2*maxListedSteps || listed != maxListedSteps {
+		t.Errorf("%d steps with %d gates", len(steps), listed)
+	}
+}
