Test that placement queries count an outage

Cause: a trial without the outage in the query passed the property test, as outages were too short to matter. Change: the property test starts with an outage in half of its cases; an example checks its effect on the time to retry, for one step and for the step after one that can be served.

--- a/internal/disp/coord/where_test.go
+++ b/internal/disp/coord/where_test.go
@@ -133,6 +133,9 @@
 		if rapid.Bool().Draw(rt, "separated") {
 			raiseBulkheads(c, "a", "b")
 		}
+		if rapid.Bool().Draw(rt, "outage") {
+			c.outageSince = now.Add(-4 * time.Second)
+		}
 		for range rapid.IntRange(1, 5).Draw(rt, "jobs") {
 			j := drawJob(rt, *now)
 			p := queryQuietly(rt, f, c, j)
@@ -282,6 +285,34 @@
 	}
 }
 
+// The time to retry must grow with the outage that the entry knows, and a step that can be
+// served ends the outage for those after it, as it does when a job is admitted.
+func TestWhereCountsOutage(t *testing.T) {
+	crashed := msgs.Load{Incarnation: 1, Service: "s", CPU: 1000, Memory: 1000, Speed: 1, BlockedReason: cause.TargetCrashed, Labels: []string{"ssd"}}
+	well := crashed
+	well.BlockedReason, well.Labels = "", nil
+	for _, tt := range []struct {
+		name     string
+		loads    []msgs.Load
+		earliest time.Duration
+	}{
+		{"all targets crashed", []msgs.Load{crashed}, 4 * time.Second},
+		{"the first step can be served", []msgs.Load{crashed, well}, 100 * time.Millisecond},
+	} {
+		f, stop := newGatesWithLoads(t, tt.loads...)
+		c, now := f.frozenCoordinator()
+		c.outageSince = now.Add(-4 * time.Second)
+		j := newTestJob(1, 100)
+		j.Arrived, j.Steps = *now, append(j.Steps, j.Steps[0])
+		j.Steps[1].RequiredLabel = "ssd"
+		p := queryQuietly(t, f, c, j)
+		if p.Refused != cause.Overload || p.RetryEarliest != tt.earliest {
+			t.Errorf("%s: got %+v", tt.name, p.Admission)
+		}
+		stop()
+	}
+}
+
 // A job with very many steps must not make the answer exceed the memory of an entry.
 func TestWhereListsGatesOfFirstStepsOnly(t *testing.T) {
 	f, stop := newGatesWithLoads(t, msgs.Load{Incarnation: 1, Service: "s", CPU: 1000, Speed: 1})
