Answer placement queries at an entry's metrics port

Cause: Coordinator.Where can be reached only inside the process. Change: report.WhereHandler answers a POST of a job at /where with the plan as JSON, or with an error text and the status 400, 404, 405 or 503. It uses the platform's decoder, limit and search for routes, and says if the entry refuses jobs because it is stopping.

--- a/cmd/gypsumlanding/observe.go
+++ b/cmd/gypsumlanding/observe.go
@@ -21,8 +21,9 @@
 
 // addMetricsServer appends the server of metrics and status to servers, unless the
 // metrics port is 0. If it can't listen on the port, it logs that, and the process
-// runs without the server. The fields of r that describe the process are filled in.
-func (p process) addMetricsServer(servers []transport.Server, r report.Process) []transport.Server {
+// runs without the server. The fields of r that describe the process are filled in. Placement
+// queries are answered by where, which is nil at a node.
+func (p process) addMetricsServer(servers []transport.Server, r report.Process, where *report.WhereHandler) []transport.Server {
 	p.counters.Gauge("log.dropped", p.log.Dropped)
 	if p.metricsPort == 0 {
 		return servers
@@ -39,6 +40,9 @@
 	r.Name, r.Address, r.Incarnation, r.Started, r.Dropped = p.cfg.Name, p.cfg.AdvertisedAddr, p.incarnation, p.startTime, p.log.Dropped
 	srv.Handle(stats.TextPath, p.counters.TextHandler())
 	srv.Handle(report.StatusPath, r)
+	if where != nil {
+		srv.Handle(report.WherePath, where)
+	}
 	return append(servers, srv)
 }
 
--- a/cmd/gypsumlanding/process.go
+++ b/cmd/gypsumlanding/process.go
@@ -107,7 +107,7 @@
 	}
 	draining := make(chan struct{})
 	readyServer.HandlePrefix("/", readinessHandler(e, draining))
-	servers := p.addMetricsServer([]transport.Server{callerServer, readyServer}, report.Process{Entry: e})
+	servers := p.addMetricsServer([]transport.Server{callerServer, readyServer}, report.Process{Entry: e}, p.whereHandler(e, callers))
 	return life.Daemon{
 		Name: "gypsumlanding-entry", Servers: servers, Last: rpcServer, Log: p.log,
 		Started: func(ctx context.Context) {
@@ -123,6 +123,14 @@
 	}.Run(ctx)
 }
 
+// whereHandler returns the handler of placement queries to e, whose jobs callers submits.
+func (p process) whereHandler(e *proc.Entry, callers *platform.CallerHandler) *report.WhereHandler {
+	return &report.WhereHandler{
+		Entry: p.cfg.Name, Config: &e.Config, FindRoute: platform.FindRoute, MaxBodyBytes: platform.MaxBodyBytes,
+		DecodeJob: platform.DecodeJob, Stopping: callers.Stopping, Where: e.Coord.Where,
+	}
+}
+
 // waitForJobs waits for lameDuckPeriod, and then until no job is running or all but
 // drainMargin of the time to stop has passed.
 func (p process) waitForJobs(countRunning func() int) {
@@ -163,7 +171,7 @@
 		Service: p.cfg.Service, OnHeartbeat: n.HandleHeartbeat, OnDeregister: n.HandleDeregistration,
 		OnInvalid: func(id string, err error) { p.log.Event("heartbeat_refused", "target", id, "err", err) },
 	})
-	servers := p.addMetricsServer([]transport.Server{rpcServer, heartbeatServer}, report.Process{Gate: g})
+	servers := p.addMetricsServer([]transport.Server{rpcServer, heartbeatServer}, report.Process{Gate: g}, nil)
 	return life.Daemon{
 		Name: "gypsumlanding-node", Servers: servers, Log: p.log,
 		Started: func(ctx context.Context) { go n.Run(ctx) },
