Add gypctl where

Cause: operators ask an entry where it would place a job through its metrics port, which takes a request by hand. Change: gypctl where sends the job in a file to an entry and prints the decision and a table of the gates, or the answer as JSON. Its exit codes tell a wrong query (2), an unknown route (4) and an entry that can't answer (1) apart. The answer counts the candidates, and has empty lists instead of null.

--- a/cmd/gypctl/main.go
+++ b/cmd/gypctl/main.go
@@ -1,10 +1,11 @@
 // Command gypctl lets operators edit the catalogue, drain nodes and see the
 // state of a region. On the users' platform it shows the state that each process
-// reports, and explains from log lines how a request went.
+// reports, asks an entry where it would place a job, and explains from log lines how a
+// request went.
 //
 // It exits with 0 after success, 1 after a failure, 2 if its arguments are
 // invalid, 3 if the entry has been changed since the given version, 4 if the
-// entry, node or request does not exist, and 5 if it is not yet known whether an
+// entry, node, request or route does not exist, and 5 if it is not yet known whether an
 // edit took effect.
 package main
 
@@ -26,7 +27,7 @@
 // Exit codes that only gypctl has, beside those of package life.
 const (
 	exitConflict = 3 // the catalogue entry has been changed since the given version
-	exitNotFound = 4 // there is no such entry, node or request
+	exitNotFound = 4 // there is no such entry, node, request or route
 	exitInDoubt  = 5 // it is not yet known whether the edit took effect
 )
 
@@ -81,6 +82,7 @@
 			t.statusCommand(),
 			t.drainCommand(),
 			t.fleetCommand(),
+			t.whereCommand(),
 			t.explainCommand(),
 		},
 		Exec: showUsage,
--- a/internal/disp/coord/where.go
+++ b/internal/disp/coord/where.go
@@ -39,6 +39,7 @@
 	MaxWait         time.Duration // longest ExpectedWait accepted if the step depends on no other
 	Slack           time.Duration // time until the latest start with which the answer is in time
 	DependsOn       []int         // indexes of the steps that must be done before; MaxWait does not apply if there are any
+	Candidates      int           // number of gates that may run a task; without any, tasks wait for one
 	Usable          int           // number of candidates that can start tasks
 	Gates           []GatePlan    // by address, candidates first; empty from step maxListedSteps on
 }
@@ -92,7 +93,8 @@
 	known.outageSince = outageStart(known.outageSince, cands.usableCapacity() > 0, now)
 	sp := StepPlan{
 		Admission: Admission{Refused: d.reason}, ExpectedRunTime: d.expectedRunTime, ExpectedWait: d.longestWait,
-		MaxWait: d.maxWait, Slack: d.slack, DependsOn: s.DependsOn, Usable: cands.usableGates(),
+		MaxWait: d.maxWait, Slack: d.slack, DependsOn: s.DependsOn,
+		Candidates: len(cands.gates), Usable: cands.usableGates(),
 	}
 	if d.retryable() {
 		r := c.refusal(e, s, cands, d.longestWait, now, outageDuration(known.outageSince, now))
--- a/internal/disp/coord/where_test.go
+++ b/internal/disp/coord/where_test.go
@@ -238,6 +238,9 @@
 			t.Errorf("got %+v, want it to be silent", g)
 		}
 	}
+	if s := p.Steps[0]; s.Candidates != 0 || s.Usable != 0 {
+		t.Errorf("got %d candidates, of which %d are usable", s.Candidates, s.Usable)
+	}
 	// Without gates the job is admitted, and refused if none is found in time: twice the
 	// budget of 1.6 times 100 ms and 60 ms.
 	if p.Refused != "" || p.RefusedAfter != 440*time.Millisecond {
--- a/internal/disp/report/where.go
+++ b/internal/disp/report/where.go
@@ -130,7 +130,7 @@
 // newDoc returns the answer for a job. A job that is refused before its admission has no
 // steps in it.
 func (h *WhereHandler) newDoc(j coord.Job, unsupported string) *WhereDoc {
-	d := &WhereDoc{Entry: h.Entry, Version: j.ConfigVersion, Route: j.Route.Name, Service: j.Route.Service, Priority: j.Route.Priority}
+	d := &WhereDoc{Entry: h.Entry, Version: j.ConfigVersion, Route: j.Route.Name, Service: j.Route.Service, Priority: j.Route.Priority, Steps: []StepDoc{}}
 	retryAfter, stopping := h.Stopping()
 	switch {
 	case stopping:
--- a/internal/disp/report/wheredoc.go
+++ b/internal/disp/report/wheredoc.go
@@ -33,13 +33,14 @@
 // StepDoc tells how a step would be admitted and its first task placed. Times are in ms.
 type StepDoc struct {
 	AdmissionDoc
-	ExpectedRunTime int64          `json:"run"`      // of a task at speed 100 %
-	ExpectedWait    int64          `json:"wait"`     // until the last task starts
-	MaxWait         int64          `json:"max-wait"` // longest wait accepted if the step depends on no other
-	Slack           int64          `json:"slack"`    // time until the latest start with which the answer is in time
-	DependsOn       []int          `json:"after"`    // steps that must be done before
-	Usable          int            `json:"usable"`   // candidates that can start tasks
-	Gates           []WhereGateDoc `json:"gates"`    // candidates first; empty for steps after the first 32
+	ExpectedRunTime int64          `json:"run"`        // of a task at speed 100 %
+	ExpectedWait    int64          `json:"wait"`       // until the last task starts
+	MaxWait         int64          `json:"max-wait"`   // longest wait accepted if the step depends on no other
+	Slack           int64          `json:"slack"`      // time until the latest start with which the answer is in time
+	DependsOn       []int          `json:"after"`      // steps that must be done before
+	Candidates      int            `json:"candidates"` // gates that may run a task; without any, tasks wait for one
+	Usable          int            `json:"usable"`     // candidates that can start tasks
+	Gates           []WhereGateDoc `json:"gates"`      // candidates first; empty for steps after the first 32
 }
 
 // WhereGateDoc tells what speaks for and against a gate. Times are in ms.
@@ -75,7 +76,8 @@
 	for _, s := range p.Steps {
 		sd := StepDoc{
 			ExpectedRunTime: s.ExpectedRunTime.Milliseconds(), ExpectedWait: s.ExpectedWait.Milliseconds(),
-			MaxWait: s.MaxWait.Milliseconds(), Slack: s.Slack.Milliseconds(), DependsOn: s.DependsOn, Usable: s.Usable,
+			MaxWait: s.MaxWait.Milliseconds(), Slack: s.Slack.Milliseconds(), DependsOn: append([]int{}, s.DependsOn...),
+			Candidates: s.Candidates, Usable: s.Usable, Gates: []WhereGateDoc{},
 		}
 		sd.setAdmission(s.Admission)
 		for _, g := range s.Gates {
@@ -94,7 +96,7 @@
 		Address: g.Addr, Target: g.Target, AnswerAge: age, CPU: g.Capacity.CPU, Used: g.Used.CPU, MemoryMB: g.Capacity.Memory, UsedMB: g.Used.Memory,
 		GPU: g.Capacity.GPU, UsedGPU: g.Used.GPU, Queued: g.QueuedWork, Speed: toPercent(g.Speed),
 		Candidate: g.Candidate, Fits: g.Fits, Chosen: g.Chosen, IgnoreBreaker: g.IgnoreBreaker,
-		Wait: roundUpMillis(g.Wait), RunTime: g.RunTime.Milliseconds(), Finish: roundUpMillis(g.Finish), Against: g.Against,
+		Wait: roundUpMillis(g.Wait), RunTime: g.RunTime.Milliseconds(), Finish: roundUpMillis(g.Finish), Against: append([]string{}, g.Against...),
 	}
 }
 
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -31,6 +32,7 @@
 	testscript.Run(t, testscript.Params{
 		Dir: filepath.Join("testdata", "platform"),
 		Setup: func(env *testscript.Env) error {
+			env.Setenv("PATH", binDir+string(os.PathListSeparator)+env.Getenv("PATH"))
 			s := &platformScenario{dir: env.WorkDir}
 			env.Values[platformScenarioKey{}] = s
 			env.Defer(s.close)
@@ -51,6 +53,7 @@
 			"verdict":  checkPlatformVerdict,
 			"explain":  checkPlatformExplanation,
 			"fleet":    awaitPlatformFleet,
+			"where":    awaitPlacement,
 			"counter":  checkPlatformCounter,
 		},
 	})
@@ -102,13 +105,15 @@
 }
 
 // startPlatform implements "platform entries=N nodes=N [early]", which starts the platform and
-// all processes, and waits as "ready" does, or, if early, until all entries are ready.
+// all processes, and waits as "ready" does, or, if early, until all entries are ready. It sets
+// the variable METRICS to the metrics address of the first entry.
 func startPlatform(ts *testscript.TestScript, _ bool, args []string) {
 	s := platformScenarioOf(ts)
 	s.entryCount = numberArg(ts, args, "entries", 2)
 	platform, err := psim.New(s.dir, filepath.Join(binDir, "gypsumlanding"), psim.Options{Entries: s.entryCount, Nodes: numberArg(ts, args, "nodes", 4)})
 	ts.Check(err)
 	s.platform = platform
+	ts.Setenv("METRICS", platform.MetricsAddr(1))
 	if slices.Contains(args, "early") {
 		awaitCondition(ts, "all entries to be ready", platform.EntriesReady)
 		return
