Stop the gates' reports in the tests of placement queries

Cause: the property test moves its clock ahead of real time; a report between the query and the placement could make a gate available that the query had found silent. Change: the links of these tests stop before the first query, so that the known state depends only on the test's clock.

--- a/internal/disp/coord/where_test.go
+++ b/internal/disp/coord/where_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -15,23 +16,26 @@
 	"pgregory.net/rapid"
 )
 
-// newGatesWithLoads returns gates that have reported the given loads, and report them until
-// stop is called.
-func newGatesWithLoads(t *testing.T, loads ...msgs.Load) (f *fakeGates, stop func()) {
-	f = &fakeGates{loads: loads}
+// newGatesWithLoads returns gates that have reported the given loads, and report nothing more,
+// so that what is known of them depends only on the coordinator's clock.
+func newGatesWithLoads(t *testing.T, loads ...msgs.Load) *fakeGates {
+	f := &fakeGates{loads: loads}
 	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
 	for i := range loads {
 		l := &link.Link{Addr: fmt.Sprint("g", i), Entry: "e", Incarnation: 1, Drop: func(string) {}}
 		l.Call = func(_ context.Context, _, method string, args, reply any) error {
 			return f.handleCall(i, method, args, reply)
 		}
 		f.links = append(f.links, l)
-		go l.Run(ctx)
+		running.Go(func() { l.Run(ctx) })
 	}
 	for _, l := range f.links {
 		waitUntil(t, "the gate has answered", func() bool { return l.View(boot.Now()).LastAnswer > 0 })
 	}
-	return f, cancel
+	cancel()
+	running.Wait()
+	return f
 }
 
 // frozenCoordinator returns a coordinator whose clock stands still at the returned time.
@@ -126,8 +130,7 @@
 func TestWhereIsWhatSubmissionDoes(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		loads := rapid.SliceOfN(rapid.Custom(drawLoad), 0, 6).Draw(rt, "loads")
-		f, stop := newGatesWithLoads(t, loads...)
-		defer stop()
+		f := newGatesWithLoads(t, loads...)
 		c, now := f.frozenCoordinator()
 		c.ResubmitDelay = 500 * time.Millisecond
 		if rapid.Bool().Draw(rt, "separated") {
@@ -206,8 +209,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			load := base
 			tt.change(&load)
-			f, stop := newGatesWithLoads(t, load)
-			defer stop()
+			f := newGatesWithLoads(t, load)
 			c, now := f.frozenCoordinator()
 			j := newTestJob(1, 300)
 			j.Arrived, j.Steps[0].RequiredLabel, j.Steps[0].PreferredLabel = *now, "ssd", "rack"
@@ -221,10 +223,9 @@
 
 // A gate that has not answered, or not lately, must be listed as silent.
 func TestWhereListsSilentGates(t *testing.T) {
-	f, stop := newGatesWithLoads(t, msgs.Load{Incarnation: 1, Service: "s", CPU: 1000, Speed: 1})
+	f := newGatesWithLoads(t, msgs.Load{Incarnation: 1, Service: "s", CPU: 1000, Speed: 1})
 	f.links = append(f.links, &link.Link{Addr: "g1"})
 	c, now := f.frozenCoordinator()
-	stop()
 	*now = now.Add(10 * time.Second)
 	j := newTestJob(1, 100)
 	j.Arrived = *now
@@ -251,8 +252,7 @@
 // The gates that the bulkheads keep for other routes must be listed as separated.
 func TestWhereListsSeparatedGates(t *testing.T) {
 	load := msgs.Load{Incarnation: 1, Service: "s", CPU: 1000, Speed: 1}
-	f, stop := newGatesWithLoads(t, load, load, load, load)
-	defer stop()
+	f := newGatesWithLoads(t, load, load, load, load)
 	c, now := f.frozenCoordinator()
 	raiseBulkheads(c, "b", "r")
 	j := newTestJob(1, 100)
@@ -271,8 +271,7 @@
 // An overload must be told with a time to retry, a job that no target can run without one.
 func TestWhereTellsRefusals(t *testing.T) {
 	full := msgs.Load{Incarnation: 1, Service: "s", CPU: 1000, Memory: 1000, Speed: 1, UsedCPU: 1000, QueuedWork: 900}
-	f, stop := newGatesWithLoads(t, full, full)
-	defer stop()
+	f := newGatesWithLoads(t, full, full)
 	c, now := f.frozenCoordinator()
 	for _, tt := range []struct {
 		cpu   int
@@ -302,7 +301,7 @@
 		{"all targets crashed", []msgs.Load{crashed}, 4 * time.Second},
 		{"the first step can be served", []msgs.Load{crashed, well}, 100 * time.Millisecond},
 	} {
-		f, stop := newGatesWithLoads(t, tt.loads...)
+		f := newGatesWithLoads(t, tt.loads...)
 		c, now := f.frozenCoordinator()
 		c.outageSince = now.Add(-4 * time.Second)
 		j := newTestJob(1, 100)
@@ -312,14 +311,12 @@
 		if p.Refused != cause.Overload || p.RetryEarliest != tt.earliest {
 			t.Errorf("%s: got %+v", tt.name, p.Admission)
 		}
-		stop()
 	}
 }
 
 // A job with very many steps must not make the answer exceed the memory of an entry.
 func TestWhereListsGatesOfFirstStepsOnly(t *testing.T) {
-	f, stop := newGatesWithLoads(t, msgs.Load{Incarnation: 1, Service: "s", CPU: 1000, Speed: 1})
-	defer stop()
+	f := newGatesWithLoads(t, msgs.Load{Incarnation: 1, Service: "s", CPU: 1000, Speed: 1})
 	c, now := f.frozenCoordinator()
 	j := newTestJob(1, 100)
 	j.Arrived, j.Steps = *now, slices.Repeat(j.Steps, 2*maxListedSteps)
