Carry orders to evacuate a domain in messages

Entries and gates have no way to tell each other that a domain is evacuated. Gossip and its reply carry all orders, Sync and Task that of the gate's domain, and Load the gate's domain. The fields are last and take one byte when empty; messages of older processes decode without them.

--- a/internal/wire/msgs/msgs_test.go
+++ b/internal/wire/msgs/msgs_test.go
@@ -27,8 +27,9 @@
 	}
 	load := Load{
 		Incarnation: 1, Timestamp: 2, Service: "s", TargetIncarnation: "t", Labels: []string{"l"}, CPU: 3, Memory: 4, GPU: 5,
-		UsedCPU: 6, UsedMemory: 7, UsedGPU: 8, QueuedWork: 9, Speed: 1.5, BlockedReason: "a", Leaving: true,
+		UsedCPU: 6, UsedMemory: 7, UsedGPU: 8, QueuedWork: 9, Speed: 1.5, BlockedReason: "a", Leaving: true, Domain: "z",
 	}
+	order := Order{Domain: "z", Version: 14, Evacuated: true}
 	return []any{
 		&Run{Key: "k", Entry: "e", Service: "s", Epoch: 1, Deadline: 3, TimeLeft: 4, LookupOnly: true, Tasks: [][]byte{[]byte("x")}},
 		&RunReply{State: 1, Reason: "r", NotOwner: true, NotAccepted: true, Epoch: 2, Answers: [][]byte{[]byte("x")}},
@@ -51,16 +52,16 @@
 		&Task{
 			Sender: Sender{Entry: "e", Incarnation: 1, GateIncarnation: 2, EchoedTimestamp: 3}, ID: 4, Name: "n", Job: "j", Service: "s", Spec: "x",
 			CPU: 5, Memory: 6, GPU: 7, ExpectedRunTime: 8, MaxQueueTime: 9, StartWithin: -10, Failures: 11, IgnoreBreaker: true,
-			Cancel: []uint64{12, 13},
+			Cancel: []uint64{12, 13}, Order: order,
 		},
 		&TaskReply{Result: Failed, Reason: "r", RunTime: 1, Load: load},
-		&Sync{Sender: Sender{Entry: "e", Incarnation: 1, GateIncarnation: 2, EchoedTimestamp: 3}, Cancel: []uint64{4, 5}},
+		&Sync{Sender: Sender{Entry: "e", Incarnation: 1, GateIncarnation: 2, EchoedTimestamp: 3}, Cancel: []uint64{4, 5}, Order: order},
 		&load,
 		&Revoke{Sender: Sender{Entry: "e", Incarnation: 1, GateIncarnation: 2, EchoedTimestamp: 3}, Jobs: []string{"j", "k"}},
 		&RevokeReply{Applied: true, Incarnation: 1, Timestamp: 2, Running: []string{"j"}},
 		&Hello{Addr: "a"},
-		&Gossip{Entry: "e", Members: []string{"m"}, ConfigVersion: 1, OutOfRotation: true},
-		&GossipReply{Members: []string{"m"}, ConfigVersion: 1, Config: []byte("c"), PendingRoutes: []string{"r"}, PendingCounts: []int64{2}, OutOfRotation: true},
+		&Gossip{Entry: "e", Members: []string{"m"}, ConfigVersion: 1, OutOfRotation: true, Orders: []Order{order, {Domain: "y", Version: 3}}},
+		&GossipReply{Members: []string{"m"}, ConfigVersion: 1, Config: []byte("c"), PendingRoutes: []string{"r"}, PendingCounts: []int64{2}, OutOfRotation: true, Orders: []Order{order}},
 		&Lookup{Job: "j", Cancel: true, Drain: true, EchoedTimestamp: 5},
 		&LookupReply{State: "s", Timestamp: 5, OrphansFor: 6},
 	}
@@ -145,3 +146,37 @@
 		}
 	})
 }
+
+// Guards against processes of before evacuations that can't be understood: each message
+// that has an order or a failure domain now decodes without it, and means that there is none.
+// Such a message is a byte longer than before, and its header two bytes from 16 fields on.
+func TestMessagesWithoutOrdersDecode(t *testing.T) {
+	for _, c := range []struct {
+		older     []any
+		got, want any
+	}{
+		{[]any{"e", uint64(1), uint64(2), int64(3), []uint64{4}}, &Sync{}, &Sync{Sender: Sender{"e", 1, 2, 3}, Cancel: []uint64{4}}},
+		{[]any{"e", []string{"m"}, int64(5), true}, &Gossip{}, &Gossip{Entry: "e", Members: []string{"m"}, ConfigVersion: 5, OutOfRotation: true}},
+		{[]any{[]string{"m"}, int64(5), []byte("c"), []string{}, []int64{}, true}, &GossipReply{}, &GossipReply{
+			Members: []string{"m"}, ConfigVersion: 5, Config: []byte("c"), PendingRoutes: []string{}, PendingCounts: []int64{}, OutOfRotation: true,
+		}},
+		{
+			[]any{uint64(1), int64(2), "s", "t", []string{"l"}, 3, 4, 5, 6, 7, 8, int64(9), 1.5, "a", true}, &Load{},
+			&Load{
+				Incarnation: 1, Timestamp: 2, Service: "s", TargetIncarnation: "t", Labels: []string{"l"}, CPU: 3, Memory: 4, GPU: 5,
+				UsedCPU: 6, UsedMemory: 7, UsedGPU: 8, QueuedWork: 9, Speed: 1.5, BlockedReason: "a", Leaving: true,
+			},
+		},
+	} {
+		older, err := msgpack.Marshal(c.older)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := msgpack.Unmarshal(older, c.got); err != nil || !reflect.DeepEqual(c.got, c.want) {
+			t.Errorf("got %+v, %v, want %+v", c.got, err, c.want)
+		}
+		if encoded, err := msgpack.Marshal(c.want); err != nil || len(encoded) > len(older)+1+len(c.older)/15*2 {
+			t.Errorf("%T takes %d bytes, %d before (%v)", c.want, len(encoded), len(older), err)
+		}
+	}
+}
--- a/internal/wire/msgs/task.go
+++ b/internal/wire/msgs/task.go
@@ -51,6 +51,7 @@
 	Failures        int      // number of times that the task has failed elsewhere
 	IgnoreBreaker   bool     // start the task even if the target's circuit breaker is open, since too many are
 	Cancel          []uint64 // IDs of tasks to stop before this one is admitted
+	Order           Order    // newest order of the gate's failure domain that the sender knows; zero if none
 }
 
 // TaskReply is the reply to Task.
@@ -66,6 +67,7 @@
 type Sync struct {
 	Sender
 	Cancel []uint64 // IDs of tasks to stop
+	Order  Order    // as in Task
 }
 
 // Load is the capacity and use of a gate's target.
@@ -85,6 +87,7 @@
 	Speed             float64  // run time on a target of speed 1 divided by the run time here
 	BlockedReason     string   // why the gate starts no tasks, such as an open circuit breaker; empty if it does
 	Leaving           bool     // the gate accepts no new tasks
+	Domain            string   // failure domain of the target; empty if unknown
 }
 
 // Revoke is the argument of Gate.Revoke. It stops or refuses all tasks of the jobs that are not of
@@ -117,6 +120,7 @@
 	Members       []string // each in the form "role address"
 	ConfigVersion int64    // version of the sender's configuration
 	OutOfRotation bool     // callers of the sender may submit its jobs to others; see rotate.Monitor
+	Orders        []Order  // that the sender knows
 }
 
 // GossipReply is the reply to Gossip. It contains the configuration only if that is
@@ -128,6 +132,7 @@
 	PendingRoutes []string // names of the routes that have pending jobs
 	PendingCounts []int64  // number of pending jobs for each of PendingRoutes
 	OutOfRotation bool     // callers of the replying entry may submit its jobs to others
+	Orders        []Order  // that the replying entry knows
 }
 
 // Lookup is the argument of Entry.Lookup. It asks an entry for the state of a job, and
@@ -159,16 +164,16 @@
 func (m *Task) EncodeMsgpack(e *msgpack.Encoder) error {
 	return encodeArray(e, m.Entry, m.Incarnation, m.GateIncarnation, m.EchoedTimestamp, m.ID,
 		m.Name, m.Job, m.Service, m.Spec, m.CPU, m.Memory, m.GPU,
-		m.ExpectedRunTime, m.MaxQueueTime, int64(0), m.Failures, m.IgnoreBreaker, m.StartWithin, m.Cancel)
+		m.ExpectedRunTime, m.MaxQueueTime, int64(0), m.Failures, m.IgnoreBreaker, m.StartWithin, m.Cancel, &m.Order)
 }
 
 // DecodeMsgpack reads the message. One without StartWithin, from an older process, is
-// due when it arrives; one without Cancel stops no task.
+// due when it arrives; one without Cancel stops no task, and one without Order has none.
 func (m *Task) DecodeMsgpack(d *msgpack.Decoder) error {
 	var unused int64
 	return decodeArray(d, &m.Entry, &m.Incarnation, &m.GateIncarnation, &m.EchoedTimestamp, &m.ID,
 		&m.Name, &m.Job, &m.Service, &m.Spec, &m.CPU, &m.Memory, &m.GPU,
-		&m.ExpectedRunTime, &m.MaxQueueTime, &unused, &m.Failures, &m.IgnoreBreaker, &m.StartWithin, &m.Cancel)
+		&m.ExpectedRunTime, &m.MaxQueueTime, &unused, &m.Failures, &m.IgnoreBreaker, &m.StartWithin, &m.Cancel, &m.Order)
 }
 
 // EncodeMsgpack writes the message.
@@ -183,26 +188,26 @@
 
 // EncodeMsgpack writes the message.
 func (m *Sync) EncodeMsgpack(e *msgpack.Encoder) error {
-	return encodeArray(e, m.Entry, m.Incarnation, m.GateIncarnation, m.EchoedTimestamp, m.Cancel)
+	return encodeArray(e, m.Entry, m.Incarnation, m.GateIncarnation, m.EchoedTimestamp, m.Cancel, &m.Order)
 }
 
 // DecodeMsgpack reads the message.
 func (m *Sync) DecodeMsgpack(d *msgpack.Decoder) error {
-	return decodeArray(d, &m.Entry, &m.Incarnation, &m.GateIncarnation, &m.EchoedTimestamp, &m.Cancel)
+	return decodeArray(d, &m.Entry, &m.Incarnation, &m.GateIncarnation, &m.EchoedTimestamp, &m.Cancel, &m.Order)
 }
 
 // EncodeMsgpack writes the message.
 func (m *Load) EncodeMsgpack(e *msgpack.Encoder) error {
 	return encodeArray(e, m.Incarnation, m.Timestamp, m.Service, m.TargetIncarnation, m.Labels,
 		m.CPU, m.Memory, m.GPU, m.UsedCPU, m.UsedMemory, m.UsedGPU,
-		m.QueuedWork, m.Speed, m.BlockedReason, m.Leaving)
+		m.QueuedWork, m.Speed, m.BlockedReason, m.Leaving, m.Domain)
 }
 
 // DecodeMsgpack reads the message.
 func (m *Load) DecodeMsgpack(d *msgpack.Decoder) error {
 	return decodeArray(d, &m.Incarnation, &m.Timestamp, &m.Service, &m.TargetIncarnation, &m.Labels,
 		&m.CPU, &m.Memory, &m.GPU, &m.UsedCPU, &m.UsedMemory, &m.UsedGPU,
-		&m.QueuedWork, &m.Speed, &m.BlockedReason, &m.Leaving)
+		&m.QueuedWork, &m.Speed, &m.BlockedReason, &m.Leaving, &m.Domain)
 }
 
 // EncodeMsgpack writes the message.
@@ -233,22 +238,24 @@
 
 // EncodeMsgpack writes the message.
 func (m *Gossip) EncodeMsgpack(e *msgpack.Encoder) error {
-	return encodeArray(e, m.Entry, m.Members, m.ConfigVersion, m.OutOfRotation)
+	return encodeArray(e, m.Entry, m.Members, m.ConfigVersion, m.OutOfRotation, ordersCodec(&m.Orders))
 }
 
-// DecodeMsgpack reads the message. One from an older process has no OutOfRotation.
+// DecodeMsgpack reads the message. One from an older process has no OutOfRotation, or no
+// Orders.
 func (m *Gossip) DecodeMsgpack(d *msgpack.Decoder) error {
-	return decodeArray(d, &m.Entry, &m.Members, &m.ConfigVersion, &m.OutOfRotation)
+	return decodeArray(d, &m.Entry, &m.Members, &m.ConfigVersion, &m.OutOfRotation, ordersCodec(&m.Orders))
 }
 
 // EncodeMsgpack writes the message.
 func (m *GossipReply) EncodeMsgpack(e *msgpack.Encoder) error {
-	return encodeArray(e, m.Members, m.ConfigVersion, m.Config, m.PendingRoutes, m.PendingCounts, m.OutOfRotation)
+	return encodeArray(e, m.Members, m.ConfigVersion, m.Config, m.PendingRoutes, m.PendingCounts, m.OutOfRotation, ordersCodec(&m.Orders))
 }
 
-// DecodeMsgpack reads the message. One from an older process has no OutOfRotation.
+// DecodeMsgpack reads the message. One from an older process has no OutOfRotation, or no
+// Orders.
 func (m *GossipReply) DecodeMsgpack(d *msgpack.Decoder) error {
-	return decodeArray(d, &m.Members, &m.ConfigVersion, &m.Config, &m.PendingRoutes, &m.PendingCounts, &m.OutOfRotation)
+	return decodeArray(d, &m.Members, &m.ConfigVersion, &m.Config, &m.PendingRoutes, &m.PendingCounts, &m.OutOfRotation, ordersCodec(&m.Orders))
 }
 
 // EncodeMsgpack writes the message.
