Refuse tasks at gates of evacuated domains

A gate starts tasks whether or not its domain is evacuated. It now keeps the newest order that an entry has sent, returns its queue, orders no start and repeats none while an evacuation is in force; what runs completes. A link tells its gate of a new order at once, and its view shows gates of evacuated domains. The failure domain is the target's, or else the node's.

--- a/internal/disp/cause/cause.go
+++ b/internal/disp/cause/cause.go
@@ -7,6 +7,7 @@
 	BreakerOpen      = "aside"       // the target's circuit breaker is open
 	Cancelled        = "cancelled"   // the task or its job was cancelled
 	Departed         = "departed"    // the target deregistered
+	Evacuated        = "evacuated"   // the failure domain is evacuated, or all domains whose targets could run the task are
 	LeaseExpired     = "expired"     // the entry's lease on its tasks has expired
 	TargetFailing    = "failing"     // runs on the target fail
 	NoCapacity       = "full"        // no capacity became free in time
@@ -73,7 +74,7 @@
 // PreventsStarts reports whether a gate whose load has this BlockedReason can start no task
 // at all. Any other non-empty reason means that the target's circuit breaker is open.
 func PreventsStarts(blockedReason string) bool {
-	return blockedReason == Silent || blockedReason == TargetCrashed || blockedReason == NoTarget
+	return blockedReason == Silent || blockedReason == TargetCrashed || blockedReason == NoTarget || blockedReason == Evacuated
 }
 
 // EntryRefusals returns the reasons for which an entry refuses a job.
@@ -88,7 +89,7 @@
 // task has not started.
 func GateRefusals() []string {
 	return []string{
-		BreakerOpen, Cancelled, Departed, LeaseExpired, NoCapacity, Leaving, NoTarget, OutdatedOrder, TargetRestarted, Rejected, WrongService, Silent,
+		BreakerOpen, Cancelled, Departed, Evacuated, LeaseExpired, NoCapacity, Leaving, NoTarget, OutdatedOrder, TargetRestarted, Rejected, WrongService, Silent,
 		TooLarge, Stopping, Foreign, Duplicate, Unanswered, Unhealthy, Unreachable, Revoked,
 	}
 }
--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -9,6 +9,7 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cbreak"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/estim"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/evac"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/lease"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/rsrc"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/targ"
@@ -20,6 +21,8 @@
 type Gate struct {
 	// IncarnationID identifies this incarnation of the process to entries.
 	IncarnationID uint64
+	// Domain is the failure domain of the node, which counts for a target that states none.
+	Domain string
 	// Start, Stop and Poll call the target. A nil error means that it answered
 	// with success; Start and Stop return its clock in ms. Poll is a long poll,
 	// which also renews the lease on the target's runs.
@@ -68,6 +71,7 @@
 	queue        []*run              // in no order; startQueued sorts it
 	entryLeases  lease.Table
 	revocations  map[string]revocation // by job
+	orders       evac.Set              // evacuations that entries have told of
 	runSince     boot.Time             // when Run began, by steady; 0 before
 	breaker      cbreak.Breaker
 	speed        estim.Speed
@@ -172,6 +176,7 @@
 func (g *Gate) Sync(m msgs.Sync) msgs.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.applyOrder(m.Order, m.Entry)
 	if m.GateIncarnation == g.IncarnationID {
 		g.renewEntry(m.Sender, m.Cancel)
 	}
@@ -203,6 +208,7 @@
 func (g *Gate) admit(m msgs.Task) (*run, msgs.TaskReply) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.applyOrder(m.Order, m.Entry)
 	if m.GateIncarnation != g.IncarnationID {
 		return nil, msgs.TaskReply{Result: msgs.Foreign, Reason: cause.OtherIncarnation, Load: g.load()}
 	}
@@ -262,6 +268,8 @@
 		return cause.NoTarget
 	case g.incarnation.Leaving:
 		return cause.Leaving
+	case g.evacuated():
+		return cause.Evacuated
 	case m.Service != g.incarnation.Service:
 		return cause.WrongService
 	case !demand.Valid() || !demand.Within(g.incarnation.Capacity):
@@ -309,7 +317,7 @@
 // load returns the target's capacity and use, and whether it takes tasks.
 func (g *Gate) load() msgs.Load {
 	now := g.now()
-	l := msgs.Load{Incarnation: g.IncarnationID, Timestamp: int64(now), Speed: g.speed.Value(), Leaving: g.stopping || g.incarnation.Leaving}
+	l := msgs.Load{Incarnation: g.IncarnationID, Timestamp: int64(now), Speed: g.speed.Value(), Leaving: g.stopping || g.incarnation.Leaving, Domain: g.domain()}
 	if !g.targetKnown {
 		l.BlockedReason = cause.NoTarget
 		return l
@@ -327,6 +335,8 @@
 		l.BlockedReason = cause.TargetCrashed
 	case g.silent || !g.reconciled() || g.unconfirmed():
 		l.BlockedReason = cause.Silent
+	case g.evacuated():
+		l.BlockedReason = cause.Evacuated
 	}
 	return l
 }
--- a/internal/disp/gate/heartbeat.go
+++ b/internal/disp/gate/heartbeat.go
@@ -61,6 +61,7 @@
 	}
 	g.incarnation.Leaving = leaving
 	g.refuseQueueIfLeaving()
+	g.refuseQueueIfEvacuated()
 	return !outdated
 }
 
--- a/internal/disp/gate/observe.go
+++ b/internal/disp/gate/observe.go
@@ -29,6 +29,7 @@
 	Fence        int64 // newest fencing token
 	Running      int   // tasks that run, or whose start has been ordered
 	Queued       int   // tasks that wait
+	Evacuated    bool  // nothing is started since the failure domain is evacuated
 	Entries      int   // entries with a current or recent lease
 }
 
@@ -38,7 +39,7 @@
 	defer g.mu.Unlock()
 	return State{
 		Incarnation: g.incarnation, TargetKnown: g.targetKnown, Load: g.load(), Reconciled: g.reconciled(), Unresponsive: g.silent, Fence: g.fence,
-		Running: len(g.runs), Queued: len(g.queue), Entries: g.entryLeases.Len(),
+		Running: len(g.runs), Queued: len(g.queue), Evacuated: g.evacuated(), Entries: g.entryLeases.Len(),
 	}
 }
 
--- a/internal/disp/gate/order.go
+++ b/internal/disp/gate/order.go
@@ -91,6 +91,8 @@
 		return r.stopReason
 	case !g.leaseValid(r.msg.Sender):
 		return cause.LeaseExpired
+	case g.evacuated():
+		return cause.Evacuated
 	case !g.targetReady():
 		return cause.Silent
 	case !g.used().Within(g.incarnation.Capacity):
--- a/internal/disp/link/link.go
+++ b/internal/disp/link/link.go
@@ -8,6 +8,7 @@
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/evac"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/gate"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/rsrc"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
@@ -54,6 +55,9 @@
 	Call func(ctx context.Context, addr, method string, args, reply any) error
 	// Drop closes the connection to an address, as peer.Pool does.
 	Drop func(addr string)
+	// Orders has the evacuations that this entry knows; nil means none. Each message carries
+	// the order of the gate's failure domain.
+	Orders *evac.Set
 	// Now reads the clock; nil means boot.Now.
 	Now func() boot.Time
 	// Event logs a change of state; nil discards it.
@@ -71,6 +75,7 @@
 	failures       int                 // consecutive Sync calls without an answer
 	cancels        map[uint64]struct{} // IDs of tasks to cancel, until the gate confirms
 	recent         []recentTask        // tasks that load may not include
+	confirmed      evac.Order          // newest order in a Sync call that this incarnation of the gate has answered
 	outstanding    int                 // tasks sent whose outcome is unknown
 	retired        bool                // Run ends once no task or cancellation needs it
 	closed         bool                // Run has ended, or ends without another call; final
@@ -90,6 +95,7 @@
 	Used       rsrc.Vector // resources used according to Load and by tasks sent since
 	LastAnswer boot.Time   // when the gate last answered; 0 if never
 	Available  bool        // Load is younger than MaxLoadAge and the gate accepts tasks
+	Evacuated  bool        // the gate's failure domain is evacuated, as this entry or the gate knows
 }
 
 // Run renews the lease until ctx ends, or until the link is retired and no task or
@@ -133,6 +139,7 @@
 	for _, t := range l.recent {
 		v.Used = v.Used.Plus(t.size)
 	}
+	v.Evacuated = l.order().Evacuated || l.load.BlockedReason == cause.Evacuated
 	v.Available = l.loadReceived > 0 && now.Sub(l.lastAnswer) < MaxLoadAge && !l.load.Leaving && l.load.Service != ""
 	return v
 }
@@ -163,7 +170,7 @@
 	for {
 		// A failed call may still be reading its message, so each call gets a copy.
 		message := m
-		message.Sender, message.Cancel = sender, l.cancelsToSend()
+		message.Sender, message.Cancel, message.Order = sender, l.cancelsToSend(), l.orderToSend()
 		var reply msgs.TaskReply
 		err := l.Call(ctx, l.Addr, TakeMethod, &message, &reply)
 		switch {
@@ -248,11 +255,11 @@
 	if !ok {
 		sender = msgs.Sender{Entry: l.Entry, Incarnation: l.Incarnation}
 	}
-	cancels := l.cancelsToSend()
+	cancels, order := l.cancelsToSend(), l.orderToSend()
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	reply := &msgs.Load{}
-	err := l.Call(ctx, l.Addr, SyncMethod, &msgs.Sync{Sender: sender, Cancel: cancels}, reply)
+	err := l.Call(ctx, l.Addr, SyncMethod, &msgs.Sync{Sender: sender, Cancel: cancels, Order: order}, reply)
 	l.mu.Lock()
 	l.lastSync = l.now()
 	l.mu.Unlock()
@@ -262,6 +269,7 @@
 	}
 	l.confirmCancels(cancels)
 	l.applyLoad(*reply, true)
+	l.confirmOrder(evac.Order(order))
 }
 
 // recordFailure records a Sync call without an answer. It closes the connection,
@@ -293,6 +301,7 @@
 	case restarted && l.loadReceived > 0:
 		l.previousEnd = max(l.previousEnd, l.echoedReceived.Add(gate.MaxOrphanTime))
 		l.echoedReceived = 0
+		l.confirmed = evac.Order{}
 	}
 	l.updateRecheck(load, now)
 	l.load, l.loadReceived, l.lastAnswer, l.failures = load, now, now, 0
@@ -367,6 +376,9 @@
 	if now < l.recheckUntil {
 		interval = blockedSyncInterval
 	}
+	if l.orderUnconfirmed() {
+		interval = 0
+	}
 	return max(min(l.lastEcho, l.loadReceived).Add(interval), l.lastSync.Add(minSyncInterval)).Sub(now)
 }
 
--- a/internal/disp/link/link_test.go
+++ b/internal/disp/link/link_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/evac"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/gate"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/peer"
@@ -25,13 +26,14 @@
 	onTask      func(call int, m msgs.Task) (msgs.TaskReply, error)
 	tasks       []msgs.Task
 	cancelled   []uint64
+	orders      []msgs.Order // of the Sync calls
 	drops       int
 }
 
 func newFakeGate() (*fakeGate, *Link) {
 	f := &fakeGate{now: boot.Time(time.Hour), incarnation: 5}
 	f.onTask = func(int, msgs.Task) (msgs.TaskReply, error) { return msgs.TaskReply{Result: msgs.Done}, nil }
-	return f, &Link{Addr: "g", Entry: "e", Incarnation: 1, Call: f.call, Drop: func(string) { f.drops++ }, Now: f.clock}
+	return f, &Link{Addr: "g", Entry: "e", Incarnation: 1, Call: f.call, Drop: func(string) { f.drops++ }, Now: f.clock, Orders: &evac.Set{}}
 }
 
 func (f *fakeGate) clock() boot.Time {
@@ -66,7 +68,7 @@
 	if f.silent {
 		return peer.ErrDeadlinePassed
 	}
-	load := msgs.Load{Incarnation: f.incarnation, Timestamp: int64(f.now), Service: "s", CPU: 1000, Memory: 10, BlockedReason: f.blocked}
+	load := msgs.Load{Incarnation: f.incarnation, Timestamp: int64(f.now), Service: "s", CPU: 1000, Memory: 10, BlockedReason: f.blocked, Domain: "z"}
 	if method == SyncMethod {
 		return f.sync(load, args, reply)
 	}
@@ -80,6 +82,7 @@
 		return peer.ErrBroken
 	}
 	f.cancelled = append(f.cancelled, m.Cancel...)
+	f.orders = append(f.orders, m.Order)
 	f.syncs++
 	*out = load
 	return nil
--- a/internal/disp/targ/targ.go
+++ b/internal/disp/targ/targ.go
@@ -40,8 +40,9 @@
 	Service  string // service that the target runs tasks of
 	Capacity rsrc.Vector
 	Labels   []string
-	Leaving  bool  // the target takes no more tasks
-	Seq      int64 // number of the heartbeat that says so, which rises; 0 if unknown
+	Domain   string // failure domain; empty if the target states none
+	Leaving  bool   // the target takes no more tasks
+	Seq      int64  // number of the heartbeat that says so, which rises; 0 if unknown
 }
 
 // Same reports whether i and o are the same incarnation.
