Place no tasks in evacuated domains

Entries leave gates of evacuated domains out of the candidates, refuse jobs at once that only those could run, and exchange orders in gossip, those ahead of the configuration. Status documents and gypctl fleet show domains and evacuations.

--- a/cmd/gypctl/fleet.go
+++ b/cmd/gypctl/fleet.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -146,18 +147,18 @@
 			nodes = append(nodes, s)
 		}
 	}
-	t.printTable("ENTRY\tADDRESS\tUP\tREADY\tCONFIG\tIN FORCE FOR\tJOBS\tGATES\tUSABLE", len(entries), func(i int) []any {
+	t.printTable("ENTRY\tADDRESS\tUP\tREADY\tCONFIG\tIN FORCE FOR\tJOBS\tGATES\tUSABLE\tEVACUATED", len(entries), func(i int) []any {
 		d := entries[i].Doc
 		e := d.Entry
-		return []any{d.Name, d.Address, report.FormatAge(d.Uptime), e.Ready, e.Version, report.FormatAge(e.ConfigAge), e.RunningJobs, len(e.Gates), countUsableGates(e)}
+		return []any{d.Name, d.Address, report.FormatAge(d.Uptime), e.Ready, e.Version, report.FormatAge(e.ConfigAge), e.RunningJobs, len(e.Gates), countUsableGates(e), cmp.Or(strings.Join(e.Evacuated, ","), "-")}
 	})
 	t.print("\n")
-	t.printTable("NODE\tADDRESS\tUP\tTARGET\tSERVICE\tRUNNING\tQUEUED\tUSED\tOF\tSPEED\tASIDE\tLEAVING", len(nodes), func(i int) []any {
+	t.printTable("NODE\tADDRESS\tUP\tTARGET\tSERVICE\tRUNNING\tQUEUED\tUSED\tOF\tSPEED\tASIDE\tLEAVING\tDOMAIN\tEVACUATED", len(nodes), func(i int) []any {
 		d := nodes[i].Doc
 		n := d.Node
 		return []any{
 			d.Name, d.Address, report.FormatAge(d.Uptime), cmp.Or(n.Target, "-"), cmp.Or(n.Service, "-"), n.Running, n.Queued,
-			n.Used, n.CPU, fmt.Sprintf("%d%%", n.Speed), cmp.Or(n.Aside, "-"), n.Leaving,
+			n.Used, n.CPU, fmt.Sprintf("%d%%", n.Speed), cmp.Or(n.Aside, "-"), n.Leaving, cmp.Or(n.Domain, "-"), n.Evacuated,
 		}
 	})
 	for _, s := range unreachable {
@@ -169,7 +170,7 @@
 func countUsableGates(e *report.EntryDoc) int {
 	n := 0
 	for _, g := range e.Gates {
-		if g.Usable && g.Aside == "" {
+		if g.Usable && g.Aside == "" && !g.Evacuated {
 			n++
 		}
 	}
--- a/internal/disp/coord/admit.go
+++ b/internal/disp/coord/admit.go
@@ -32,6 +32,8 @@
 	c.outage(cands.usableCapacity() > 0, c.now())
 	reason := ""
 	switch {
+	case !fits && cands.evacuated:
+		reason = cause.Evacuated
 	case len(cands.gates) == 0:
 	case !fits:
 		reason = cause.TooLarge
@@ -43,7 +45,7 @@
 	switch reason {
 	case cause.TooLarge:
 		return Answer{State: Refused, Reason: reason}
-	case cause.Overload:
+	case cause.Overload, cause.Evacuated:
 		return Answer{State: Refused, Reason: reason, RetryAfter: c.retryDelay(e, s, cands, longestWait)}
 	}
 	return Answer{}
--- a/internal/disp/coord/candidates.go
+++ b/internal/disp/coord/candidates.go
@@ -28,6 +28,9 @@
 	// allCrashed is set if there are gates and their targets have all crashed. Those are
 	// back after some seconds at the earliest.
 	allCrashed bool
+	// evacuated is set if a target in an evacuated domain, which is none of the candidates,
+	// could run the task.
+	evacuated bool
 }
 
 // serviceGate is a gate of the service, whether it can run the task or not.
@@ -37,7 +40,7 @@
 }
 
 // findCandidates returns the gates of a route's service that have reported their load
-// recently, are not leaving, have the label that the step requires, and belong to the
+// recently, are not leaving, are not in an evacuated domain, have the label that the step requires, and belong to the
 // route's share while bulkheads are raised. They need not have free capacity or an
 // available target. The caller passes them to release when it does not need them any
 // more: each placement looks at all gates, so without reuse their memory would be most of
@@ -135,7 +138,7 @@
 	clear(cands.links)
 	clear(cands.targets)
 	cands.truncate(0)
-	cands.service, cands.allCrashed = cands.service[:0], false
+	cands.service, cands.allCrashed, cands.evacuated = cands.service[:0], false, false
 	c.candidatePool.Put(cands)
 }
 
@@ -145,6 +148,12 @@
 	if !v.Available || v.Load.Service != service {
 		return
 	}
+	if v.Evacuated {
+		capacity := rsrc.Vector{CPU: v.Load.CPU, Memory: v.Load.Memory, GPU: v.Load.GPU}
+		hasLabel := s.RequiredLabel == "" || slices.Contains(v.Load.Labels, s.RequiredLabel)
+		cands.evacuated = cands.evacuated || hasLabel && s.Size.Within(capacity)
+		return
+	}
 	cands.service = append(cands.service, serviceGate{l.Addr, v.Load.BlockedReason == cause.TargetCrashed})
 	if s.RequiredLabel != "" && !slices.Contains(v.Load.Labels, s.RequiredLabel) {
 		return
--- a/internal/disp/coord/fake_test.go
+++ b/internal/disp/coord/fake_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/evac"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/link"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/route"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/rsrc"
@@ -29,23 +30,29 @@
 // with success until the test replaces respond.
 func newFakeGates(t *testing.T, n int) *fakeGates {
 	f := &fakeGates{respond: func(int, msgs.Task) msgs.TaskReply { return msgs.TaskReply{Result: msgs.Done, RunTime: 10} }}
+	for range n {
+		f.addGate(t, func(*msgs.Load) {}, nil)
+	}
+	return f
+}
+
+// addGate adds a gate whose load change has changed, and waits until it is known. Its link
+// knows the given orders.
+func (f *fakeGates) addGate(t *testing.T, change func(*msgs.Load), orders *evac.Set) {
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	for i := range n {
-		f.loads = append(f.loads, msgs.Load{Incarnation: 1, Service: "s", TargetIncarnation: string(rune('a' + i)), CPU: 1000, Memory: 1000, Speed: 1})
-		l := &link.Link{Addr: fmt.Sprint("g", i), Entry: "e", Incarnation: 1, Drop: func(string) {}}
-		l.Call = func(_ context.Context, _, method string, args, reply any) error {
-			return f.handleCall(i, method, args, reply)
-		}
-		f.links = append(f.links, l)
-	}
-	for _, l := range f.links {
-		go l.Run(ctx)
-	}
-	for _, l := range f.links {
-		waitUntil(t, "the gate is known", func() bool { return l.View(boot.Now()).Available })
+	f.mu.Lock()
+	i := len(f.links)
+	f.loads = append(f.loads, msgs.Load{Incarnation: 1, Service: "s", TargetIncarnation: string(rune('a' + i)), CPU: 1000, Memory: 1000, Speed: 1})
+	change(&f.loads[i])
+	f.mu.Unlock()
+	l := &link.Link{Addr: fmt.Sprint("g", i), Entry: "e", Incarnation: 1, Drop: func(string) {}, Orders: orders}
+	l.Call = func(_ context.Context, _, method string, args, reply any) error {
+		return f.handleCall(i, method, args, reply)
 	}
-	return f
+	f.links = append(f.links, l)
+	go l.Run(ctx)
+	waitUntil(t, "the gate is known", func() bool { return l.View(boot.Now()).Available })
 }
 
 func (f *fakeGates) handleCall(gate int, method string, args, reply any) error {
--- a/internal/disp/coord/refuse.go
+++ b/internal/disp/coord/refuse.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/retry"
 )
 
@@ -21,6 +22,18 @@
 	return e.refuse(Answer{State: Refused, Reason: reason, RetryAfter: c.retryDelay(e, longest, cands, wait)})
 }
 
+// refuseIfEvacuated refuses the job if a task of s can run only at targets of evacuated
+// domains, and no task of the job may have started. It reports whether it refused the job.
+func (c *Coordinator) refuseIfEvacuated(e *execution, s Step) bool {
+	cands := c.findCandidates(e.Route, s)
+	defer c.release(cands)
+	_, fits := cands.longestWait(s, c.runTimes.Estimate(e.Route.Name, s.DeclaredRunTime))
+	if fits || !cands.evacuated {
+		return false
+	}
+	return e.refuse(Answer{State: Refused, Reason: cause.Evacuated, RetryAfter: c.retryDelay(e, s, cands, 0)})
+}
+
 // longestStep returns the step of e with the longest expected run time of a task, and
 // that time.
 func (c *Coordinator) longestStep(e *execution) (Step, time.Duration) {
--- a/internal/disp/proc/entry.go
+++ b/internal/disp/proc/entry.go
@@ -9,6 +9,7 @@
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/coord"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/evac"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/giveup"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/link"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/memb"
@@ -51,6 +52,7 @@
 	Count func(name string)
 
 	Config route.Current
+	Orders evac.Set // evacuations of failure domains; changed by ApplyOrder
 
 	members memb.Set
 	pool    peer.Pool
--- a/internal/disp/proc/gossip.go
+++ b/internal/disp/proc/gossip.go
@@ -18,8 +18,8 @@
 	gossipFanout = 2
 )
 
-// gossip starts a round: it calls randomly chosen entries to exchange members,
-// and to get a newer configuration and their numbers of pending jobs. In its first round,
+// gossip starts a round: it calls randomly chosen entries to exchange members
+// and evacuations, and to get a newer configuration and their numbers of pending jobs. In its first round,
 // and while it is out of rotation, it calls all entries, to learn which of them are out, or so
 // that each of them knows.
 func (e *Entry) gossip(ctx context.Context, first bool) {
@@ -45,13 +45,14 @@
 
 // exchange makes one call for gossipWith and applies the reply.
 func (e *Entry) exchange(ctx context.Context, addr string) error {
-	m := &msgs.Gossip{Entry: e.Addr, Members: e.recentMembers(), ConfigVersion: e.Config.Version(), OutOfRotation: e.Rotation.Out()}
+	m := &msgs.Gossip{Entry: e.Addr, Members: e.recentMembers(), ConfigVersion: e.Config.Version(), OutOfRotation: e.Rotation.Out(), Orders: e.ordersToSend()}
 	reply := &msgs.GossipReply{}
 	if err := e.pool.Call(ctx, addr, gossipMethod, m, reply); err != nil {
 		return err
 	}
 	e.recordContact(memb.Member{Role: memb.Entry, Addr: addr})
 	e.addMembers(reply.Members)
+	e.applyOrders(reply.Orders, addr)
 	e.storePending(addr, reply)
 	if reply.OutOfRotation {
 		e.others.Record(addr)
@@ -75,6 +76,7 @@
 	if t := e.Config.Get(); t != nil && t.Version > version {
 		reply.Config = t.Raw
 	}
+	reply.Orders = e.ordersToSend()
 	for routeName, n := range e.Coord.Pending() {
 		reply.PendingRoutes = append(reply.PendingRoutes, routeName)
 		reply.PendingCounts = append(reply.PendingCounts, int64(n))
--- a/internal/disp/proc/service.go
+++ b/internal/disp/proc/service.go
@@ -65,11 +65,12 @@
 	return nil
 }
 
-// Gossip exchanges members with the calling entry, and replies with the numbers
+// Gossip exchanges members and evacuations with the calling entry, and replies with the numbers
 // of pending jobs and the configuration if it is newer than the caller's.
 func (s *EntryService) Gossip(m *msgs.Gossip, reply *msgs.GossipReply) error {
 	s.entry.recordContact(memb.Member{Role: memb.Entry, Addr: m.Entry})
 	s.entry.addMembers(m.Members)
+	s.entry.applyOrders(m.Orders, m.Entry)
 	if m.OutOfRotation {
 		s.entry.others.Record(m.Entry)
 	}
--- a/internal/disp/report/report.go
+++ b/internal/disp/report/report.go
@@ -37,45 +37,50 @@
 
 // EntryDoc is the status of an entry.
 type EntryDoc struct {
-	Ready       bool      `json:"ready"`   // jobs can be served
-	Version     int64     `json:"version"` // of the active configuration; 0 before the first
-	ConfigAge   int64     `json:"since"`   // ms since the configuration became active
-	Routes      int       `json:"routes"`  // in the active configuration
-	RunningJobs int       `json:"jobs"`    // jobs that have not ended
-	Entries     []string  `json:"entries"` // addresses of the other known entries
-	Gates       []GateDoc `json:"gates"`   // by address
+	Ready       bool      `json:"ready"`     // jobs can be served
+	Version     int64     `json:"version"`   // of the active configuration; 0 before the first
+	ConfigAge   int64     `json:"since"`     // ms since the configuration became active
+	Routes      int       `json:"routes"`    // in the active configuration
+	RunningJobs int       `json:"jobs"`      // jobs that have not ended
+	Entries     []string  `json:"entries"`   // addresses of the other known entries
+	Gates       []GateDoc `json:"gates"`     // by address
+	Evacuated   []string  `json:"evacuated"` // failure domains, in order
 }
 
 // GateDoc is what an entry knows about a gate.
 type GateDoc struct {
 	Address   string `json:"address"`
-	Target    string `json:"target"`  // ID; empty if the gate has none
-	AnswerAge int64  `json:"age"`     // ms since the gate last answered; -1 if never
-	Usable    bool   `json:"usable"`  // the load is recent and the gate accepts tasks
-	CPU       int    `json:"cpu"`     // of the target, thousandths of a core
-	Used      int    `json:"used"`    // in use, thousandths of a core
-	Queued    int64  `json:"queued"`  // core-milliseconds of work in the gate's queue
-	Speed     int    `json:"speed"`   // of the target, percent of the nominal speed
-	Aside     string `json:"aside"`   // why tasks should go elsewhere, such as an open circuit breaker; or empty
-	Leaving   bool   `json:"leaving"` // the gate accepts no further tasks
+	Target    string `json:"target"`    // ID; empty if the gate has none
+	AnswerAge int64  `json:"age"`       // ms since the gate last answered; -1 if never
+	Usable    bool   `json:"usable"`    // the load is recent and the gate accepts tasks
+	CPU       int    `json:"cpu"`       // of the target, thousandths of a core
+	Used      int    `json:"used"`      // in use, thousandths of a core
+	Queued    int64  `json:"queued"`    // core-milliseconds of work in the gate's queue
+	Speed     int    `json:"speed"`     // of the target, percent of the nominal speed
+	Aside     string `json:"aside"`     // why tasks should go elsewhere, such as an open circuit breaker; or empty
+	Leaving   bool   `json:"leaving"`   // the gate accepts no further tasks
+	Domain    string `json:"domain"`    // failure domain of the target; empty if unknown
+	Evacuated bool   `json:"evacuated"` // the gate's failure domain is evacuated
 }
 
 // NodeDoc is the status of a node and its target.
 type NodeDoc struct {
-	Target       string `json:"target"`  // ID; empty before the target has announced itself
-	Started      int64  `json:"born"`    // when the target started, Unix ms
-	Service      string `json:"service"` // of the target
-	Leaving      bool   `json:"leaving"` // the node accepts no further tasks
-	CPU          int    `json:"cpu"`     // of the target, thousandths of a core
-	Used         int    `json:"used"`    // in use, thousandths of a core
-	Running      int    `json:"running"` // tasks at the target
-	Queued       int    `json:"queued"`  // tasks waiting for capacity
-	Speed        int    `json:"speed"`   // of the target, percent of the nominal speed
-	Aside        string `json:"aside"`   // as in GateDoc
-	Reconciled   bool   `json:"clean"`   // no unknown runs are left at the target
-	Unresponsive bool   `json:"silent"`  // the target does not answer long polls
-	Entries      int    `json:"entries"` // entries that have called recently
-	Fence        int64  `json:"fence"`   // fencing token of the orders to the target
+	Target       string `json:"target"`    // ID; empty before the target has announced itself
+	Started      int64  `json:"born"`      // when the target started, Unix ms
+	Service      string `json:"service"`   // of the target
+	Leaving      bool   `json:"leaving"`   // the node accepts no further tasks
+	CPU          int    `json:"cpu"`       // of the target, thousandths of a core
+	Used         int    `json:"used"`      // in use, thousandths of a core
+	Running      int    `json:"running"`   // tasks at the target
+	Queued       int    `json:"queued"`    // tasks waiting for capacity
+	Speed        int    `json:"speed"`     // of the target, percent of the nominal speed
+	Aside        string `json:"aside"`     // as in GateDoc
+	Reconciled   bool   `json:"clean"`     // no unknown runs are left at the target
+	Unresponsive bool   `json:"silent"`    // the target does not answer long polls
+	Entries      int    `json:"entries"`   // entries that have called recently
+	Fence        int64  `json:"fence"`     // fencing token of the orders to the target
+	Domain       string `json:"domain"`    // as in GateDoc
+	Evacuated    bool   `json:"evacuated"` // as in GateDoc
 }
 
 // Process serves the status of one process. Entry or Gate is set.
@@ -113,7 +118,7 @@
 }
 
 func newEntryDoc(e *proc.Entry, now boot.Time) *EntryDoc {
-	d := &EntryDoc{Ready: e.Ready(), RunningJobs: e.Coord.Running(), Entries: e.Entries()}
+	d := &EntryDoc{Ready: e.Ready(), RunningJobs: e.Coord.Running(), Entries: e.Entries(), Evacuated: e.Orders.Evacuated()}
 	if t, activeSince := e.ActiveConfig(); t != nil {
 		d.Version, d.Routes, d.ConfigAge = t.Version, len(t.Routes), now.Sub(activeSince).Milliseconds()
 	}
@@ -122,6 +127,7 @@
 		d.Gates = append(d.Gates, GateDoc{
 			Address: l.Addr, Target: v.Load.TargetIncarnation, AnswerAge: millisSince(v.LastAnswer, now), Usable: v.Available, CPU: v.Load.CPU, Used: v.Used.CPU,
 			Queued: v.Load.QueuedWork, Speed: toPercent(v.Load.Speed), Aside: v.Load.BlockedReason, Leaving: v.Load.Leaving,
+			Domain: v.Load.Domain, Evacuated: v.Evacuated,
 		})
 	}
 	slices.SortFunc(d.Gates, func(a, b GateDoc) int { return strings.Compare(a.Address, b.Address) })
@@ -133,6 +139,7 @@
 		Target: s.Incarnation.ID, Started: s.Incarnation.Born, Service: s.Incarnation.Service, Leaving: s.Load.Leaving,
 		CPU: s.Load.CPU, Used: s.Load.UsedCPU, Running: s.Running, Queued: s.Queued, Speed: toPercent(s.Load.Speed),
 		Aside: s.Load.BlockedReason, Reconciled: s.Reconciled, Unresponsive: s.Unresponsive, Entries: s.Entries, Fence: s.Fence,
+		Domain: s.Load.Domain, Evacuated: s.Evacuated,
 	}
 }
 
