Read evacuations from the operator's table

Rows evacuate/NAME are not read, a malformed row stops the feed, and a listing is not told apart from changes. Heartbeats and records of targets have the failure domain.

--- a/cmd/gypsumlanding/process.go
+++ b/cmd/gypsumlanding/process.go
@@ -87,6 +87,7 @@
 	p.counters.Declare(append(cause.EntryCounters(), giveup.Counters()...))
 	p.counters.Gauge("jobs.running", func() int64 { return int64(e.Coord.Running()) })
 	p.counters.Gauge("config.version", e.Config.Version)
+	p.counters.Gauge("domains.evacuated", func() int64 { return int64(len(e.Orders.Evacuated())) })
 	p.counters.Gauge("gates", func() int64 { return int64(len(e.Links())) })
 	callers := &platform.CallerHandler{
 		Config: &e.Config, Submit: e.Coord.Submit, HasLeft: life.CallerHasLeft, IsFirst: life.IsFirstRequest, State: e.State, Cancel: e.Cancel, Pending: e.Pending,
@@ -112,7 +113,7 @@
 		Name: "gypsumlanding-entry", Servers: servers, Last: rpcServer, Log: p.log,
 		Started: func(ctx context.Context) {
 			go e.Run(ctx)
-			go p.followConfig(ctx, store, e)
+			go p.followOperator(ctx, store, e)
 			go p.followMembers(ctx, store, e)
 		},
 		Drain: func(context.Context) {
@@ -139,11 +140,17 @@
 	store := platform.NewStore(p.cfg.StoreAddr)
 	target := platform.NewTargetClient()
 	g := &gate.Gate{
-		IncarnationID: p.incarnation, Start: target.Start, Stop: target.Stop, Poll: target.Poll, Steady: boot.Steady,
+		IncarnationID: p.incarnation, Domain: p.cfg.FailureDomain, Start: target.Start, Stop: target.Stop, Poll: target.Poll, Steady: boot.Steady,
 		StopTime: p.cfg.StopTime, Event: p.log.Event, Trace: p.log.Trace, Count: p.counters.Count, Observe: p.counters.Observe,
 	}
 	p.counters.Declare(append(append(cause.NodeCounters(), gate.ProofCounters()...), gate.RevokedCounter))
 	p.counters.Gauge("tasks.running", func() int64 { return int64(g.State().Running) })
+	p.counters.Gauge("evacuated", func() int64 {
+		if g.State().Evacuated {
+			return 1
+		}
+		return 0
+	})
 	p.counters.Gauge("tasks.queued", func() int64 { return int64(g.State().Queued) })
 	n := &proc.Node{
 		Gate: g, Addr: p.cfg.AdvertisedAddr, Register: store.Register, Event: p.log.Event,
@@ -176,22 +183,6 @@
 	}.Run(ctx)
 }
 
-// followConfig passes each valid configuration in the store to e until ctx ends.
-func (p process) followConfig(ctx context.Context, store *platform.Store, e *proc.Entry) {
-	onRow := func(r platform.Row) {
-		if !platform.IsConfig(r) {
-			return
-		}
-		t, err := platform.DecodeConfig(r.Value)
-		if err != nil {
-			p.log.Event("config_invalid", "from", "store", "err", err)
-			return
-		}
-		e.ApplyConfig(t, "store")
-	}
-	store.Follow(ctx, platform.OperatorTable, configPollWait, onRow, p.logStoreResults("config"))
-}
-
 // followMembers passes changes of the members in the store to e until ctx ends.
 func (p process) followMembers(ctx context.Context, store *platform.Store, e *proc.Entry) {
 	onRow := func(r platform.Row) {
@@ -205,7 +196,7 @@
 			e.AddMember(m)
 		}
 	}
-	store.Follow(ctx, platform.MembersTable(), membersPollWait, onRow, p.logStoreResults("members"))
+	store.Follow(ctx, platform.MembersTable(), membersPollWait, platform.Follower{OnRow: onRow, OnResult: p.logStoreResults("members")})
 }
 
 // logStoreResults returns a callback for the result of each read of the store. The
