Check evacuations with properties and mutants

Nothing checks that no run starts in an evacuated domain, or that jobs are done again after it is taken back. The properties of disp/rules simulate the operator's table with its feed, listings and discarded history; entries follow it and exchange orders.

--- a/internal/disp/gate/evacuate_test.go
+++ b/internal/disp/gate/evacuate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
@@ -36,6 +37,9 @@
 		if l := o.order(5, true); l.BlockedReason != cause.Evacuated || l.Domain != "z" {
 			t.Errorf("got %+v", l)
 		}
+		if synctest.Wait(); len(queued) == 0 {
+			t.Error("the queue is not returned at once")
+		}
 		expectRefusal(t, <-queued, cause.Evacuated)
 		expectRefusal(t, o.take(o.task("late", 10)), cause.Evacuated)
 		o.order(4, false)
--- a/internal/disp/rules/cluster_test.go
+++ b/internal/disp/rules/cluster_test.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/coord"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/evac"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/gate"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/giveup"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/link"
@@ -34,6 +36,7 @@
 	startedAt time.Time
 	targets   []*target
 	done      chan struct{} // closed by finish
+	operator  operatorTable
 
 	mu              sync.Mutex
 	gates           []*gateProcess
@@ -78,6 +81,9 @@
 	members  memb.Set
 	asker    giveup.Asker
 	started  boot.Time // 0 for the first incarnation
+	orders   evac.Set
+	links    []*link.Link
+	serves   atomic.Bool // it has a configuration, and so the orders that came with it
 }
 
 // newCluster starts the given numbers of entries and gates, with one target for each
@@ -92,12 +98,13 @@
 		balanced: balanced,
 		checker:  newChecker(), startedAt: time.Now(), done: make(chan struct{}),
 		connections: map[[2]int]connState{}, abandonFuncs: map[string]context.CancelFunc{}, disconnects: map[string]context.CancelFunc{}, silences: map[string]func(){},
-		stalls: map[int]chan struct{}{}, lastStalls: map[int]boot.Time{}, cuts: map[path]map[int]int{callersPath: {}, peersPath: {}, gatesPath: {}},
+		stalls: map[int]chan struct{}{}, lastStalls: map[int]boot.Time{}, cuts: map[path]map[int]int{callersPath: {}, peersPath: {}, gatesPath: {}, storePath: {}},
 		gates: make([]*gateProcess, gates), records: make([]*targ.Incarnation, gates), entries: make([]*entryProcess, entries),
 	}
 	for i := range gates {
 		t := newTarget(fmt.Sprintf("t%d", i), 0.985+0.015*float64(i), c.checker, seed)
 		t.onReturn = func() { c.heartbeat(i, t.current()) }
+		t.forbidden = func() string { return c.operator.forbids(i) }
 		c.targets = append(c.targets, t)
 		go t.run(c.done)
 		c.startGate(i)
@@ -108,6 +115,7 @@
 	for i := range entries {
 		c.startEntry(i)
 	}
+	go c.watchInformed()
 	if balanced {
 		go c.checkEntries()
 	}
@@ -161,7 +169,7 @@
 	p.ctx, p.kill = context.WithCancel(context.Background())
 	t := c.targets[i]
 	p.gate = &gate.Gate{
-		IncarnationID: c.lastIncarnation, Now: c.now,
+		IncarnationID: c.lastIncarnation, Now: c.now, Domain: domainOf(i),
 		Start: func(ctx context.Context, l targ.Incarnation, o targ.Order) (int64, error) {
 			return callFrom(ctx, p, func(ctx context.Context) (int64, error) { return t.Start(ctx, l, o) })
 		},
@@ -211,7 +219,7 @@
 	var links []*link.Link
 	for g := range c.gates {
 		l := &link.Link{
-			Addr: fmt.Sprintf("g%d", g), Entry: fmt.Sprintf("e%d", i), Incarnation: c.lastIncarnation, Now: now, Drop: func(string) {},
+			Addr: fmt.Sprintf("g%d", g), Entry: fmt.Sprintf("e%d", i), Incarnation: c.lastIncarnation, Now: now, Drop: func(string) {}, Orders: &p.orders,
 			Call: func(ctx context.Context, _, method string, args, reply any) error {
 				return c.call(ctx, i, p, g, method, args, reply)
 			},
@@ -219,9 +227,10 @@
 		links = append(links, l)
 		go l.Run(p.ctx)
 	}
+	p.links = links
 	c.prepareAsker(i, p, links)
 	p.coord = &coord.Coordinator{
-		Links: func() []*link.Link { return links }, Now: now, ResubmitDelay: resubmitDelay,
+		Links: p.usableLinks, Now: now, ResubmitDelay: resubmitDelay,
 		GiveUpElsewhere: func(ctx context.Context, job string, repeated bool) { c.giveUpElsewhere(ctx, i, p, job, repeated) },
 		GiveUpIfKnown:   func(ctx context.Context, job string) { c.giveUpIfKnown(ctx, i, p, job) },
 		OthersOut:       func() bool { return p.rotation.Out() || len(p.others.Out()) > 0 },
@@ -233,9 +242,18 @@
 		p.rotation.Begin()
 	}
 	go c.watchRotation(i, p)
+	go c.followStore(i, p)
 	c.entries[i] = p
 }
 
+// usableLinks returns the links once the entry can serve.
+func (p *entryProcess) usableLinks() []*link.Link {
+	if !p.serves.Load() {
+		return nil
+	}
+	return p.links
+}
+
 // connection returns the current incarnation of a gate and the state of an entry's
 // connection to it.
 func (c *cluster) connection(entry, g int) (*gateProcess, connState) {
--- a/internal/disp/rules/cut_test.go
+++ b/internal/disp/rules/cut_test.go
@@ -21,6 +21,7 @@
 	callersPath path = iota // to the load balancer, and so to the callers
 	peersPath               // to the other entries
 	gatesPath               // to all gates
+	storePath               // to the platform's store
 )
 
 // cut cuts a path of entry i and returns the function that restores it. A path that is cut
--- a/internal/disp/rules/event_test.go
+++ b/internal/disp/rules/event_test.go
@@ -35,6 +35,9 @@
 	cutCallersPath
 	cutPeers
 	cutGates
+	cutStore
+	evacuateDomain
+	discardHistory
 	kindCount
 )
 
@@ -48,7 +51,7 @@
 	"kill gate", "kill entry", "connection cut", "replies cut", "target restarts", "target restarts under its ID", "target leaves",
 	"target deregisters", "target shrinks", "heartbeat of before", "heartbeat delayed", "target silent", "orders lost", "stops lost",
 	"orders delayed", "target fails", "target stuck", "target unhealthy", "caller abandons job", "callers cut", "callers silent", "entry stands still",
-	"callers' path cut", "other entries cut", "gates cut",
+	"callers' path cut", "other entries cut", "gates cut", "store cut", "domain evacuated", "store's history discarded",
 }
 
 // event is a failure, restart or departure that begins at a given time and, for most
@@ -73,6 +76,7 @@
 	Events   []event
 	Jobs     []jobSpec
 	SubmitMS []int // times at which the jobs are submitted, by index in Jobs
+	ActiveMS int   // time in which jobs are submitted and failures begin; 0 for activeMS
 }
 
 // drawSeed returns a random seed of the behavior of targets.
@@ -185,6 +189,14 @@
 		return c.cut(peersPath, i)
 	case cutGates:
 		return c.cut(gatesPath, i)
+	case cutStore:
+		return c.cut(storePath, i)
+	case evacuateDomain:
+		domain := domainOf(e.Index)
+		c.operator.write(domain, true)
+		return func() { c.operator.write(domain, false) }
+	case discardHistory:
+		c.operator.discard()
 	}
 	return func() {}
 }
--- a/internal/disp/rules/peer_test.go
+++ b/internal/disp/rules/peer_test.go
@@ -107,14 +107,24 @@
 	p.asker.Record(entryAddr(to), err)
 }
 
-// exchange lets two entries tell each other whether they are out of rotation.
+// exchange lets two entries tell each other whether they are out of rotation, and which domains
+// are evacuated. An entry
+// that can serve lets the caller serve too, with its orders.
 func (c *cluster) exchange(ctx context.Context, i, to int, p *entryProcess) error {
 	callerOut, calleeOut := p.rotation.Out(), false
+	orders, serves := p.orders.Orders(), false
 	err := c.callEntry(ctx, i, to, p, func(callee *entryProcess) {
 		callee.hear(i, callerOut, c.entryNow(to))
 		calleeOut = callee.rotation.Out()
+		callee.applyOrders(orders)
+		serves = callee.serves.Load()
+		orders = callee.orders.Orders()
 	})
 	if err == nil {
+		p.applyOrders(orders)
+		if serves {
+			p.serves.Store(true)
+		}
 		p.hear(to, calleeOut, c.entryNow(i))
 	}
 	return err
--- a/internal/disp/rules/rules_test.go
+++ b/internal/disp/rules/rules_test.go
@@ -61,7 +61,7 @@
 			c.submit(fmt.Sprint("j", i), s)
 		}()
 	}
-	time.Sleep(activeMS*time.Millisecond + 1500*time.Millisecond + quietTime)
+	time.Sleep(time.Duration(cmp.Or(sched.ActiveMS, activeMS))*time.Millisecond + 1500*time.Millisecond + quietTime)
 	doneBefore := c.checker.count(coord.Done)
 	for i := range recoveryJobs {
 		c.submit(fmt.Sprint("recovery", i), jobSpec{Tasks: 2, Work: work{CPU: 100, MS: 50}, Attempts: 1, Entry: i % entryCount})
@@ -102,12 +102,20 @@
 
 // checkRulesOf does the same with schedules that change has changed.
 func checkRulesOf(t *testing.T, kinds []int, wait time.Duration, change func(*schedule)) {
-	rapid.Check(t, func(rt *rapid.T) {
+	checkDrawn(t, func(rt *rapid.T) schedule {
 		sched := drawSchedule(rt, kinds)
 		change(&sched)
 		for i := range sched.Jobs {
 			sched.Jobs[i].Wait = wait
 		}
+		return sched
+	})
+}
+
+// checkDrawn simulates the schedules of draw and fails if a rule is violated.
+func checkDrawn(t *testing.T, draw func(*rapid.T) schedule) {
+	rapid.Check(t, func(rt *rapid.T) {
+		sched := draw(rt)
 		var violations []string
 		synctest.Test(t, func(*testing.T) { violations = simulate(sched) })
 		if len(violations) > 0 {
--- a/internal/disp/rules/target_test.go
+++ b/internal/disp/rules/target_test.go
@@ -29,7 +29,8 @@
 	name      string
 	clockRate float64 // of its clock relative to virtual time
 	checker   *checker
-	onReturn  func() // called when the target is back after a crash
+	onReturn  func()        // called when the target is back after a crash
+	forbidden func() string // why nothing may start here now; empty if it may
 
 	mu           sync.Mutex
 	behavior     behavior
@@ -225,6 +226,9 @@
 		t.checker.reportViolation("DRAIN: %s starts %v after %s announced to leave", o.Task, time.Since(t.leavingSince), t.name)
 	}
 	t.checker.runStarted(o.Task, t.name)
+	if why := t.forbidden(); why != "" {
+		t.checker.reportViolation("EVACUATED: %s starts at %s %s", o.Task, t.name, why)
+	}
 	now := time.Now()
 	if w.Deadly {
 		time.AfterFunc(crashDelay, t.crash)
