Evacuate domains in the simulated platform and the soak

Neither has failure domains or an operator that evacuates one. Processes and targets belong to three domains now, a start in an evacuated one after the limit is a violation, listings leave out removed rows, and the store can discard its history. A script and two kinds of failure of the soak use that.

--- a/internal/stand/psim/psim.go
+++ b/internal/stand/psim/psim.go
@@ -55,9 +55,12 @@
 	callers  []*http.Client
 	balancer balancer
 	draws    *draws // of all targets
-	ctx      context.Context
-	cancel   context.CancelFunc
-	servers  []*http.Server
+
+	evacuations evacuations
+
+	ctx     context.Context
+	cancel  context.CancelFunc
+	servers []*http.Server
 
 	mu      sync.Mutex
 	procs   map[string]*fleet.Proc  // by node name, such as "e1" or "n1"
@@ -91,15 +94,15 @@
 	}
 	p.WriteConfig(1)
 	for i := range o.Entries {
-		if err := p.addProcess(fmt.Sprintf("e%d", i+1), "entry", i+1, o); err != nil {
+		if err := p.addProcess(fmt.Sprintf("e%d", i+1), "entry", i+1, domainOf(i+1), o); err != nil {
 			return nil, err
 		}
 	}
 	for i := range o.Nodes {
-		if err := p.addProcess(fmt.Sprintf("n%d", i+1), "node", i+1+nodeHosts, o); err != nil {
+		if err := p.addProcess(fmt.Sprintf("n%d", i+1), "node", i+1+nodeHosts, domainOf(i+1), o); err != nil {
 			return nil, err
 		}
-		if err := p.addTarget(fmt.Sprintf("n%d", i+1), i+1+nodeHosts, o); err != nil {
+		if err := p.addTarget(fmt.Sprintf("n%d", i+1), i+1+nodeHosts, domainOf(i+1), o); err != nil {
 			return nil, err
 		}
 	}
@@ -143,7 +146,7 @@
 func address(host, port int) string { return fmt.Sprintf("127.0.1.%d:%d", host, port) }
 
 // addProcess writes the settings of a process and starts it.
-func (p *Platform) addProcess(name, role string, host int, o Options) error {
+func (p *Platform) addProcess(name, role string, host int, domain string, o Options) error {
 	storeAddr, err := p.proxiedAddr("store "+name, fmt.Sprintf("127.0.0.1:%d", p.ports.store), o)
 	if err != nil {
 		return err
@@ -162,7 +165,7 @@
 	}
 	settings := fmt.Sprintf(`node-name = %q
 ip = "127.0.1.%d"
-zone = "z"
+zone = %q
 internal-ports = [%d, %d]
 seeds = [%q]
 app = %q
@@ -179,7 +182,7 @@
 stop-ms = %d
 [platform]
 address = %q
-`, name, host, p.ports.internal, p.ports.internal, fmt.Sprintf("%s:%d", seedIP, p.ports.control), address(host, p.ports.target), serviceName,
+`, name, host, domain, p.ports.internal, p.ports.internal, fmt.Sprintf("%s:%d", seedIP, p.ports.control), address(host, p.ports.target), serviceName,
 		address(host, p.ports.front), address(host, p.ports.ready), address(host, p.ports.control), graceSeconds, resubmitDelay.Milliseconds(), stopBound.Milliseconds(), storeAddr)
 	path := filepath.Join(p.dir, name+".toml")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
@@ -281,13 +284,16 @@
 }
 
 // addTarget starts the target of a node.
-func (p *Platform) addTarget(node string, host int, o Options) error {
+func (p *Platform) addTarget(node string, host int, domain string, o Options) error {
 	listenAddr := address(host, p.ports.target)
 	proxiedAddr, err := p.proxiedAddr("target "+node, listenAddr, o)
 	if err != nil {
 		return err
 	}
-	t := &target{addr: proxiedAddr, controlAddr: address(host, p.ports.control), milliCPU: targetMilliCPU, checker: &p.checker, draws: p.draws}
+	t := &target{
+		addr: proxiedAddr, controlAddr: address(host, p.ports.control), domain: domain, milliCPU: targetMilliCPU,
+		checker: &p.checker, evacuations: &p.evacuations, draws: p.draws,
+	}
 	t.restart(false)
 	p.targets = append(p.targets, t)
 	if err := p.serve(listenAddr, t); err != nil {
--- a/internal/stand/psim/run.go
+++ b/internal/stand/psim/run.go
@@ -55,6 +55,9 @@
 	if usedMilliCPU > t.milliCPU {
 		t.checker.addViolation("task %s: %d of %d thousandths of a core in use at %s", o.Task, usedMilliCPU, t.milliCPU, t.addr)
 	}
+	if overdue := t.evacuations.overdue(t.domain); overdue > 0 {
+		t.checker.addViolation("task %s starts at %s %v after %s was evacuated", o.Task, t.addr, overdue, t.domain)
+	}
 	t.checker.taskStarted(o.Task, t.addr)
 	now := time.Now()
 	t.runs[key] = &run{milliCPU: spec.MilliCPU, startedAt: now, dueAt: now.Add(time.Duration(spec.RunTimeMS) * time.Millisecond)}
--- a/internal/stand/psim/table.go
+++ b/internal/stand/psim/table.go
@@ -25,6 +25,7 @@
 	mu          sync.Mutex
 	unavailable bool           // answers every request with status 503
 	version     int64          // of the newest row
+	discarded   int64          // version up to which the history was discarded
 	rows        map[string]row // by table and key
 }
 
@@ -46,15 +47,29 @@
 	t.unavailable = unavailable
 }
 
+// discardHistory discards all changes so far. The rows stay.
+func (t *table) discardHistory() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.discarded = t.version
+}
+
+// hasDiscarded reports whether changes after version were discarded.
+func (t *table) hasDiscarded(version int64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return version < t.discarded
+}
+
 // rowsAfter returns the rows of a table that are newer than version, in the order
 // of their versions, with the version of the newest row in the store, and reports
-// whether the store is unavailable.
+// whether the store is unavailable. If version is negative, it leaves out removed rows.
 func (t *table) rowsAfter(tableName string, version int64) ([]row, int64, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	rows := []row{}
 	for _, r := range t.rows {
-		if r.Table == tableName && r.Version > version {
+		if r.Table == tableName && r.Version > version && (version >= 0 || !r.Removed) {
 			rows = append(rows, r)
 		}
 	}
@@ -75,6 +90,10 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		if t.hasDiscarded(after) {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		t.sendRows(w, query.Get("table"), after, time.Duration(waitMS)*time.Millisecond)
 	case "/-/rows-tx":
 		t.commit(w, r)
--- a/internal/stand/psim/target.go
+++ b/internal/stand/psim/target.go
@@ -26,8 +26,10 @@
 type target struct {
 	addr        string // at which the node reaches the target
 	controlAddr string // of the node on the same host
+	domain      string // failure domain
 	milliCPU    int    // capacity in thousandths of a core
 	checker     *checker
+	evacuations *evacuations
 	draws       *draws
 
 	mu              sync.Mutex
@@ -74,7 +76,7 @@
 	}
 	draining := t.draining
 	body, err := json.Marshal(map[string]any{
-		"service": serviceName, "address": t.addr, "zone": "z", "state": state, "seq": t.heartbeatSeq,
+		"service": serviceName, "address": t.addr, "zone": t.domain, "state": state, "seq": t.heartbeatSeq,
 		"born": t.startedAt.UnixMilli(), "capacity": map[string]int{"cpu": t.milliCPU, "mem-mb": 1 << 20},
 	})
 	incarnationID, startedAt := t.incarnationID, t.startedAt
--- a/internal/stand/psim/target_test.go
+++ b/internal/stand/psim/target_test.go
@@ -14,7 +14,7 @@
 // to it and returns the status and the body of the answer. The status is 0 without an answer.
 func newTarget(t *testing.T, seed uint64) (*target, func(path, body string) (int, string)) {
 	t.Helper()
-	tg := &target{addr: "t", milliCPU: 1 << 20, checker: &checker{}, draws: newDraws(seed)}
+	tg := &target{addr: "t", milliCPU: 1 << 20, checker: &checker{}, evacuations: &evacuations{}, draws: newDraws(seed)}
 	tg.restart(false)
 	return tg, func(path, body string) (status int, answer string) {
 		defer func() {
--- a/internal/stand/soak/failures.go
+++ b/internal/stand/soak/failures.go
@@ -13,7 +13,7 @@
 type failure struct {
 	kind string
 	// prefix begins the names of the components: e entries, n nodes, t targets, s the
-	// store, c the configuration, f the connections of callers to an entry, i those of other
+	// store, c the configuration, z failure domains, f the connections of callers to an entry, i those of other
 	// processes to an entry, j those to a node.
 	prefix string
 	// inject causes the failure in the component with that name and number, counted
@@ -33,6 +33,8 @@
 	{"hup", "e", reload},
 	{"config", "c", changeConfig},
 	{"store down", "s", takeStoreDown},
+	{"store history discarded", "s", func(r *runner, _ string, _ int, _ time.Duration) { r.platform.DiscardHistory() }},
+	{"domain evacuated", "z", evacuate},
 	{"store cut", "e", func(r *runner, name string, _ int, duration time.Duration) {
 		setProxyMode(r, "store "+name, netem.Blackhole, duration)
 	}},
@@ -77,6 +79,8 @@
 		return cfg.Entries
 	case "n", "t", "j":
 		return cfg.Nodes
+	case "z":
+		return psim.Domains
 	}
 	return 1
 }
@@ -227,6 +231,18 @@
 	}
 }
 
+// evacuationLimit is how long after the request to evacuate a domain tasks may still start
+// there: the limit for undisturbed processes, and the longest failure before that of another
+// component that keeps one uninformed.
+const evacuationLimit = 5*time.Second + maxDurationMS*time.Millisecond
+
+// evacuate evacuates a failure domain for longer than evacuationLimit, and takes it back.
+func evacuate(r *runner, _ string, i int, duration time.Duration) {
+	r.platform.Evacuate(i)
+	time.Sleep(evacuationLimit + time.Second + duration)
+	r.platform.TakeBack(i)
+}
+
 // drainAndRestart makes a target report that it drains, go on serving for at least
 // 2 s, and restart as a new incarnation.
 func drainAndRestart(r *runner, _ string, i int, duration time.Duration) {
--- a/internal/stand/soak/soak.go
+++ b/internal/stand/soak/soak.go
@@ -86,6 +86,7 @@
 		Config: cfg, platform: platform, rng: rand.New(rand.NewPCG(cfg.Seed, 0)), configVersion: 1,
 		busy: map[string]bool{}, failureCounts: map[string]int{}, launchedAt: map[string]time.Time{},
 	}
+	platform.SetEvacuationLimit(evacuationLimit)
 	for i := range cfg.Nodes {
 		platform.SetClockRate(i+1, 0.98+0.04*r.rng.Float64())
 	}
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -48,6 +48,8 @@
 			"config":   writePlatformConfig,
 			"route":    awaitPlatformRoute,
 			"target":   setPlatformTargets,
+			"evacuate": evacuateDomain(true),
+			"takeback": evacuateDomain(false),
 			"verdict":  checkPlatformVerdict,
 			"explain":  checkPlatformExplanation,
 			"fleet":    awaitPlatformFleet,
@@ -185,8 +187,13 @@
 	}
 }
 
-// setPlatformTable implements "table down|up", which stops or resumes the table store.
+// setPlatformTable implements "table down|up|discard", which stops or resumes the table store, or
+// makes it discard its history.
 func setPlatformTable(ts *testscript.TestScript, _ bool, args []string) {
+	if args[0] == "discard" {
+		platformScenarioOf(ts).platform.DiscardHistory()
+		return
+	}
 	platformScenarioOf(ts).platform.SetStoreDown(args[0] == "down")
 }
 
@@ -238,6 +245,25 @@
 	}
 }
 
+// evacuationLimit is how long after a request to evacuate a domain tasks may start there. It is
+// shorter than the platform's, which would outlast most scripts.
+const evacuationLimit = 2 * time.Second
+
+// evacuateDomain implements "evacuate N" and "takeback N", which evacuate failure domain N and
+// take it back.
+func evacuateDomain(evacuated bool) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, _ bool, args []string) {
+		number, err := strconv.Atoi(args[0])
+		ts.Check(err)
+		if evacuated {
+			platformScenarioOf(ts).platform.SetEvacuationLimit(evacuationLimit)
+			platformScenarioOf(ts).platform.Evacuate(number)
+			return
+		}
+		platformScenarioOf(ts).platform.TakeBack(number)
+	}
+}
+
 // checkPlatformVerdict implements "verdict [done=N] [refused=N] [failed=N] [unknown=N]". It
 // fails if the platform saw a fault, if fewer than done jobs were done, or if more jobs
 // than given were refused, failed or have no known outcome. A number not given is 0.
