Use cold targets only instead of a wait

A target that warms up counts as a slow one, also after it is warm: cold-left-ms of a heartbeat is not read, and the learnt speed follows slowly. The gate reports for how long its target is cold, and its speed counts as one observation when that changes. Entries place a task at a cold target only if it would wait at each warm one.

--- a/internal/disp/coord/candidates.go
+++ b/internal/disp/coord/candidates.go
@@ -172,6 +172,7 @@
 		Unavailable:   cause.PreventsStarts(v.Load.BlockedReason),
 		BreakerOpen:   v.Load.BlockedReason != "" && !cause.PreventsStarts(v.Load.BlockedReason),
 		RunTimeFactor: runTimeFactor,
+		Cold:          now.Sub(v.LastAnswer) < time.Duration(v.Load.ColdFor)*time.Millisecond,
 	})
 }
 
--- a/internal/disp/estim/estim_test.go
+++ b/internal/disp/estim/estim_test.go
@@ -36,3 +36,21 @@
 		t.Errorf("got %v", got)
 	}
 }
+
+// Guards against a speed that was learnt while a target was cold, and counts for many runs after
+// it has turned warm.
+func TestDistrustedSpeedFollowsWithinFewRuns(t *testing.T) {
+	var s Speed
+	for range 50 {
+		s.Observe(100, 400*time.Millisecond)
+	}
+	if s.Distrust(); s.Value() > 0.3 {
+		t.Errorf("got %v before another run", s.Value())
+	}
+	for range 5 {
+		s.Observe(100, 100*time.Millisecond)
+	}
+	if s.Value() < 0.7 {
+		t.Errorf("got %v after five runs at full speed", s.Value())
+	}
+}
--- a/internal/disp/estim/speed.go
+++ b/internal/disp/estim/speed.go
@@ -32,5 +32,9 @@
 	s.log += weight * (math.Log(ratio) - s.log)
 }
 
+// Distrust makes the estimate count as only one observation, like the initial speed, since the
+// target's speed has changed: it follows within a few runs.
+func (s *Speed) Distrust() { s.n = 0 }
+
 // Value returns the estimated speed.
 func (s *Speed) Value() float64 { return math.Exp(s.log) }
--- a/internal/disp/gate/apply.go
+++ b/internal/disp/gate/apply.go
@@ -64,6 +64,7 @@
 		if g.breaker.RecordSuccess() {
 			g.event("target_back", "target", g.incarnation.ID, "job", r.msg.Job, "task", r.msg.Name)
 		}
+		g.updateCold(now)
 		g.speed.Observe(r.msg.ExpectedRunTime, r.runTime)
 		g.finish(r, msgs.Done, "")
 	case targ.EndedFailed:
--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -75,6 +75,7 @@
 	runSince     boot.Time             // when Run began, by steady; 0 before
 	breaker      cbreak.Breaker
 	speed        estim.Speed
+	cold         bool // the target was cold at the last call of updateCold
 	replyTimes   estim.ReplyTimes
 	nextLoadLog  boot.Time  // when the load is logged next
 	checkedAt    boot.Time  // when the progress of runs was last checked
@@ -317,12 +318,14 @@
 // load returns the target's capacity and use, and whether it takes tasks.
 func (g *Gate) load() msgs.Load {
 	now := g.now()
+	g.updateCold(now)
 	l := msgs.Load{Incarnation: g.IncarnationID, Timestamp: int64(now), Speed: g.speed.Value(), Leaving: g.stopping || g.incarnation.Leaving, Domain: g.domain()}
 	if !g.targetKnown {
 		l.BlockedReason = cause.NoTarget
 		return l
 	}
 	used := g.used()
+	l.ColdFor = int(g.coldFor(now).Milliseconds())
 	l.Service, l.TargetIncarnation, l.Labels = g.incarnation.Service, g.incarnation.ID, g.incarnation.Labels
 	l.CPU, l.Memory, l.GPU = g.incarnation.Capacity.CPU, g.incarnation.Capacity.Memory, g.incarnation.Capacity.GPU
 	l.UsedCPU, l.UsedMemory, l.UsedGPU = used.CPU, used.Memory, used.GPU
--- a/internal/disp/pick/pick.go
+++ b/internal/disp/pick/pick.go
@@ -32,6 +32,7 @@
 	BreakerOpen   bool    // the target's circuit breaker is open
 	Avoid         bool    // an earlier placement of the task at this gate was unsuccessful
 	RunTimeFactor float64 // multiplies the task's run time at this gate; values below 1 count as 1
+	Cold          bool    // the target is slow for some seconds, since it has started or was without work
 }
 
 // Task is the task to place.
@@ -52,11 +53,13 @@
 // high CPU usage. Among gates with the capacity it prefers, in this order of
 // importance, those that are available, those whose circuit breaker is closed, and
 // those that are not to be avoided; the expected end decides only between gates that
-// are equal in these. Circuit breakers are ignored if too many are open, since then the
+// are equal in these. Among those, a cold target is used only if the task would wait at
+// each warm one, and then it is preferred to a wait. Circuit breakers are ignored if too many are open, since then the
 // tasks are more likely at fault than the targets.
 func Best(gates []Gate, t Task) Choice {
 	ignoreBreakers := tooManyOpenBreakers(gates)
 	best := Choice{Gate: -1}
+	disfavor := coldDisfavor(gates, t, ignoreBreakers)
 	bestRank := 0
 	var bestCost time.Duration
 	for i, g := range gates {
@@ -65,7 +68,7 @@
 		}
 		wait, finish := g.estimate(t)
 		cost := finish + g.usagePenalty()
-		rank := g.rank(ignoreBreakers)
+		rank := g.rank(ignoreBreakers)*2 + disfavor.of(g, wait)
 		if best.Gate < 0 || rank < bestRank || rank == bestRank && cost < bestCost {
 			best = Choice{Gate: i, Wait: wait, Finish: finish, IgnoreBreaker: g.BreakerOpen && ignoreBreakers}
 			bestRank, bestCost = rank, cost
--- a/internal/disp/report/report.go
+++ b/internal/disp/report/report.go
@@ -78,6 +78,7 @@
 	Reconciled   bool   `json:"clean"`     // no unknown runs are left at the target
 	Unresponsive bool   `json:"silent"`    // the target does not answer long polls
 	Entries      int    `json:"entries"`   // entries that have called recently
+	ColdFor      int    `json:"cold"`      // ms for which the target is still slow after its start, or after it was without work
 	Fence        int64  `json:"fence"`     // fencing token of the orders to the target
 	Domain       string `json:"domain"`    // as in GateDoc
 	Evacuated    bool   `json:"evacuated"` // as in GateDoc
@@ -139,7 +140,7 @@
 		Target: s.Incarnation.ID, Started: s.Incarnation.Born, Service: s.Incarnation.Service, Leaving: s.Load.Leaving,
 		CPU: s.Load.CPU, Used: s.Load.UsedCPU, Running: s.Running, Queued: s.Queued, Speed: toPercent(s.Load.Speed),
 		Aside: s.Load.BlockedReason, Reconciled: s.Reconciled, Unresponsive: s.Unresponsive, Entries: s.Entries, Fence: s.Fence,
-		Domain: s.Load.Domain, Evacuated: s.Evacuated,
+		Domain: s.Load.Domain, Evacuated: s.Evacuated, ColdFor: s.Load.ColdFor,
 	}
 }
 
--- a/internal/disp/targ/targ.go
+++ b/internal/disp/targ/targ.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/ansel1/merry/v2"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/rsrc"
 )
 
@@ -41,8 +42,11 @@
 	Capacity rsrc.Vector
 	Labels   []string
 	Domain   string // failure domain; empty if the target states none
-	Leaving  bool   // the target takes no more tasks
-	Seq      int64  // number of the heartbeat that says so, which rises; 0 if unknown
+	// ColdUntil is until when the target is slow since it has started, or was without work,
+	// not long ago; 0 if it is not.
+	ColdUntil boot.Time
+	Leaving   bool  // the target takes no more tasks
+	Seq       int64 // number of the heartbeat that says so, which rises; 0 if unknown
 }
 
 // Same reports whether i and o are the same incarnation.
--- a/test/mutants_evac_test.go
+++ b/test/mutants_evac_test.go
@@ -25,4 +25,7 @@
 	{rule: "EVACUATED no candidate", file: dispCoord + "candidates.go", old: "if v.Evacuated {", new: "if false {", test: "internal/disp/coord TestEvacuatedDomainIsNoCandidate"},
 	{rule: "EVACUATED refused at once", file: dispCoord + "admit.go", old: "case !fits && cands.evacuated:", new: "case false:", test: "internal/disp/coord TestJobWithoutOtherDomainIsRefusedAtOnce"},
 	{rule: "EVACUATED orders before configuration", file: dispProc + "gossip.go", old: "e.applyOrders(reply.Orders, addr)", new: "", test: "internal/disp/proc TestEntriesExchangeOrders"},
+	{rule: "COLD warm ones first", file: "internal/disp/pick/cold.go", old: "case anyCold && warmFree:", new: "case false:", test: "internal/disp/pick TestBestPrefersWarmTargetsWithCapacity"},
+	{rule: "COLD rather than a wait", file: "internal/disp/pick/cold.go", old: "case coldFree:", new: "case false:", test: "internal/disp/pick TestBestPrefersWarmTargetsWithCapacity"},
+	{rule: "COLD speed", file: dispGate + "cold.go", old: "\t\tg.speed.Distrust()\n", new: "", test: "internal/disp/gate TestColdTargetIsReported"},
 }
