--- a/internal/disp/link/link.go
+++ b/internal/disp/link/link.go
@@ -170,7 +170,8 @@
 	for {
 		// A failed call may still be reading its message, so each call gets a copy.
 		message := m
-		message.Sender, message.Cancel, message.Order = sender, l.cancelsToSend(), l.orderToSend()
+		message.Sender, message.Cancel = sender, l.cancelsToSend()
+		message.Order = l.orderToSend()
 		var reply msgs.TaskReply
 		err := l.Call(ctx, l.Addr, TakeMethod, &message, &reply)
 		switch {
