--- a/internal/disp/coord/admit.go
+++ b/internal/disp/coord/admit.go
@@ -65,6 +65,8 @@
 	longestWait, fits := cands.longestWait(s, d.expectedRunTime)
 	d.longestWait = longestWait
 	switch {
+	case !fits && cands.evacuated:
+		d.reason = cause.Evacuated
 	case len(cands.gates) == 0:
 	case !fits:
 		d.reason = cause.TooLarge
--- a/internal/disp/coord/candidates.go
+++ b/internal/disp/coord/candidates.go
@@ -27,7 +27,10 @@
 	scratch []pick.Gate // used by longestWait
 	// allCrashed is set if there are gates and their targets have all crashed. Those are
 	// back after some seconds at the earliest.
-	allCrashed  bool
+	allCrashed bool
+	// evacuated is set if a target in an evacuated domain, which is none of the candidates,
+	// could run the task.
+	evacuated   bool
 	explanation *explanation // set only by placement queries
 }
 
@@ -38,7 +41,7 @@
 }
 
 // findCandidates returns the gates of a route's service that have reported their load
-// recently, are not leaving, have the label that the step requires, and belong to the
+// recently, are not leaving, are not in an evacuated domain, have the label that the step requires, and belong to the
 // route's share while bulkheads are raised. They need not have free capacity or an
 // available target. The caller passes them to release when it does not need them any
 // more: each placement looks at all gates, so without reuse their memory would be most of
@@ -145,7 +148,7 @@
 	clear(cands.links)
 	clear(cands.targets)
 	cands.truncate(0)
-	cands.service, cands.allCrashed = cands.service[:0], false
+	cands.service, cands.allCrashed, cands.evacuated = cands.service[:0], false, false
 	c.candidatePool.Put(cands)
 }
 
@@ -157,6 +160,13 @@
 		cands.explanation.exclude(l, unusable(v, now))
 		return
 	}
+	if v.Evacuated {
+		capacity := rsrc.Vector{CPU: v.Load.CPU, Memory: v.Load.Memory, GPU: v.Load.GPU}
+		hasLabel := s.RequiredLabel == "" || slices.Contains(v.Load.Labels, s.RequiredLabel)
+		cands.evacuated = cands.evacuated || hasLabel && s.Size.Within(capacity)
+		cands.explanation.exclude(l, cause.Evacuated)
+		return
+	}
 	cands.service = append(cands.service, serviceGate{l.Addr, v.Load.BlockedReason == cause.TargetCrashed})
 	if s.RequiredLabel != "" && !slices.Contains(v.Load.Labels, s.RequiredLabel) {
 		cands.explanation.exclude(l, cause.NoLabel)
@@ -176,6 +186,7 @@
 		Unavailable:   cause.PreventsStarts(v.Load.BlockedReason),
 		BreakerOpen:   v.Load.BlockedReason != "" && !cause.PreventsStarts(v.Load.BlockedReason),
 		RunTimeFactor: runTimeFactor,
+		Cold:          now.Sub(v.LastAnswer) < time.Duration(v.Load.ColdFor)*time.Millisecond,
 	})
 }
 
--- a/internal/disp/coord/refuse.go
+++ b/internal/disp/coord/refuse.go
@@ -53,6 +53,18 @@
 	c.refuseIfOverdue(e, cause.TooLate)
 }
 
+// refuseIfEvacuated refuses the job if a task of s can run only at targets of evacuated
+// domains, and no task of the job may have started. It reports whether it refused the job.
+func (c *Coordinator) refuseIfEvacuated(e *execution, s Step) bool {
+	cands := c.findCandidates(e.Route, s)
+	defer c.release(cands)
+	_, fits := cands.longestWait(s, c.runTimes.Estimate(e.Route.Name, s.DeclaredRunTime))
+	if fits || !cands.evacuated {
+		return false
+	}
+	return e.refuse(Answer{State: Refused, Reason: cause.Evacuated, RetryAfter: c.retryDelay(e, s, cands, 0)})
+}
+
 // longestStep returns the step of e with the longest expected run time of a task, and
 // that time.
 func (c *Coordinator) longestStep(e *execution) (Step, time.Duration) {
--- a/internal/disp/targ/targ.go
+++ b/internal/disp/targ/targ.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/ansel1/merry/v2"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/rsrc"
 )
 
@@ -40,8 +41,12 @@
 	Service  string // service that the target runs tasks of
 	Capacity rsrc.Vector
 	Labels   []string
-	Leaving  bool  // the target takes no more tasks
-	Seq      int64 // number of the heartbeat that says so, which rises; 0 if unknown
+	Domain   string // failure domain; empty if the target states none
+	// ColdUntil is until when the target is slow since it has started, or was without work,
+	// not long ago; 0 if it is not.
+	ColdUntil boot.Time
+	Leaving   bool  // the target takes no more tasks
+	Seq       int64 // number of the heartbeat that says so, which rises; 0 if unknown
 }
 
 // Same reports whether i and o are the same incarnation.
