Count only the queued work that goes before a job in its expected wait

Change: a load tells the queued work by the time left until the latest start (triage.Backlog); entries count what goes before a task.

--- a/internal/disp/coord/candidates.go
+++ b/internal/disp/coord/candidates.go
@@ -11,6 +11,8 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/pick"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/route"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/rsrc"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/triage"
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
 // remoteDataFactor is the factor by which the run time of a task grows on a target
@@ -41,18 +43,18 @@
 }
 
 // findCandidates returns the gates of a route's service that have reported their load
-// recently, are not leaving, are not in an evacuated domain, have the label that the step requires, and belong to the
-// route's share while bulkheads are raised. They need not have free capacity or an
-// available target. The caller passes them to release when it does not need them any
+// recently, are not leaving, are not in an evacuated domain, have the label that the step
+// requires, and belong to the route's share while bulkheads are raised. They need not have
+// free capacity or an available target. A task has to start within slack. The caller passes them to release when it does not need them any
 // more: each placement looks at all gates, so without reuse their memory would be most of
 // what an entry allocates.
-func (c *Coordinator) findCandidates(r route.Route, s Step) *candidates {
+func (c *Coordinator) findCandidates(r route.Route, s Step, slack time.Duration) *candidates {
 	cands, ok := c.candidatePool.Get().(*candidates)
 	if !ok {
 		cands = &candidates{}
 	}
 	now := c.now()
-	cands.collect(c.Links(), r.Service, s, now)
+	cands.collect(c.Links(), r.Service, s, slack, now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if cands.separate(c.guard(r.Service), r, s, now) {
@@ -62,10 +64,10 @@
 	return cands
 }
 
-// collect adds the gates of links that may run a task of s.
-func (cands *candidates) collect(links []*link.Link, service string, s Step, now boot.Time) {
+// collect adds the gates of links that may run a task of s, which has to start within slack.
+func (cands *candidates) collect(links []*link.Link, service string, s Step, slack time.Duration, now boot.Time) {
 	for _, l := range links {
-		cands.add(l, service, s, now)
+		cands.add(l, service, s, slack, now)
 	}
 }
 
@@ -153,7 +155,7 @@
 }
 
 // add adds the gate of a link if it may run a task of s.
-func (cands *candidates) add(l *link.Link, service string, s Step, now boot.Time) {
+func (cands *candidates) add(l *link.Link, service string, s Step, slack time.Duration, now boot.Time) {
 	v := l.View(now)
 	cands.explanation.see(l, v)
 	if !v.Available || v.Load.Service != service {
@@ -181,7 +183,7 @@
 	cands.gates = append(cands.gates, pick.Gate{
 		Capacity:      rsrc.Vector{CPU: v.Load.CPU, Memory: v.Load.Memory, GPU: v.Load.GPU},
 		Used:          v.Used,
-		QueuedWork:    v.Load.QueuedWork,
+		QueuedWork:    queuedAhead(v.Load, slack),
 		Speed:         v.Load.Speed,
 		Unavailable:   cause.PreventsStarts(v.Load.BlockedReason),
 		BreakerOpen:   v.Load.BlockedReason != "" && !cause.PreventsStarts(v.Load.BlockedReason),
@@ -190,6 +192,15 @@
 	})
 }
 
+// queuedAhead returns the queued work that goes before a task which has to start within slack. A
+// gate that does not tell is taken for a plain queue.
+func queuedAhead(l msgs.Load, slack time.Duration) int64 {
+	if len(l.Backlog) == 0 {
+		return l.QueuedWork
+	}
+	return triage.BacklogOf(l.Backlog).Ahead(slack)
+}
+
 // longestWait returns the longest expected wait for capacity of any task of s if all
 // of them are placed now. It reports false if no target can run such a task.
 func (cands *candidates) longestWait(s Step, expectedRunTime time.Duration) (time.Duration, bool) {
--- a/internal/disp/coord/task.go
+++ b/internal/disp/coord/task.go
@@ -147,7 +147,7 @@
 // gate's target and the message to send. It reports false if no gate can run the
 // task.
 func (c *Coordinator) place(e *execution, s Step, ts *taskState) (*link.Link, string, msgs.Task, bool) {
-	cands := c.findCandidates(e.Route, s)
+	cands := c.findCandidates(e.Route, s, c.slack(e, s))
 	defer c.release(cands)
 	expectedRunTime := c.runTimes.Estimate(e.Route.Name, s.DeclaredRunTime)
 	choice := cands.choose(e, s, ts, expectedRunTime)
--- a/internal/disp/coord/where.go
+++ b/internal/disp/coord/where.go
@@ -86,7 +86,7 @@
 // the step would record.
 func (c *Coordinator) planStep(e *execution, i int, s Step, known *snapshot, now boot.Time) StepPlan {
 	cands := &candidates{explanation: &explanation{}}
-	cands.collect(c.Links(), e.Route.Service, s, now)
+	cands.collect(c.Links(), e.Route.Service, s, c.slack(e, s), now)
 	cands.separate(known.guard, e.Route, s, now)
 	d := c.decide(e, s, cands, now)
 	known.outageSince = outageStart(known.outageSince, cands.usableCapacity() > 0, now)
--- a/internal/wire/msgs/task.go
+++ b/internal/wire/msgs/task.go
@@ -89,6 +89,7 @@
 	Leaving           bool     // the gate accepts no new tasks
 	Domain            string   // failure domain of the target; empty if unknown
 	ColdFor           int      // for how long the target is slow after its start, or after it was without work, ms; 0 if it is not
+	Backlog           []int64  // QueuedWork by the time left until the latest start, as in triage.Backlog; empty if unknown
 }
 
 // Revoke is the argument of Gate.Revoke. It stops or refuses all tasks of the jobs that are not of
@@ -201,14 +202,14 @@
 func (m *Load) EncodeMsgpack(e *msgpack.Encoder) error {
 	return encodeArray(e, m.Incarnation, m.Timestamp, m.Service, m.TargetIncarnation, m.Labels,
 		m.CPU, m.Memory, m.GPU, m.UsedCPU, m.UsedMemory, m.UsedGPU,
-		m.QueuedWork, m.Speed, m.BlockedReason, m.Leaving, m.Domain, m.ColdFor)
+		m.QueuedWork, m.Speed, m.BlockedReason, m.Leaving, m.Domain, m.ColdFor, m.Backlog)
 }
 
 // DecodeMsgpack reads the message.
 func (m *Load) DecodeMsgpack(d *msgpack.Decoder) error {
 	return decodeArray(d, &m.Incarnation, &m.Timestamp, &m.Service, &m.TargetIncarnation, &m.Labels,
 		&m.CPU, &m.Memory, &m.GPU, &m.UsedCPU, &m.UsedMemory, &m.UsedGPU,
-		&m.QueuedWork, &m.Speed, &m.BlockedReason, &m.Leaving, &m.Domain, &m.ColdFor)
+		&m.QueuedWork, &m.Speed, &m.BlockedReason, &m.Leaving, &m.Domain, &m.ColdFor, &m.Backlog)
 }
 
 // EncodeMsgpack writes the message.
