Notice slow targets from the progress of runs, and move long runs away

Cause: a target that becomes five times slower showed it only when runs ended there.

Change: estim.Pace compares the progress of the runs with that of some seconds; the load tells the speed of the moment. A run that would end sooner elsewhere, by more than it has run, is stopped and placed again, once.

--- a/internal/disp/coord/task.go
+++ b/internal/disp/coord/task.go
@@ -63,6 +63,7 @@
 	stepIndex int
 	failures  int             // number of failed runs
 	refusals  int             // number of refusals by gates
+	moved     bool            // a gate has stopped the task since it would end sooner elsewhere
 	avoid     map[string]bool // by target; true where the last placement ended otherwise than for lack of capacity
 }
 
@@ -96,6 +97,7 @@
 			}
 		case msgs.Lost:
 			c.recordCrash(ts.name, reply)
+			ts.moved = ts.moved || reply.Reason == cause.Overtaken
 		case msgs.Refused:
 			if c.refuseIfOverdue(e, reply.Reason) {
 				return false
@@ -166,6 +168,7 @@
 		MaxQueueTime:    queueTimeLimit(choice).Milliseconds(),
 		StartWithin:     c.timing(e, expectedRunTime).StartBy().Sub(c.now()).Milliseconds(),
 		Failures:        ts.failures,
+		Moved:           ts.moved,
 		IgnoreBreaker:   choice.IgnoreBreaker,
 	}, true
 }
--- a/internal/disp/gate/apply.go
+++ b/internal/disp/gate/apply.go
@@ -92,6 +92,7 @@
 	if row.Percent > r.percent {
 		r.percent, r.progressedAt = row.Percent, now
 	}
+	g.observePace(r, now)
 	return true
 }
 
@@ -132,6 +133,8 @@
 			g.recordFailure(r, cause.Stuck, now)
 			g.trace("task_stuck", "job", r.msg.Job, "task", r.msg.Name, "percent", r.percent, "after", now.Sub(r.startedAt))
 			g.abandon(r, cause.Stuck)
+		default:
+			g.moveIfOvertaken(r, now)
 		}
 	}
 }
--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -76,6 +76,7 @@
 	runSince     boot.Time             // when Run began, by steady; 0 before
 	breaker      cbreak.Breaker
 	speed        estim.Speed
+	pace         estim.Pace
 	cold         bool // the target was cold at the last call of updateCold
 	replyTimes   estim.ReplyTimes
 	nextLoadLog  boot.Time  // when the load is logged next
@@ -136,6 +137,7 @@
 	nextStop      boot.Time // when the next stop is sent
 	percent       int       // progress that the target last reported
 	progressedAt  boot.Time // when percent last rose
+	progress      progress
 	endedAt       boot.Time
 	endReported   bool  // the target has reported the end
 	proof         proof // what the end was concluded from; empty if it was not
@@ -320,7 +322,7 @@
 func (g *Gate) load() msgs.Load {
 	now := g.now()
 	g.updateCold(now)
-	l := msgs.Load{Incarnation: g.IncarnationID, Timestamp: int64(now), Speed: g.speed.Value(), Leaving: g.stopping || g.incarnation.Leaving, Domain: g.domain()}
+	l := msgs.Load{Incarnation: g.IncarnationID, Timestamp: int64(now), Speed: g.currentSpeed(), Leaving: g.stopping || g.incarnation.Leaving, Domain: g.domain()}
 	if !g.targetKnown {
 		l.BlockedReason = cause.NoTarget
 		return l
--- a/internal/disp/gate/incarnation.go
+++ b/internal/disp/gate/incarnation.go
@@ -32,7 +32,7 @@
 func (r *run) doubt() {
 	r.wasRunning = r.wasRunning || r.phase == running
 	r.phase, r.inDoubt, r.mayHaveRun, r.begun = ordered, true, true, false
-	r.percent = 0
+	r.percent, r.progress = 0, progress{}
 	r.startClock, r.excludedAt, r.stopAcked = 0, 0, false
 	r.startDeadline = math.MaxInt64 // a deadline of the previous clock never passes
 }
@@ -62,7 +62,7 @@
 	g.forgetTarget()
 	g.recordAnswer()
 	g.clock, g.lastEndSeq, g.ackedEndSeq = targ.ClockBound{}, 0, 0
-	g.breaker, g.speed, g.replyTimes = cbreak.Breaker{}, estim.Speed{}, estim.ReplyTimes{}
+	g.breaker, g.speed, g.pace, g.replyTimes = cbreak.Breaker{}, estim.Speed{}, estim.Pace{}, estim.ReplyTimes{}
 	if g.fence == 0 {
 		g.fence = time.Now().UnixMilli()
 	}
--- a/internal/wire/msgs/task.go
+++ b/internal/wire/msgs/task.go
@@ -52,6 +52,7 @@
 	IgnoreBreaker   bool     // start the task even if the target's circuit breaker is open, since too many are
 	Cancel          []uint64 // IDs of tasks to stop before this one is admitted
 	Order           Order    // newest order of the gate's failure domain that the sender knows; zero if none
+	Moved           bool     // a gate has stopped the task since it would end sooner elsewhere
 }
 
 // TaskReply is the reply to Task.
@@ -166,7 +167,7 @@
 func (m *Task) EncodeMsgpack(e *msgpack.Encoder) error {
 	return encodeArray(e, m.Entry, m.Incarnation, m.GateIncarnation, m.EchoedTimestamp, m.ID,
 		m.Name, m.Job, m.Service, m.Spec, m.CPU, m.Memory, m.GPU,
-		m.ExpectedRunTime, m.MaxQueueTime, int64(0), m.Failures, m.IgnoreBreaker, m.StartWithin, m.Cancel, &m.Order)
+		m.ExpectedRunTime, m.MaxQueueTime, int64(0), m.Failures, m.IgnoreBreaker, m.StartWithin, m.Cancel, &m.Order, m.Moved)
 }
 
 // DecodeMsgpack reads the message. One without StartWithin, from an older process, is
@@ -175,7 +176,7 @@
 	var unused int64
 	return decodeArray(d, &m.Entry, &m.Incarnation, &m.GateIncarnation, &m.EchoedTimestamp, &m.ID,
 		&m.Name, &m.Job, &m.Service, &m.Spec, &m.CPU, &m.Memory, &m.GPU,
-		&m.ExpectedRunTime, &m.MaxQueueTime, &unused, &m.Failures, &m.IgnoreBreaker, &m.StartWithin, &m.Cancel, &m.Order)
+		&m.ExpectedRunTime, &m.MaxQueueTime, &unused, &m.Failures, &m.IgnoreBreaker, &m.StartWithin, &m.Cancel, &m.Order, &m.Moved)
 }
 
 // EncodeMsgpack writes the message.
