Estimate which kinds of tasks slow each other down

A gate sees each run with what ran beside it. Package interf fits the run times of each kind to the presence of the others, apart from the level of the whole target, and merges the findings of several gates. In the tests groups of eight gates find a factor of 1.5 within 10 s; without interference pairs are in force for at most 1 % of the time, and 5 % with slow moments of all gates.

--- /dev/null
+++ b/internal/disp/interf/find_test.go
@@ -0,0 +1,244 @@
+package interf
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+const (
+	simGates  = 8 // gates whose pairs are merged
+	simGroups = 8 // groups of gates
+	mergeMS   = 250
+	endMS     = 60_000
+)
+
+// Kinds of the simulations, as indexes of factors.
+const (
+	short = iota
+	medium
+	long
+	other
+)
+
+// mix returns kinds with about 30 runs a second together, as a mix of short, medium and
+// long tasks at one target.
+func mix(spread float64) []simKind {
+	return []simKind{{"short", 12, 60, spread}, {"medium", 8, 200, spread}, {"long", 3, 900, spread}, {"other", 10, 100, spread}}
+}
+
+// always returns constant factors.
+func always(f [4][4]float64) factors { return func(int) [4][4]float64 { return f } }
+
+// bothWays makes two kinds slow each other.
+func bothWays(f float64) factors {
+	return always([4][4]float64{medium: {other: f}, other: {medium: f}})
+}
+
+// slowMoments makes all runs take 1.6 times as long for 2.5 of every 7.5 s.
+func slowMoments(ms int) float64 {
+	if ms/2500%3 == 1 {
+		return 1.6
+	}
+	return 1
+}
+
+// outcome is what simulations of a scenario have shown.
+type outcome struct {
+	foundRuns map[string][]int // by pair: the runs until gates found it
+	mergedMS  map[string][]int // by pair: the time until groups found it
+	dropped   map[string][]int // by pair: the times of the last drops by groups
+	heldMS    map[string]int   // by pair: the time for which it was in force at groups
+}
+
+// simulate plays a scenario at simGroups groups of simGates gates, with speeds from half to
+// 1.2.
+func simulate(scenario sim) outcome {
+	o := outcome{map[string][]int{}, map[string][]int{}, map[string][]int{}, map[string]int{}}
+	for group := range simGroups {
+		gates := make([]*sim, simGates)
+		for i := range gates {
+			s := scenario
+			s.speed = []float64{0.5, 0.7, 0.85, 1, 1, 1, 1.1, 1.2}[i]
+			s.rng = rand.New(rand.NewPCG(1, uint64(group*simGates+i)))
+			seen := map[string]bool{}
+			s.changed = func(_, runs int, c Change) {
+				if p := pairName(c.Pair); c.What == Found && !seen[p] {
+					seen[p] = true
+					o.foundRuns[p] = append(o.foundRuns[p], runs)
+				}
+			}
+			gates[i] = &s
+		}
+		o.merge(gates)
+	}
+	return o
+}
+
+// merge plays one group and merges the pairs of its gates.
+func (o *outcome) merge(gates []*sim) {
+	var m Merger
+	found, dropped := map[string]int{}, map[string]int{}
+	for ms := 0; ms < endMS; ms += mergeMS {
+		for _, s := range gates {
+			s.play(ms, ms+mergeMS)
+			s.tracker.Pairs(m.Add)
+		}
+		for _, c := range m.Merge() {
+			p := pairName(c.Pair)
+			if _, ok := found[p]; c.What == Found && !ok {
+				found[p] = ms + mergeMS
+			}
+			if c.What == Dropped {
+				dropped[p] = ms + mergeMS
+			}
+		}
+		m.Pairs(func(p Pair) { o.heldMS[pairName(p)] += mergeMS })
+	}
+	for p, ms := range found {
+		o.mergedMS[p] = append(o.mergedMS[p], ms)
+	}
+	for p, ms := range dropped {
+		o.dropped[p] = append(o.dropped[p], ms)
+	}
+}
+
+func pairName(p Pair) string { return p.Slowed + "<" + p.By }
+
+// median returns the median of n values, of which those that are missing count as infinite.
+func median(values []int, n int) int {
+	values = slices.Sorted(slices.Values(values))
+	if len(values) <= n/2 {
+		return 1 << 30
+	}
+	return values[n/2]
+}
+
+// TestInterferenceIsFound checks that a pair that exists is found soon, that is, that the
+// noise of declared and true run times, slow targets, slow moments and heavy tails do not
+// hide it.
+func TestInterferenceIsFound(t *testing.T) {
+	slowsAll := always([4][4]float64{short: {long: 1.5}, medium: {long: 1.5}, other: {long: 1.5}})
+	for _, tt := range []struct {
+		name     string
+		scenario sim
+		pairs    []string
+		runs     int // at most this many runs until half of the gates have found it
+		ms       int // at most this long until every group has
+	}{
+		{"factor 1.5 both ways, tasks of equal size", sim{kinds: mix(0), factors: bothWays(1.5)}, []string{"medium<other", "other<medium"}, 500, 10_000},
+		{"factor 1.5 both ways", sim{kinds: mix(.25), factors: bothWays(1.5)}, []string{"medium<other", "other<medium"}, 900, 10_000},
+		{"factor 2 both ways", sim{kinds: mix(.25), factors: bothWays(2)}, []string{"medium<other", "other<medium"}, 600, 10_000},
+		{"factor 1.3 both ways", sim{kinds: mix(.25), factors: bothWays(1.3)}, []string{"medium<other", "other<medium"}, 1 << 30, 20_000},
+		{"one kind slows all", sim{kinds: mix(.25), factors: slowsAll}, []string{"short<long", "medium<long", "other<long"}, 1 << 30, 40_000},
+		{"one way", sim{kinds: mix(.25), factors: always([4][4]float64{short: {medium: 1.5}})}, []string{"short<medium"}, 400, 6_000},
+		{"slow moments and heavy tails", sim{kinds: mix(.25), factors: bothWays(1.5), period: slowMoments, heavyTail: .05}, []string{"medium<other", "other<medium"}, 1 << 30, 40_000},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			o := simulate(tt.scenario)
+			for _, p := range tt.pairs {
+				runs := median(o.foundRuns[p], simGates*simGroups)
+				slowest := 1 << 30
+				if len(o.mergedMS[p]) == simGroups {
+					slowest = slices.Max(o.mergedMS[p])
+				}
+				held := float64(o.heldMS[p]) / simGroups / endMS
+				t.Logf("%s: half of the gates after %d runs, %d gates in all; groups after %v ms; in force for %.2f of the time", p, runs, len(o.foundRuns[p]), o.mergedMS[p], held)
+				if runs > tt.runs || slowest > tt.ms {
+					t.Errorf("%s: found after %d runs and %d ms, want %d and %d", p, runs, slowest, tt.runs, tt.ms)
+				}
+			}
+			o.expectFew(t, 0.02, tt.pairs...)
+		})
+	}
+}
+
+// expectFew checks that pairs other than those given are in force for at most the given
+// share of the time.
+func (o outcome) expectFew(t *testing.T, share float64, existing ...string) {
+	t.Helper()
+	gates, held := 0, 0
+	for p, runs := range o.foundRuns {
+		if !slices.Contains(existing, p) {
+			gates += len(runs)
+		}
+	}
+	for p, ms := range o.heldMS {
+		if !slices.Contains(existing, p) {
+			held += ms
+		}
+	}
+	got := float64(held) / simGroups / endMS
+	t.Logf("false findings: %d in %d minutes of gates; in force for %.3f of the time at groups", gates, simGates*simGroups, got)
+	if got > share {
+		t.Errorf("false findings in force for %.3f of the time, want at most %.3f", got, share)
+	}
+}
+
+// TestNothingIsFoundWithoutInterference checks that noise, slow targets, heavy tails and slow
+// moments are not taken for interference.
+func TestNothingIsFoundWithoutInterference(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		scenario sim
+		share    float64
+	}{
+		{"noise", sim{kinds: mix(.25)}, 0.01},
+		{"tasks of equal size", sim{kinds: mix(0)}, 0.01},
+		{"heavy tails", sim{kinds: mix(.25), heavyTail: .05}, 0.01},
+		{"slow moments", sim{kinds: mix(.25), period: slowMoments}, 0.05},
+		{"slow moments and heavy tails", sim{kinds: mix(.25), period: slowMoments, heavyTail: .05}, 0.05},
+		{"slow moments, tasks of equal size", sim{kinds: mix(0), period: slowMoments}, 0.05},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			simulate(tt.scenario).expectFew(t, tt.share)
+		})
+	}
+}
+
+// TestChangeIsNoticed checks that a pair that begins after 20 s and ends after 40 s is
+// in force soon, and soon not any more.
+func TestChangeIsNoticed(t *testing.T) {
+	const begin, end, foundWithin, halfDroppedWithin, droppedWithin = 20_000, 40_000, 8_000, 10_000, 15_000
+	on := bothWays(1.5)(0)
+	o := simulate(sim{kinds: mix(.25), factors: func(ms int) [4][4]float64 {
+		if ms < begin || ms >= end {
+			return [4][4]float64{}
+		}
+		return on
+	}})
+	for _, p := range []string{"medium<other", "other<medium"} {
+		t.Logf("%s: found at %v, dropped at %v", p, o.mergedMS[p], o.dropped[p])
+		if len(o.mergedMS[p]) != simGroups || len(o.dropped[p]) != simGroups {
+			t.Errorf("%s: found by %d and dropped by %d groups, want %d", p, len(o.mergedMS[p]), len(o.dropped[p]), simGroups)
+			continue
+		}
+		if slices.Min(o.mergedMS[p]) < begin || slices.Max(o.mergedMS[p]) > begin+foundWithin {
+			t.Errorf("%s: found at %v", p, o.mergedMS[p])
+		}
+		if median(o.dropped[p], simGroups) > end+halfDroppedWithin || slices.Max(o.dropped[p]) > end+droppedWithin {
+			t.Errorf("%s: dropped at %v", p, o.dropped[p])
+		}
+	}
+}
+
+// BenchmarkRun measures what the start and the end of a run cost a gate.
+func BenchmarkRun(b *testing.B) {
+	var t Tracker
+	var names [maxKinds]string
+	for i := range names {
+		names[i] = fmt.Sprint("kind", i)
+	}
+	var marks [maxKinds]*Mark
+	b.ReportAllocs()
+	n := 0
+	for b.Loop() {
+		i := n % maxKinds
+		t.End(marks[i], simTime(n), 16e6, 16e6)
+		marks[i] = t.Begin(names[i], simTime(n))
+		n++
+	}
+}
