Place tasks that slow each other down apart where that costs no wait

The choice of a gate knew nothing of what runs there. If the best gate can start the task at once, gates of the same rank that can do so too are compared again with the slowdown of the task and of the runs there.

--- a/internal/disp/pick/pick.go
+++ b/internal/disp/pick/pick.go
@@ -32,6 +32,8 @@
 	BreakerOpen   bool    // the target's circuit breaker is open
 	Avoid         bool    // an earlier placement of the task at this gate was unsuccessful
 	RunTimeFactor float64 // multiplies the task's run time at this gate; values below 1 count as 1
+	Slowdown      float64 // factor by which the runs there slow the task; values below 1 count as 1
+	Harm          float64 // sum over the runs there of the share by which the task slows each; 0 for none
 }
 
 // Task is the task to place.
@@ -46,6 +48,7 @@
 	Wait          time.Duration // expected time until the task starts
 	Finish        time.Duration // expected time until the task ends
 	IgnoreBreaker bool          // the gate shall ignore the target's open circuit breaker, since too many are open
+	Apart         bool          // the gate was chosen because of Slowdown or Harm at another one
 }
 
 // Best returns the choice with the earliest expected end, adjusted by a penalty for
@@ -71,9 +74,45 @@
 			bestRank, bestCost = rank, cost
 		}
 	}
+	if best.Gate >= 0 && best.Wait == 0 && gates[best.Gate].interferes() {
+		return apart(gates, t, best, bestRank, ignoreBreakers)
+	}
+	return best
+}
+
+// apart returns the choice with the lowest cost, interference included, among the gates of
+// the given rank that can start t at once. The present best choice is one of them.
+func apart(gates []Gate, t Task, best Choice, rank int, ignoreBreakers bool) Choice {
+	first := best.Gate
+	bestCost := best.Finish + gates[first].usagePenalty() + gates[first].interference(t)
+	for i, g := range gates {
+		if !t.Size.Within(g.Capacity) || g.rank(ignoreBreakers) != rank {
+			continue
+		}
+		wait, finish := g.estimate(t)
+		cost := finish + g.usagePenalty() + g.interference(t)
+		if wait == 0 && cost < bestCost {
+			best = Choice{Gate: i, Finish: finish, IgnoreBreaker: g.BreakerOpen && ignoreBreakers, Apart: true}
+			bestCost = cost
+		}
+	}
 	return best
 }
 
+// interferes reports whether a task at g and the runs there slow each other down.
+func (g Gate) interferes() bool { return g.Slowdown > 1 || g.Harm > 0 }
+
+// interference returns by how much longer t would run at g because of the runs there, and
+// these because of t. They overlap until one of them ends.
+func (g Gate) interference(t Task) time.Duration {
+	if !g.interferes() {
+		return 0
+	}
+	own := (max(g.Slowdown, 1) - 1) * max(g.RunTimeFactor, 1) * float64(t.RunTime)
+	others := max(g.Harm, 0) * float64(min(t.RunTime, meanReleaseTime))
+	return time.Duration((own + others) / max(g.Speed, minSpeed))
+}
+
 // estimate returns the expected times until t starts and ends at g. The wait covers the
 // work in the queue and the release of the CPU that t lacks; it is 0 if t fits and the
 // queue is empty.
