Carry kinds of tasks and pairs that slow each other down in messages

Gates need the kind of a task to tell which kinds slow each other down, and entries need what gates have found. Task gets Kind and WantKinds, Sync WantKinds, Load the pairs and the runs by kind, all at the end; each costs one byte while it is empty, and messages of older processes decode as before.

--- a/internal/wire/msgs/task.go
+++ b/internal/wire/msgs/task.go
@@ -51,6 +51,8 @@
 	Failures        int      // number of times that the task has failed elsewhere
 	IgnoreBreaker   bool     // start the task even if the target's circuit breaker is open, since too many are
 	Cancel          []uint64 // IDs of tasks to stop before this one is admitted
+	Kind            string   // kind of the task; see package interf. Empty for none
+	WantKinds       bool     // the Loads of the next second shall have Kinds
 }
 
 // TaskReply is the reply to Task.
@@ -65,7 +67,8 @@
 // The reply is the gate's Load.
 type Sync struct {
 	Sender
-	Cancel []uint64 // IDs of tasks to stop
+	Cancel    []uint64 // IDs of tasks to stop
+	WantKinds bool     // the Loads of the next second shall have Kinds
 }
 
 // Load is the capacity and use of a gate's target.
@@ -85,6 +88,23 @@
 	Speed             float64  // run time on a target of speed 1 divided by the run time here
 	BlockedReason     string   // why the gate starts no tasks, such as an open circuit breaker; empty if it does
 	Leaving           bool     // the gate accepts no new tasks
+
+	Interference []Interference // pairs of kinds that slow each other down; usually empty
+	Kinds        []KindRuns     // runs at the target by kind; empty unless there is interference
+}
+
+// Interference means that tasks of one kind run longer beside tasks of another.
+type Interference struct {
+	Slowed   string // kind that runs longer
+	By       string // kind that makes it run longer
+	Factor   int    // by which it runs longer, percent
+	Evidence int    // reciprocal of the variance of the logarithm of the factor
+}
+
+// KindRuns is the number of runs of a kind.
+type KindRuns struct {
+	Kind string
+	Runs int
 }
 
 // Revoke is the argument of Gate.Revoke. It stops or refuses all tasks of the jobs that are not of
@@ -159,16 +179,16 @@
 func (m *Task) EncodeMsgpack(e *msgpack.Encoder) error {
 	return encodeArray(e, m.Entry, m.Incarnation, m.GateIncarnation, m.EchoedTimestamp, m.ID,
 		m.Name, m.Job, m.Service, m.Spec, m.CPU, m.Memory, m.GPU,
-		m.ExpectedRunTime, m.MaxQueueTime, int64(0), m.Failures, m.IgnoreBreaker, m.StartWithin, m.Cancel)
+		m.ExpectedRunTime, m.MaxQueueTime, int64(0), m.Failures, m.IgnoreBreaker, m.StartWithin, m.Cancel, m.Kind, m.WantKinds)
 }
 
 // DecodeMsgpack reads the message. One without StartWithin, from an older process, is
-// due when it arrives; one without Cancel stops no task.
+// due when it arrives; one without Cancel stops no task, and one without Kind has none.
 func (m *Task) DecodeMsgpack(d *msgpack.Decoder) error {
 	var unused int64
 	return decodeArray(d, &m.Entry, &m.Incarnation, &m.GateIncarnation, &m.EchoedTimestamp, &m.ID,
 		&m.Name, &m.Job, &m.Service, &m.Spec, &m.CPU, &m.Memory, &m.GPU,
-		&m.ExpectedRunTime, &m.MaxQueueTime, &unused, &m.Failures, &m.IgnoreBreaker, &m.StartWithin, &m.Cancel)
+		&m.ExpectedRunTime, &m.MaxQueueTime, &unused, &m.Failures, &m.IgnoreBreaker, &m.StartWithin, &m.Cancel, &m.Kind, &m.WantKinds)
 }
 
 // EncodeMsgpack writes the message.
@@ -183,26 +203,27 @@
 
 // EncodeMsgpack writes the message.
 func (m *Sync) EncodeMsgpack(e *msgpack.Encoder) error {
-	return encodeArray(e, m.Entry, m.Incarnation, m.GateIncarnation, m.EchoedTimestamp, m.Cancel)
+	return encodeArray(e, m.Entry, m.Incarnation, m.GateIncarnation, m.EchoedTimestamp, m.Cancel, m.WantKinds)
 }
 
-// DecodeMsgpack reads the message.
+// DecodeMsgpack reads the message. One from an older process has no WantKinds.
 func (m *Sync) DecodeMsgpack(d *msgpack.Decoder) error {
-	return decodeArray(d, &m.Entry, &m.Incarnation, &m.GateIncarnation, &m.EchoedTimestamp, &m.Cancel)
+	return decodeArray(d, &m.Entry, &m.Incarnation, &m.GateIncarnation, &m.EchoedTimestamp, &m.Cancel, &m.WantKinds)
 }
 
 // EncodeMsgpack writes the message.
 func (m *Load) EncodeMsgpack(e *msgpack.Encoder) error {
 	return encodeArray(e, m.Incarnation, m.Timestamp, m.Service, m.TargetIncarnation, m.Labels,
 		m.CPU, m.Memory, m.GPU, m.UsedCPU, m.UsedMemory, m.UsedGPU,
-		m.QueuedWork, m.Speed, m.BlockedReason, m.Leaving)
+		m.QueuedWork, m.Speed, m.BlockedReason, m.Leaving, interferenceCodec(&m.Interference), kindsCodec(&m.Kinds))
 }
 
-// DecodeMsgpack reads the message.
+// DecodeMsgpack reads the message. One from an older process has no Interference and no
+// Kinds.
 func (m *Load) DecodeMsgpack(d *msgpack.Decoder) error {
 	return decodeArray(d, &m.Incarnation, &m.Timestamp, &m.Service, &m.TargetIncarnation, &m.Labels,
 		&m.CPU, &m.Memory, &m.GPU, &m.UsedCPU, &m.UsedMemory, &m.UsedGPU,
-		&m.QueuedWork, &m.Speed, &m.BlockedReason, &m.Leaving)
+		&m.QueuedWork, &m.Speed, &m.BlockedReason, &m.Leaving, interferenceCodec(&m.Interference), kindsCodec(&m.Kinds))
 }
 
 // EncodeMsgpack writes the message.
