Let gates observe which tasks slow each other down

A gate notes the kind, start and end of each run that its target confirms, and how long runs took that ended done. Loads carry the pairs found and, while there are some here or at an entry, the runs by kind. Changes are events and counters.

--- a/internal/disp/gate/apply.go
+++ b/internal/disp/gate/apply.go
@@ -114,6 +114,7 @@
 func (g *Gate) checkRuns(now boot.Time) {
 	stalled := g.stalledSinceCheck(now)
 	g.repeatStops(now)
+	g.expireInterference()
 	for _, r := range g.runs {
 		r.progressedAt = r.progressedAt.Add(stalled)
 		switch {
--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -9,6 +9,7 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cbreak"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/estim"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/interf"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/lease"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/rsrc"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/targ"
@@ -72,9 +73,11 @@
 	breaker      cbreak.Breaker
 	speed        estim.Speed
 	replyTimes   estim.ReplyTimes
-	nextLoadLog  boot.Time  // when the load is logged next
-	checkedAt    boot.Time  // when the progress of runs was last checked
-	waker        boot.Waker // makes pollLoop check the state without delay
+	nextLoadLog  boot.Time      // when the load is logged next
+	checkedAt    boot.Time      // when the progress of runs was last checked
+	waker        boot.Waker     // makes pollLoop check the state without delay
+	interference interf.Tracker // of the runs at the target
+	kindsUntil   boot.Time      // until when loads have Kinds
 }
 
 // taskID identifies a task as its sender does.
@@ -137,6 +140,7 @@
 	reason        string        // why the task was refused or its run lost; otherwise empty
 	runTime       time.Duration // by the target's clock; 0 if unknown
 	finished      chan struct{} // closed once result is set
+	mark          *interf.Mark  // start of the run, for interference; nil if it is not in progress or not observed
 }
 
 // Run calls the target until ctx is cancelled.
@@ -175,6 +179,7 @@
 	if m.GateIncarnation == g.IncarnationID {
 		g.renewEntry(m.Sender, m.Cancel)
 	}
+	g.wantKinds(m.WantKinds)
 	return g.load()
 }
 
@@ -207,6 +212,7 @@
 		return nil, msgs.TaskReply{Result: msgs.Foreign, Reason: cause.OtherIncarnation, Load: g.load()}
 	}
 	g.renewEntry(m.Sender, m.Cancel)
+	g.wantKinds(m.WantKinds)
 	id := taskID{m.Entry, m.Incarnation, m.ID}
 	if r := g.tasks[id]; r != nil {
 		return r, msgs.TaskReply{}
@@ -301,6 +307,7 @@
 	if g.runs[r.msg.Name] == r {
 		delete(g.runs, r.msg.Name)
 	}
+	g.observeEnd(r)
 	g.logEnded(r, previous)
 	close(r.finished)
 	g.waker.Wake()
@@ -321,6 +328,7 @@
 	for _, r := range g.queue {
 		l.QueuedWork += int64(r.demand.CPU) * r.msg.ExpectedRunTime / 1000
 	}
+	g.addInterference(&l, now)
 	l.BlockedReason = g.breaker.OpenReason(now)
 	switch {
 	case g.silent && g.downWithRuns:
--- a/internal/disp/gate/order.go
+++ b/internal/disp/gate/order.go
@@ -158,6 +158,7 @@
 	r.phase, r.inDoubt = running, false
 	r.startClock, r.begun = clock, !r.maybeOlder
 	r.startedAt, r.progressedAt = now, now
+	g.observeStart(r)
 	g.logStarted(r, now)
 	if r.stopWanted {
 		g.stopNow(r, now)
--- a/internal/disp/interf/pairs.go
+++ b/internal/disp/interf/pairs.go
@@ -50,6 +50,17 @@
 // deviations returns the number of standard errors by which p differs from no effect.
 func (p Pair) deviations() float64 { return math.Log(p.Factor) * math.Sqrt(p.Evidence) }
 
+// Percent returns the factor in percent.
+func (p Pair) Percent() int { return int(math.Round(100 * p.Factor)) }
+
+// CounterPrefix precedes Found, Changed or Dropped in the names of the counters of changes.
+const CounterPrefix = "interference."
+
+// Counters returns the names of the counters of changes.
+func Counters() []string {
+	return []string{CounterPrefix + Changed, CounterPrefix + Dropped, CounterPrefix + Found}
+}
+
 // Kinds of changes.
 const (
 	Found   = "found"
