Let entries place tasks that slow each other down apart

Tasks name their kind: the route and the step's image. Tasks sent since the newest load count as runs.

--- a/internal/disp/coord/candidates.go
+++ b/internal/disp/coord/candidates.go
@@ -28,6 +28,9 @@
 	// allCrashed is set if there are gates and their targets have all crashed. Those are
 	// back after some seconds at the earliest.
 	allCrashed bool
+	// interference is set if a gate of the service has reported kinds that slow each other
+	// down.
+	interference bool
 }
 
 // serviceGate is a gate of the service, whether it can run the task or not.
@@ -135,7 +138,7 @@
 	clear(cands.links)
 	clear(cands.targets)
 	cands.truncate(0)
-	cands.service, cands.allCrashed = cands.service[:0], false
+	cands.service, cands.allCrashed, cands.interference = cands.service[:0], false, false
 	c.candidatePool.Put(cands)
 }
 
@@ -145,6 +148,7 @@
 	if !v.Available || v.Load.Service != service {
 		return
 	}
+	cands.interference = cands.interference || len(v.Load.Interference) > 0
 	cands.service = append(cands.service, serviceGate{l.Addr, v.Load.BlockedReason == cause.TargetCrashed})
 	if s.RequiredLabel != "" && !slices.Contains(v.Load.Labels, s.RequiredLabel) {
 		return
--- a/internal/disp/coord/coord.go
+++ b/internal/disp/coord/coord.go
@@ -69,6 +69,7 @@
 	nextTaskID atomic.Uint64
 
 	candidatePool sync.Pool // of *candidates
+	interference  interference
 
 	mu          sync.Mutex
 	jobs        map[string]*execution
--- a/internal/disp/coord/job.go
+++ b/internal/disp/coord/job.go
@@ -24,6 +24,9 @@
 	RequiredLabel   string        // label that the target must have; empty for any target
 	PreferredLabel  string        // label of the rack that holds the step's data; empty for no preference
 	MaxPerTarget    int           // limit of concurrent tasks of the step on one target; 0 for no limit
+	Image           string        // part of the kind of its tasks; may be empty
+
+	kind string // of its tasks; see interf.Kind
 }
 
 // Job is a caller's request: steps of tasks that are run for one route.
--- a/internal/disp/coord/task.go
+++ b/internal/disp/coord/task.go
@@ -9,6 +9,7 @@
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/interf"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/link"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/pick"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
@@ -38,6 +39,7 @@
 			return
 		}
 	}
+	s.kind = interf.Kind(e.Route.Name, s.Image)
 	done := make(chan struct{}, s.Count)
 	for i := range s.Count {
 		go func() {
@@ -155,16 +157,20 @@
 			cands.gates[i].Capacity.CPU = -1
 		}
 	}
+	wantKinds := c.weighInterference(cands, e.Route.Service, s.kind)
 	expectedRunTime := c.runTimes.Estimate(e.Route.Name, s.DeclaredRunTime)
 	choice := pick.Best(cands.gates, pick.Task{Size: s.Size, RunTime: expectedRunTime})
 	if choice.Gate < 0 {
 		return nil, "", msgs.Task{}, false
 	}
+	if choice.Apart {
+		c.count(ApartCounter)
+	}
 	gate, target := cands.links[choice.Gate], cands.targets[choice.Gate]
 	view := gate.View(c.now())
 	c.trace("task_placed", "job", e.ID, "task", ts.name, "gate", gate.Addr, "target", target,
 		"used", view.Used.CPU, "of", view.Load.CPU, "speed", int(100*view.Load.Speed), "age", c.now().Sub(view.LastAnswer),
-		"wait", choice.Wait, "finish", choice.Finish, "gates", len(cands.gates), "failures", ts.failures, "insist", choice.IgnoreBreaker)
+		"wait", choice.Wait, "finish", choice.Finish, "gates", len(cands.gates), "failures", ts.failures, "insist", choice.IgnoreBreaker, "apart", choice.Apart)
 	return gate, target, msgs.Task{
 		ID: c.nextTaskID.Add(1), Name: ts.name, Job: e.ID, Service: e.Route.Service, Spec: e.Spec,
 		CPU: s.Size.CPU, Memory: s.Size.Memory, GPU: s.Size.GPU,
@@ -173,6 +179,8 @@
 		StartWithin:     c.timing(e, expectedRunTime).StartBy().Sub(c.now()).Milliseconds(),
 		Failures:        ts.failures,
 		IgnoreBreaker:   choice.IgnoreBreaker,
+		Kind:            s.kind,
+		WantKinds:       wantKinds,
 	}, true
 }
 
--- a/internal/disp/link/link.go
+++ b/internal/disp/link/link.go
@@ -74,6 +74,7 @@
 	outstanding    int                 // tasks sent whose outcome is unknown
 	retired        bool                // Run ends once no task or cancellation needs it
 	closed         bool                // Run has ended, or ends without another call; final
+	kindsUntil     boot.Time           // until when Sync calls ask for Load.Kinds
 	waker          boot.Waker          // makes Run look at the state, and make a Sync call, at once
 }
 
@@ -82,6 +83,7 @@
 type recentTask struct {
 	size   rsrc.Vector
 	sentAt boot.Time
+	kind   string
 }
 
 // View is what the entry knows about the gate when it places tasks.
@@ -252,7 +254,7 @@
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	reply := &msgs.Load{}
-	err := l.Call(ctx, l.Addr, SyncMethod, &msgs.Sync{Sender: sender, Cancel: cancels}, reply)
+	err := l.Call(ctx, l.Addr, SyncMethod, &msgs.Sync{Sender: sender, Cancel: cancels, WantKinds: l.wantsKinds()}, reply)
 	l.mu.Lock()
 	l.lastSync = l.now()
 	l.mu.Unlock()
@@ -325,7 +327,7 @@
 func (l *Link) reserve(m msgs.Task) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.recent = append(l.recent, recentTask{rsrc.Vector{CPU: m.CPU, Memory: m.Memory, GPU: m.GPU}, l.now()})
+	l.recent = append(l.recent, recentTask{rsrc.Vector{CPU: m.CPU, Memory: m.Memory, GPU: m.GPU}, l.now(), m.Kind})
 }
 
 // cancelsToSend returns the IDs of the tasks to cancel. Call it after sender: a message
