Show operators which tasks slow each other down

The status documents of entries and nodes list the pairs, gypctl fleet prints them if there are any, and their counters exist from the start. The tests of pick and coord now fail if interference chooses instead of a gate with a wait, or changes the wait by which jobs are admitted.

--- a/cmd/gypctl/fleet.go
+++ b/cmd/gypctl/fleet.go
@@ -160,11 +160,35 @@
 			n.Used, n.CPU, fmt.Sprintf("%d%%", n.Speed), cmp.Or(n.Aside, "-"), n.Leaving,
 		}
 	})
+	t.printInterference(append(entries, nodes...))
 	for _, s := range unreachable {
 		t.print("%s does not answer: %s\n", s.Address, s.Error)
 	}
 }
 
+// printInterference prints a table of the kinds of tasks that slow each other down, as each
+// process knows them, if any does.
+func (t *tool) printInterference(statuses []processStatus) {
+	var rows [][]any
+	for _, s := range statuses {
+		var pairs []report.InterferenceDoc
+		switch {
+		case s.Doc.Entry != nil:
+			pairs = s.Doc.Entry.Interference
+		case s.Doc.Node != nil:
+			pairs = s.Doc.Node.Interference
+		}
+		for _, p := range pairs {
+			rows = append(rows, []any{s.Doc.Name, p.Service, p.Slowed, p.By, fmt.Sprintf("%d%%", p.Percent), p.Evidence})
+		}
+	}
+	if len(rows) == 0 {
+		return
+	}
+	t.print("\n")
+	t.printTable("INTERFERENCE AT\tSERVICE\tSLOWED\tBY\tTO\tEVIDENCE", len(rows), func(i int) []any { return rows[i] })
+}
+
 // countUsableGates returns the number of gates to which an entry would send tasks.
 func countUsableGates(e *report.EntryDoc) int {
 	n := 0
--- a/cmd/gypsumlanding/process.go
+++ b/cmd/gypsumlanding/process.go
@@ -14,6 +14,7 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/coord"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/gate"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/giveup"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/interf"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/memb"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/proc"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/report"
@@ -85,6 +86,7 @@
 		Trace: p.log.Trace, Count: p.counters.Count, Observe: p.counters.Observe,
 	}
 	p.counters.Declare(append(cause.EntryCounters(), giveup.Counters()...))
+	p.counters.Declare(append(interf.Counters(), coord.ApartCounter))
 	p.counters.Gauge("jobs.running", func() int64 { return int64(e.Coord.Running()) })
 	p.counters.Gauge("config.version", e.Config.Version)
 	p.counters.Gauge("gates", func() int64 { return int64(len(e.Links())) })
@@ -143,6 +145,7 @@
 		StopTime: p.cfg.StopTime, Event: p.log.Event, Trace: p.log.Trace, Count: p.counters.Count, Observe: p.counters.Observe,
 	}
 	p.counters.Declare(append(append(cause.NodeCounters(), gate.ProofCounters()...), gate.RevokedCounter))
+	p.counters.Declare(interf.Counters())
 	p.counters.Gauge("tasks.running", func() int64 { return int64(g.State().Running) })
 	p.counters.Gauge("tasks.queued", func() int64 { return int64(g.State().Queued) })
 	n := &proc.Node{
--- a/internal/disp/coord/interf_test.go
+++ b/internal/disp/coord/interf_test.go
@@ -145,38 +145,42 @@
 	close(hold)
 }
 
-// TestAdmissionIgnoresInterference checks that no job is refused because of interference: its
-// decision looks at the same gates as before.
+// TestAdmissionIgnoresInterference checks that interference does not change the wait by which
+// jobs are admitted or refused. The third task waits for the fast gate. It would not if the
+// first two were placed apart from what runs there.
 func TestAdmissionIgnoresInterference(t *testing.T) {
 	f := newFakeGates(t, 2)
 	c := f.coordinator()
-	job := newTestJob(8, 400)
-	e := newExecution(job)
-	decide := func() (time.Duration, bool) {
-		cands := c.findCandidates(job.Route, job.Steps[0])
-		defer c.release(cands)
-		for _, g := range cands.gates {
-			if g.Slowdown != 0 || g.Harm != 0 {
-				t.Errorf("admission sees %+v", g)
-			}
+	var wait any
+	c.Trace = func(event string, pairs ...any) {
+		if i := slices.Index(pairs, any("wait")); event == "step_admitted" {
+			wait = pairs[i+1]
 		}
-		return cands.longestWait(job.Steps[0], 100*time.Millisecond)
 	}
-	before, _ := decide()
-	admitted := c.admitStep(e, 0, job.Steps[0]).State
-	f.setLoads(t, func(_ int, l *msgs.Load) {
-		l.Interference, l.Kinds = found, []msgs.KindRuns{{Kind: "b", Runs: 5}}
+	job := newTestJob(3, 400)
+	expectWait := func() time.Duration {
+		c.admitStep(newExecution(job), 0, job.Steps[0])
+		d, ok := wait.(time.Duration)
+		if !ok || d <= 0 {
+			t.Errorf("wait %v, want one", wait)
+		}
+		return d
+	}
+	f.setLoads(t, func(gate int, l *msgs.Load) { l.Speed = []float64{1.2, 0.5}[gate] })
+	before := expectWait()
+	f.setLoads(t, func(gate int, l *msgs.Load) {
+		l.Interference = []msgs.Interference{{Slowed: "r", By: "b", Factor: 800, Evidence: 400}}
+		if gate == 0 {
+			l.Kinds = []msgs.KindRuns{{Kind: "b", Runs: 1}}
+		}
 	})
-	chosen(t, c, job) // the candidates are used again
-	if len(c.Interference()) == 0 {
-		t.Fatal("nothing in force")
+	// The candidates of this placement are used again.
+	if g, _ := chosen(t, c, job); g != "g1" {
+		t.Fatalf("chose %s, so nothing is in force", g)
 	}
-	if after, fits := decide(); after != before || !fits {
+	if after := expectWait(); after != before {
 		t.Errorf("longest wait %v, without interference %v", after, before)
 	}
-	if a := c.admitStep(e, 0, job.Steps[0]); a.State != admitted {
-		t.Errorf("state %v, without interference %v", a.State, admitted)
-	}
 }
 
 // TestInterferenceDoesNotAllocate checks that interference adds no allocation to a placement,
--- a/internal/disp/pick/apart_test.go
+++ b/internal/disp/pick/apart_test.go
@@ -16,6 +16,8 @@
 	harmed := newGate(0, 1)
 	harmed.Harm = 1
 	free, full := newGate(500, 0.9), newGate(950, 1)
+	fullAndSlowed := newGate(950, 1)
+	fullAndSlowed.Slowdown = 3
 	for _, tt := range []struct {
 		name  string
 		gates []Gate
@@ -25,6 +27,7 @@
 		{"gate without interference", []Gate{slowed, free}, 1, true},
 		{"gate whose runs are not slowed", []Gate{harmed, free}, 1, true},
 		{"not a gate where it waits", []Gate{slowed, full}, 0, false},
+		{"not instead of a gate where it waits", []Gate{fullAndSlowed, newGate(0, 0.3)}, 0, false},
 		{"not a much slower gate", []Gate{slowed, newGate(0, 0.5)}, 0, false},
 		{"the only gate", []Gate{slowed}, 0, false},
 		{"less of two evils", []Gate{slowed, {Capacity: free.Capacity, Speed: 1, Slowdown: 1.2}}, 1, true},
@@ -44,15 +47,16 @@
 		var gates, plain []Gate
 		for range rapid.IntRange(0, 20).Draw(t, "n") {
 			g := newGate(rapid.IntRange(0, 1000).Draw(t, "used"), rapid.Float64Range(0, 2).Draw(t, "speed"))
-			g.Capacity.CPU = rapid.IntRange(1, 1000).Draw(t, "cpu")
-			g.QueuedWork = int64(rapid.IntRange(0, 2).Draw(t, "queued"))
-			g.BreakerOpen, g.Avoid, g.Unavailable = rapid.Bool().Draw(t, "aside"), rapid.Bool().Draw(t, "avoid"), rapid.Bool().Draw(t, "unavailable")
+			g.Capacity.CPU = rapid.SampledFrom([]int{100, 800, 1000}).Draw(t, "cpu")
+			g.QueuedWork = int64(rapid.SampledFrom([]int{0, 0, 0, 100}).Draw(t, "queued"))
+			rarely := func(name string) bool { return rapid.IntRange(0, 4).Draw(t, name) == 4 }
+			g.BreakerOpen, g.Avoid, g.Unavailable = rarely("aside"), rarely("avoid"), rarely("unavailable")
 			g.RunTimeFactor = rapid.Float64Range(0, 2).Draw(t, "factor")
 			plain = append(plain, g)
 			g.Slowdown, g.Harm = rapid.Float64Range(-1, 8).Draw(t, "slowdown"), rapid.Float64Range(-1, 20).Draw(t, "harm")
 			gates = append(gates, g)
 		}
-		task := Task{Size: rsrc.Vector{CPU: rapid.IntRange(1, 500).Draw(t, "size")}, RunTime: 100 * time.Millisecond}
+		task := Task{Size: rsrc.Vector{CPU: rapid.IntRange(1, 500).Draw(t, "size")}, RunTime: time.Duration(rapid.IntRange(10, 1000).Draw(t, "ms")) * time.Millisecond}
 		before, with := Best(plain, task), Best(gates, task)
 		if before.Apart || !with.Apart && with != before {
 			t.Fatalf("got %+v, without interference %+v", with, before)
--- a/internal/disp/report/report.go
+++ b/internal/disp/report/report.go
@@ -44,6 +44,8 @@
 	RunningJobs int       `json:"jobs"`    // jobs that have not ended
 	Entries     []string  `json:"entries"` // addresses of the other known entries
 	Gates       []GateDoc `json:"gates"`   // by address
+	// Interference lists the pairs in force, by service, as of the latest placement.
+	Interference []InterferenceDoc `json:"interference,omitempty"`
 }
 
 // GateDoc is what an entry knows about a gate.
@@ -76,6 +78,8 @@
 	Unresponsive bool   `json:"silent"`  // the target does not answer long polls
 	Entries      int    `json:"entries"` // entries that have called recently
 	Fence        int64  `json:"fence"`   // fencing token of the orders to the target
+	// Interference lists the pairs that the node has found or suspects.
+	Interference []InterferenceDoc `json:"interference,omitempty"`
 }
 
 // Process serves the status of one process. Entry or Gate is set.
@@ -124,13 +128,17 @@
 			Queued: v.Load.QueuedWork, Speed: toPercent(v.Load.Speed), Aside: v.Load.BlockedReason, Leaving: v.Load.Leaving,
 		})
 	}
+	for _, p := range e.Coord.Interference() {
+		d.Interference = append(d.Interference, InterferenceDoc{p.Service, p.Slowed, p.By, p.Percent(), int(p.Evidence)})
+	}
 	slices.SortFunc(d.Gates, func(a, b GateDoc) int { return strings.Compare(a.Address, b.Address) })
 	return d
 }
 
 func newNodeDoc(s gate.State) *NodeDoc {
 	return &NodeDoc{
-		Target: s.Incarnation.ID, Started: s.Incarnation.Born, Service: s.Incarnation.Service, Leaving: s.Load.Leaving,
+		Interference: interferenceDocs(s),
+		Target:       s.Incarnation.ID, Started: s.Incarnation.Born, Service: s.Incarnation.Service, Leaving: s.Load.Leaving,
 		CPU: s.Load.CPU, Used: s.Load.UsedCPU, Running: s.Running, Queued: s.Queued, Speed: toPercent(s.Load.Speed),
 		Aside: s.Load.BlockedReason, Reconciled: s.Reconciled, Unresponsive: s.Unresponsive, Entries: s.Entries, Fence: s.Fence,
 	}
