--- a/test/mutant_test.go
+++ b/test/mutant_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -34,7 +35,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, m := range mutants {
+	for _, m := range slices.Concat(mutants, interferenceMutants) {
 		t.Run(m.rule, func(t *testing.T) {
 			t.Parallel()
 			m.mustFail(t, root)
