Count the gates that report no pair as evidence against it

With 56 instead of 8 gates the chance suspicions of a few added up: pairs that don't exist were in force for most of the time when all gates had slow moments. Half of the gates without a report now count as having seen no effect.

--- a/internal/disp/coord/interf.go
+++ b/internal/disp/coord/interf.go
@@ -97,19 +97,20 @@
 // mergeReports merges the newest reports of the gates of a service, and reports whether there
 // are any.
 func (c *Coordinator) mergeReports(si *serviceInterference, service string, now boot.Time) bool {
-	reported := false
+	reported, gates := false, 0
 	links := c.Links()
 	for _, l := range links {
 		v := l.View(now)
 		if !v.Available || v.Load.Service != service {
 			continue
 		}
+		gates++
 		for _, p := range v.Load.Interference {
 			reported = true
 			si.merger.Add(interf.Pair{Slowed: p.Slowed, By: p.By, Factor: float64(p.Factor) / 100, Evidence: float64(p.Evidence)})
 		}
 	}
-	for _, ch := range si.merger.Merge() {
+	for _, ch := range si.merger.Merge(gates) {
 		c.count(interf.CounterPrefix + ch.What)
 		c.trace("interference_"+ch.What, "service", service, "slowed", ch.Pair.Slowed, "by", ch.Pair.By,
 			"percent", ch.Pair.Percent(), "evidence", int(ch.Pair.Evidence))
--- a/internal/disp/interf/merge.go
+++ b/internal/disp/interf/merge.go
@@ -12,9 +12,16 @@
 	// if that is enough for a suspicion. With less, most gates that knew it have dropped it,
 	// while the others have had too few runs yet to judge that.
 	keepShare = 0.4
+	// findMergedDeviations replaces findDeviations for pairs that several gates report: what is
+	// taken for interference by chance, or in a slow moment, is rarely so at many gates.
+	findMergedDeviations = 4.0
 	// peakDecay is the factor by which the largest evidence falls with each call of Merge, so
 	// that the share is that of the last minute.
-	peakDecay = 0.99
+	peakDecay = 0.997
+	// silentShare is the share of the gates without a report of a pair that are taken to
+	// have seen that there is none. The others have not seen both kinds together. Without it,
+	// the chance suspicions of a few of many gates would add up.
+	silentShare = 0.5
 	// maxFactor bounds the factor of a merged pair.
 	maxFactor = 8.0
 )
@@ -38,8 +45,18 @@
 	table Table
 }
 
-// sum is a weighted sum of logarithms of factors.
-type sum struct{ log, weight float64 }
+// sum is a weighted sum of logarithms of factors, as reported by some gates.
+type sum struct {
+	log, weight float64
+	gates       int
+}
+
+// deviations returns the number of standard errors by which the sum differs from no effect, if
+// silentShare of the other gates have as much evidence each for no effect.
+func (s sum) deviations(gates int) float64 {
+	silent := silentShare * float64(max(0, gates-s.gates))
+	return s.log / math.Sqrt(s.weight*(1+silent/float64(s.gates)))
+}
 
 // inForce is what a Merger keeps of a pair in force.
 type inForce struct {
@@ -60,12 +77,22 @@
 	s := m.sums[key]
 	s.log += p.Evidence * math.Log(p.Factor)
 	s.weight += p.Evidence
+	s.gates++
 	m.sums[key] = s
 }
 
-// Merge makes the pairs in force those of the pairs added since the last call that all
-// gates together have found, and returns the changes.
-func (m *Merger) Merge() []Change {
+// isFound reports whether the sum is enough for a pair that is not in force.
+func (s sum) isFound(gates int) bool {
+	needed := findMergedDeviations
+	if s.gates == 1 {
+		needed = findDeviations
+	}
+	return s.log/s.weight >= math.Log(findFactor) && s.deviations(gates) >= needed
+}
+
+// Merge makes the pairs in force those of the pairs added since the last call that all of the
+// given number of gates together have found, and returns the changes.
+func (m *Merger) Merge(gates int) []Change {
 	var changes []Change
 	var pairs []Pair
 	table, force := Table{}, map[pairKey]inForce{}
@@ -73,9 +100,9 @@
 		p := Pair{Slowed: key.slowed, By: key.by, Factor: min(math.Exp(s.log/s.weight), maxFactor), Evidence: s.weight}
 		known, ok := m.force[key]
 		switch {
-		case !ok && (p.Factor < findFactor || p.deviations() < findDeviations):
+		case !ok && !s.isFound(gates):
 			continue
-		case ok && (p.Factor < keepFactor || p.deviations() < suspectDeviations || p.Evidence < keepShare*known.evidence):
+		case ok && (p.Factor < keepFactor || s.deviations(gates) < suspectDeviations || p.Evidence < keepShare*known.evidence):
 			continue
 		case !ok:
 			known.logged = p.Factor
