--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -211,8 +211,8 @@
 	if m.GateIncarnation != g.IncarnationID {
 		return nil, msgs.TaskReply{Result: msgs.Foreign, Reason: cause.OtherIncarnation, Load: g.load()}
 	}
-	g.renewEntry(m.Sender, m.Cancel)
 	g.wantKinds(m.WantKinds)
+	g.renewEntry(m.Sender, m.Cancel)
 	id := taskID{m.Entry, m.Incarnation, m.ID}
 	if r := g.tasks[id]; r != nil {
 		return r, msgs.TaskReply{}
