--- a/internal/disp/coord/candidates.go
+++ b/internal/disp/coord/candidates.go
@@ -32,8 +32,11 @@
 	allCrashed bool
 	// evacuated is set if a target in an evacuated domain, which is none of the candidates,
 	// could run the task.
-	evacuated   bool
-	explanation *explanation // set only by placement queries
+	evacuated bool
+	// interference is set if a gate of the service has reported kinds that slow each other
+	// down.
+	interference bool
+	explanation  *explanation // set only by placement queries
 }
 
 // serviceGate is a gate of the service, whether it can run the task or not.
@@ -150,7 +153,7 @@
 	clear(cands.links)
 	clear(cands.targets)
 	cands.truncate(0)
-	cands.service, cands.allCrashed, cands.evacuated = cands.service[:0], false, false
+	cands.service, cands.allCrashed, cands.evacuated, cands.interference = cands.service[:0], false, false, false
 	c.candidatePool.Put(cands)
 }
 
@@ -169,6 +172,7 @@
 		cands.explanation.exclude(l, cause.Evacuated)
 		return
 	}
+	cands.interference = cands.interference || len(v.Load.Interference) > 0
 	cands.service = append(cands.service, serviceGate{l.Addr, v.Load.BlockedReason == cause.TargetCrashed})
 	if s.RequiredLabel != "" && !slices.Contains(v.Load.Labels, s.RequiredLabel) {
 		cands.explanation.exclude(l, cause.NoLabel)
--- a/internal/disp/coord/explain.go
+++ b/internal/disp/coord/explain.go
@@ -73,6 +73,9 @@
 	if g.RunTimeFactor > 1 {
 		against = append(against, fmt.Sprintf("%s: runs %g times as long", cause.AwayFromData, g.RunTimeFactor))
 	}
+	if g.Slowdown > 1 {
+		against = append(against, fmt.Sprintf("%s: runs %.2f times as long beside the runs there", cause.Interference, g.Slowdown))
+	}
 	return against
 }
 
--- a/internal/disp/coord/where.go
+++ b/internal/disp/coord/where.go
@@ -7,6 +7,7 @@
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/bulk"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/interf"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/link"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/pick"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/rsrc"
@@ -88,6 +89,7 @@
 	cands := &candidates{explanation: &explanation{}}
 	cands.collect(c.Links(), e.Route.Service, s, c.slack(e, s), now)
 	cands.separate(known.guard, e.Route, s, now)
+	cands.weigh(c.knownInterference(e.Route.Service)[interf.Kind(e.Route.Name, s.Image)])
 	d := c.decide(e, s, cands, now)
 	known.outageSince = outageStart(known.outageSince, cands.usableCapacity() > 0, now)
 	sp := StepPlan{
--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -10,6 +10,7 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cbreak"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/estim"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/evac"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/interf"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/lease"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/rsrc"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/targ"
@@ -79,9 +80,11 @@
 	pace         estim.Pace
 	cold         bool // the target was cold at the last call of updateCold
 	replyTimes   estim.ReplyTimes
-	nextLoadLog  boot.Time  // when the load is logged next
-	checkedAt    boot.Time  // when the progress of runs was last checked
-	waker        boot.Waker // makes pollLoop check the state without delay
+	nextLoadLog  boot.Time      // when the load is logged next
+	checkedAt    boot.Time      // when the progress of runs was last checked
+	waker        boot.Waker     // makes pollLoop check the state without delay
+	interference interf.Tracker // of the runs at the target
+	kindsUntil   boot.Time      // until when loads have Kinds
 }
 
 // taskID identifies a task as its sender does.
@@ -145,6 +148,7 @@
 	reason        string        // why the task was refused or its run lost; otherwise empty
 	runTime       time.Duration // by the target's clock; 0 if unknown
 	finished      chan struct{} // closed once result is set
+	mark          *interf.Mark  // start of the run, for interference; nil if it is not in progress or not observed
 }
 
 // Run calls the target until ctx is cancelled.
@@ -184,6 +188,7 @@
 	if m.GateIncarnation == g.IncarnationID {
 		g.renewEntry(m.Sender, m.Cancel)
 	}
+	g.wantKinds(m.WantKinds)
 	return g.load()
 }
 
@@ -216,6 +221,7 @@
 	if m.GateIncarnation != g.IncarnationID {
 		return nil, msgs.TaskReply{Result: msgs.Foreign, Reason: cause.OtherIncarnation, Load: g.load()}
 	}
+	g.wantKinds(m.WantKinds)
 	g.renewEntry(m.Sender, m.Cancel)
 	id := taskID{m.Entry, m.Incarnation, m.ID}
 	if r := g.tasks[id]; r != nil {
@@ -313,6 +319,7 @@
 	if g.runs[r.msg.Name] == r {
 		delete(g.runs, r.msg.Name)
 	}
+	g.observeEnd(r)
 	g.logEnded(r, previous)
 	close(r.finished)
 	g.waker.Wake()
@@ -341,6 +348,7 @@
 	if len(g.queue) > 0 {
 		l.Backlog = backlog[:]
 	}
+	g.addInterference(&l, now)
 	l.BlockedReason = g.breaker.OpenReason(now)
 	switch {
 	case g.silent && g.downWithRuns:
--- a/internal/disp/report/report.go
+++ b/internal/disp/report/report.go
@@ -45,6 +45,8 @@
 	Entries     []string  `json:"entries"`   // addresses of the other known entries
 	Gates       []GateDoc `json:"gates"`     // by address
 	Evacuated   []string  `json:"evacuated"` // failure domains, in order
+	// Interference lists the pairs in force, by service, as of the latest placement.
+	Interference []InterferenceDoc `json:"interference,omitempty"`
 }
 
 // GateDoc is what an entry knows about a gate.
@@ -82,6 +84,8 @@
 	Fence        int64  `json:"fence"`     // fencing token of the orders to the target
 	Domain       string `json:"domain"`    // as in GateDoc
 	Evacuated    bool   `json:"evacuated"` // as in GateDoc
+	// Interference lists the pairs that the node has found or suspects.
+	Interference []InterferenceDoc `json:"interference,omitempty"`
 }
 
 // Process serves the status of one process. Entry or Gate is set.
@@ -131,13 +135,17 @@
 			Domain: v.Load.Domain, Evacuated: v.Evacuated,
 		})
 	}
+	for _, p := range e.Coord.Interference() {
+		d.Interference = append(d.Interference, InterferenceDoc{p.Service, p.Slowed, p.By, p.Percent(), int(p.Evidence)})
+	}
 	slices.SortFunc(d.Gates, func(a, b GateDoc) int { return strings.Compare(a.Address, b.Address) })
 	return d
 }
 
 func newNodeDoc(s gate.State) *NodeDoc {
 	return &NodeDoc{
-		Target: s.Incarnation.ID, Started: s.Incarnation.Born, Service: s.Incarnation.Service, Leaving: s.Load.Leaving,
+		Interference: interferenceDocs(s),
+		Target:       s.Incarnation.ID, Started: s.Incarnation.Born, Service: s.Incarnation.Service, Leaving: s.Load.Leaving,
 		CPU: s.Load.CPU, Used: s.Load.UsedCPU, Running: s.Running, Queued: s.Queued, Speed: toPercent(s.Load.Speed),
 		Aside: s.Load.BlockedReason, Reconciled: s.Reconciled, Unresponsive: s.Unresponsive, Entries: s.Entries, Fence: s.Fence,
 		Domain: s.Load.Domain, Evacuated: s.Evacuated, ColdFor: s.Load.ColdFor,
--- a/internal/wire/msgs/msgs_test.go
+++ b/internal/wire/msgs/msgs_test.go
@@ -28,6 +28,7 @@
 	load := Load{
 		Incarnation: 1, Timestamp: 2, Service: "s", TargetIncarnation: "t", Labels: []string{"l"}, CPU: 3, Memory: 4, GPU: 5,
 		UsedCPU: 6, UsedMemory: 7, UsedGPU: 8, QueuedWork: 9, Speed: 1.5, BlockedReason: "a", Leaving: true, Domain: "z", ColdFor: 10, Backlog: []int64{1, 2},
+		Interference: []Interference{{Slowed: "a", By: "b", Factor: 150, Evidence: 60}, {Slowed: "b", By: "a", Factor: 120, Evidence: 70}}, Kinds: []KindRuns{{Kind: "a", Runs: 1}},
 	}
 	order := Order{Domain: "z", Version: 14, Evacuated: true}
 	return []any{
@@ -52,10 +53,10 @@
 		&Task{
 			Sender: Sender{Entry: "e", Incarnation: 1, GateIncarnation: 2, EchoedTimestamp: 3}, ID: 4, Name: "n", Job: "j", Service: "s", Spec: "x",
 			CPU: 5, Memory: 6, GPU: 7, ExpectedRunTime: 8, MaxQueueTime: 9, StartWithin: -10, Failures: 11, IgnoreBreaker: true,
-			Cancel: []uint64{12, 13}, Order: order,
+			Cancel: []uint64{12, 13}, Order: order, Moved: true, Kind: "k", WantKinds: true,
 		},
 		&TaskReply{Result: Failed, Reason: "r", RunTime: 1, Load: load},
-		&Sync{Sender: Sender{Entry: "e", Incarnation: 1, GateIncarnation: 2, EchoedTimestamp: 3}, Cancel: []uint64{4, 5}, Order: order},
+		&Sync{Sender: Sender{Entry: "e", Incarnation: 1, GateIncarnation: 2, EchoedTimestamp: 3}, Cancel: []uint64{4, 5}, Order: order, WantKinds: true},
 		&load,
 		&Revoke{Sender: Sender{Entry: "e", Incarnation: 1, GateIncarnation: 2, EchoedTimestamp: 3}, Jobs: []string{"j", "k"}},
 		&RevokeReply{Applied: true, Incarnation: 1, Timestamp: 2, Running: []string{"j"}},
@@ -156,7 +157,7 @@
 		got, want any
 		added     int // fields
 	}{
-		{[]any{"e", uint64(1), uint64(2), int64(3), []uint64{4}}, &Sync{}, &Sync{Sender: Sender{"e", 1, 2, 3}, Cancel: []uint64{4}}, 1},
+		{[]any{"e", uint64(1), uint64(2), int64(3), []uint64{4}}, &Sync{}, &Sync{Sender: Sender{"e", 1, 2, 3}, Cancel: []uint64{4}}, 2},
 		{[]any{"e", []string{"m"}, int64(5), true}, &Gossip{}, &Gossip{Entry: "e", Members: []string{"m"}, ConfigVersion: 5, OutOfRotation: true}, 1},
 		{[]any{[]string{"m"}, int64(5), []byte("c"), []string{}, []int64{}, true}, &GossipReply{}, &GossipReply{
 			Members: []string{"m"}, ConfigVersion: 5, Config: []byte("c"), PendingRoutes: []string{}, PendingCounts: []int64{}, OutOfRotation: true,
@@ -166,7 +167,7 @@
 			&Load{
 				Incarnation: 1, Timestamp: 2, Service: "s", TargetIncarnation: "t", Labels: []string{"l"}, CPU: 3, Memory: 4, GPU: 5,
 				UsedCPU: 6, UsedMemory: 7, UsedGPU: 8, QueuedWork: 9, Speed: 1.5, BlockedReason: "a", Leaving: true,
-			}, 3,
+			}, 5,
 		},
 	} {
 		older, err := msgpack.Marshal(c.older)
--- a/internal/wire/msgs/task.go
+++ b/internal/wire/msgs/task.go
@@ -53,6 +53,8 @@
 	Cancel          []uint64 // IDs of tasks to stop before this one is admitted
 	Order           Order    // newest order of the gate's failure domain that the sender knows; zero if none
 	Moved           bool     // a gate has stopped the task since it would end sooner elsewhere
+	Kind            string   // kind of the task; see package interf. Empty for none
+	WantKinds       bool     // the Loads of the next second shall have Kinds
 }
 
 // TaskReply is the reply to Task.
@@ -67,8 +69,9 @@
 // The reply is the gate's Load.
 type Sync struct {
 	Sender
-	Cancel []uint64 // IDs of tasks to stop
-	Order  Order    // as in Task
+	Cancel    []uint64 // IDs of tasks to stop
+	Order     Order    // as in Task
+	WantKinds bool     // the Loads of the next second shall have Kinds
 }
 
 // Load is the capacity and use of a gate's target.
@@ -91,6 +94,23 @@
 	Domain            string   // failure domain of the target; empty if unknown
 	ColdFor           int      // for how long the target is slow after its start, or after it was without work, ms; 0 if it is not
 	Backlog           []int64  // QueuedWork by the time left until the latest start, as in triage.Backlog; empty if unknown
+
+	Interference []Interference // pairs of kinds that slow each other down; usually empty
+	Kinds        []KindRuns     // runs at the target by kind; empty unless there is interference
+}
+
+// Interference means that tasks of one kind run longer beside tasks of another.
+type Interference struct {
+	Slowed   string // kind that runs longer
+	By       string // kind that makes it run longer
+	Factor   int    // by which it runs longer, percent
+	Evidence int    // reciprocal of the variance of the logarithm of the factor
+}
+
+// KindRuns is the number of runs of a kind.
+type KindRuns struct {
+	Kind string
+	Runs int
 }
 
 // Revoke is the argument of Gate.Revoke. It stops or refuses all tasks of the jobs that are not of
@@ -167,16 +187,16 @@
 func (m *Task) EncodeMsgpack(e *msgpack.Encoder) error {
 	return encodeArray(e, m.Entry, m.Incarnation, m.GateIncarnation, m.EchoedTimestamp, m.ID,
 		m.Name, m.Job, m.Service, m.Spec, m.CPU, m.Memory, m.GPU,
-		m.ExpectedRunTime, m.MaxQueueTime, int64(0), m.Failures, m.IgnoreBreaker, m.StartWithin, m.Cancel, &m.Order, m.Moved)
+		m.ExpectedRunTime, m.MaxQueueTime, int64(0), m.Failures, m.IgnoreBreaker, m.StartWithin, m.Cancel, &m.Order, m.Moved, m.Kind, m.WantKinds)
 }
 
 // DecodeMsgpack reads the message. One without StartWithin, from an older process, is
-// due when it arrives; one without Cancel stops no task, and one without Order has none.
+// due when it arrives; one without Cancel stops no task, and one without Order or Kind has none.
 func (m *Task) DecodeMsgpack(d *msgpack.Decoder) error {
 	var unused int64
 	return decodeArray(d, &m.Entry, &m.Incarnation, &m.GateIncarnation, &m.EchoedTimestamp, &m.ID,
 		&m.Name, &m.Job, &m.Service, &m.Spec, &m.CPU, &m.Memory, &m.GPU,
-		&m.ExpectedRunTime, &m.MaxQueueTime, &unused, &m.Failures, &m.IgnoreBreaker, &m.StartWithin, &m.Cancel, &m.Order, &m.Moved)
+		&m.ExpectedRunTime, &m.MaxQueueTime, &unused, &m.Failures, &m.IgnoreBreaker, &m.StartWithin, &m.Cancel, &m.Order, &m.Moved, &m.Kind, &m.WantKinds)
 }
 
 // EncodeMsgpack writes the message.
@@ -191,26 +211,27 @@
 
 // EncodeMsgpack writes the message.
 func (m *Sync) EncodeMsgpack(e *msgpack.Encoder) error {
-	return encodeArray(e, m.Entry, m.Incarnation, m.GateIncarnation, m.EchoedTimestamp, m.Cancel, &m.Order)
+	return encodeArray(e, m.Entry, m.Incarnation, m.GateIncarnation, m.EchoedTimestamp, m.Cancel, &m.Order, m.WantKinds)
 }
 
-// DecodeMsgpack reads the message.
+// DecodeMsgpack reads the message. One from an older process has no WantKinds.
 func (m *Sync) DecodeMsgpack(d *msgpack.Decoder) error {
-	return decodeArray(d, &m.Entry, &m.Incarnation, &m.GateIncarnation, &m.EchoedTimestamp, &m.Cancel, &m.Order)
+	return decodeArray(d, &m.Entry, &m.Incarnation, &m.GateIncarnation, &m.EchoedTimestamp, &m.Cancel, &m.Order, &m.WantKinds)
 }
 
 // EncodeMsgpack writes the message.
 func (m *Load) EncodeMsgpack(e *msgpack.Encoder) error {
 	return encodeArray(e, m.Incarnation, m.Timestamp, m.Service, m.TargetIncarnation, m.Labels,
 		m.CPU, m.Memory, m.GPU, m.UsedCPU, m.UsedMemory, m.UsedGPU,
-		m.QueuedWork, m.Speed, m.BlockedReason, m.Leaving, m.Domain, m.ColdFor, m.Backlog)
+		m.QueuedWork, m.Speed, m.BlockedReason, m.Leaving, m.Domain, m.ColdFor, m.Backlog, interferenceCodec(&m.Interference), kindsCodec(&m.Kinds))
 }
 
-// DecodeMsgpack reads the message.
+// DecodeMsgpack reads the message. One from an older process has no Interference and no
+// Kinds.
 func (m *Load) DecodeMsgpack(d *msgpack.Decoder) error {
 	return decodeArray(d, &m.Incarnation, &m.Timestamp, &m.Service, &m.TargetIncarnation, &m.Labels,
 		&m.CPU, &m.Memory, &m.GPU, &m.UsedCPU, &m.UsedMemory, &m.UsedGPU,
-		&m.QueuedWork, &m.Speed, &m.BlockedReason, &m.Leaving, &m.Domain, &m.ColdFor, &m.Backlog)
+		&m.QueuedWork, &m.Speed, &m.BlockedReason, &m.Leaving, &m.Domain, &m.ColdFor, &m.Backlog, interferenceCodec(&m.Interference), kindsCodec(&m.Kinds))
 }
 
 // EncodeMsgpack writes the message.
