Let short jobs count the queued work that they push back

Change: Backlog.Load also counts work of later classes, in proportion of the slacks, so that it is not pushed beyond its latest start.

--- a/internal/disp/coord/candidates.go
+++ b/internal/disp/coord/candidates.go
@@ -202,7 +202,7 @@
 	if len(l.Backlog) == 0 {
 		return l.QueuedWork
 	}
-	return triage.BacklogOf(l.Backlog).Ahead(slack)
+	return triage.BacklogOf(l.Backlog).Load(slack)
 }
 
 // longestWait returns the longest expected wait for capacity of any task of s if all
--- a/internal/disp/triage/backlog.go
+++ b/internal/disp/triage/backlog.go
@@ -40,6 +40,23 @@
 	return b
 }
 
+// Load returns the work that counts as before a task that has to start within slack, so that it
+// starts in time if the work is done within slack. That is the work ahead of it; but later work must not be
+// pushed beyond its own latest start either, or the tasks with the most slack would starve: the
+// work up to each later class counts in proportion of slack to the least slack of that class.
+func (b Backlog) Load(slack time.Duration) int64 {
+	sum := b.Ahead(slack)
+	if slack <= 0 {
+		return sum
+	}
+	until := sum
+	for i := classOf(slack) + 1; i < len(b); i++ {
+		until += b[i]
+		sum = max(sum, int64(float64(until)*float64(slack)/float64(backlogBounds[i-1])))
+	}
+	return sum
+}
+
 // Ahead returns the work that goes before a task that has to start within slack. All work of its
 // own class counts.
 func (b Backlog) Ahead(slack time.Duration) int64 {
--- a/internal/disp/triage/backlog_test.go
+++ b/internal/disp/triage/backlog_test.go
@@ -40,3 +40,17 @@
 		}
 	})
 }
+
+// Short jobs were admitted as long as they passed all others, so that long tasks that had been
+// admitted before starved behind them. A short job must count what it pushes back.
+func TestBacklogKeepsRoomForTasksWithSlack(t *testing.T) {
+	const ms = time.Millisecond
+	var b Backlog
+	b = b.With(500*ms, 1000)
+	if got := b.Load(100 * ms); got != 250 {
+		t.Errorf("work of 1,000 with at least four times the slack counts as %d, want 250", got)
+	}
+	if got, want := b.With(50*ms, 3000).Load(100*ms), int64(3000); got != want {
+		t.Errorf("urgent work counts as %d, want %d", got, want)
+	}
+}
