Read messages between processes whole before they are decoded

A stranger at the port for calls between processes made a process allocate what it only announced, recurse into nested arrays until the process ended, or keep a goroutine for each call whose reply it did not read. Messages are now read in steps as they arrive, with bounds on length, depth and time, and calls in progress are bounded over all connections.

--- a/internal/wire/codec/codec.go
+++ b/internal/wire/codec/codec.go
@@ -14,21 +14,21 @@
 	responseFields = 3
 )
 
-// stream is a connection with its encoder and decoder.
+// stream is a connection with its encoder and the values that arrive.
 type stream struct {
 	conn io.ReadWriteCloser
 	buf  *bufio.Writer
 	enc  *msgpack.Encoder
-	dec  *msgpack.Decoder
+	in   *frame
 }
 
-func newStream(conn io.ReadWriteCloser) stream {
+func newStream(conn io.ReadWriteCloser, limits Limits) stream {
 	buf := bufio.NewWriter(conn)
 	return stream{
 		conn: conn,
 		buf:  buf,
 		enc:  msgpack.NewEncoder(buf),
-		dec:  msgpack.NewDecoder(bufio.NewReader(conn)),
+		in:   newFrame(bufio.NewReader(conn), limits),
 	}
 }
 
@@ -48,22 +48,29 @@
 
 // readHeader reads an array of the given number of fields into the given pointers.
 func (s stream) readHeader(fields int, header ...any) error {
-	n, err := s.dec.DecodeArrayLen()
+	dec, err := s.in.next()
+	defer s.in.release()
+	if err != nil {
+		return err
+	}
+	n, err := dec.DecodeArrayLen()
 	if err != nil {
 		return err
 	}
 	if n != fields {
 		return io.ErrUnexpectedEOF
 	}
-	return s.dec.DecodeMulti(header...)
+	return dec.DecodeMulti(header...)
 }
 
 // readBody reads a value into body, or skips it if body is nil.
 func (s stream) readBody(body any) error {
-	if body == nil {
-		return s.dec.Skip()
+	dec, err := s.in.next()
+	defer s.in.release()
+	if err != nil || body == nil {
+		return err
 	}
-	return s.dec.Decode(body)
+	return dec.Decode(body)
 }
 
 // clientCodec implements rpc.ClientCodec.
@@ -71,7 +78,9 @@
 
 // NewClient returns the codec for the client's end of conn, to be passed to
 // rpc.NewClientWithCodec.
-func NewClient(conn io.ReadWriteCloser) rpc.ClientCodec { return clientCodec{newStream(conn)} }
+func NewClient(conn io.ReadWriteCloser) rpc.ClientCodec {
+	return clientCodec{newStream(conn, Limits{})}
+}
 
 // WriteRequest sends one call.
 func (c clientCodec) WriteRequest(r *rpc.Request, body any) error {
@@ -94,7 +103,12 @@
 
 // NewServer returns the codec for the server's end of conn, to be passed to
 // rpc.ServeCodec.
-func NewServer(conn io.ReadWriteCloser) rpc.ServerCodec { return serverCodec{newStream(conn)} }
+func NewServer(conn io.ReadWriteCloser) rpc.ServerCodec { return NewLimitedServer(conn, Limits{}) }
+
+// NewLimitedServer is like NewServer for a connection whose messages are limited.
+func NewLimitedServer(conn io.ReadWriteCloser, limits Limits) rpc.ServerCodec {
+	return serverCodec{newStream(conn, limits)}
+}
 
 // ReadRequestHeader reads the header of the next call.
 func (s serverCodec) ReadRequestHeader(r *rpc.Request) error {
--- a/internal/wire/peer/server.go
+++ b/internal/wire/peer/server.go
@@ -16,6 +16,9 @@
 	ln  net.Listener
 	rpc *rpc.Server
 
+	limits Limits
+	calls  *calls
+
 	traffic atomic.Int64 // bytes sent and received
 
 	mu    sync.Mutex
@@ -30,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{ln: ln, rpc: rpc.NewServer(), conns: map[net.Conn]struct{}{}}
+	s := &Server{ln: ln, rpc: rpc.NewServer(), calls: newCalls(), conns: map[net.Conn]struct{}{}}
 	for name, receiver := range receivers {
 		if err := s.rpc.RegisterName(name, receiver); err != nil {
 			return nil, err
@@ -70,7 +73,10 @@
 }
 
 func (s *Server) serve(conn net.Conn) {
-	s.rpc.ServeCodec(codec.NewServer(monitoredConn{conn, &s.traffic}))
+	limits := s.limits.Limits
+	limits.SetReadDeadline = conn.SetReadDeadline
+	inner := codec.NewLimitedServer(monitoredConn{conn, &s.traffic}, limits)
+	s.rpc.ServeCodec(newLimitedCodec(inner, conn, &s.limits, s.calls))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, conn)
