--- a/internal/daem/life/life.go
+++ b/internal/daem/life/life.go
@@ -5,17 +5,13 @@
 	"fmt"
 	"io"
 	"net"
-	"net/url"
 	"syscall"
 	"time"
 
 	"github.com/go-kratos/kratos/v2"
-	klog "github.com/go-kratos/kratos/v2/log"
 	"github.com/go-kratos/kratos/v2/transport"
-	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/gypsumlanding/gypsumlanding/internal/daem/conf"
 	"github.com/gypsumlanding/gypsumlanding/internal/daem/logs"
-	"github.com/gypsumlanding/gypsumlanding/internal/daem/stats"
 )
 
 // Exit codes of all programs.
@@ -86,28 +82,6 @@
 	return err
 }
 
-// NewHTTPServer listens on addr and returns an HTTP server for it that limits the size
-// of headers and the time of slow clients. The server shows the counters at
-// stats.JSONPath. NewHTTPServer also makes the kratos library log to log.
-func NewHTTPServer(addr string, log logs.Logger, counters *stats.Set) (*khttp.Server, error) {
-	ln, err := (&net.ListenConfig{KeepAliveConfig: keepAlive}).Listen(context.Background(), "tcp", addr)
-	if err != nil {
-		return nil, err
-	}
-	klog.SetLogger(log.Kratos())
-	// Without an endpoint, the library would search the network interfaces for one, and
-	// they can't always be listed.
-	endpoint := &url.URL{Scheme: "http", Host: ln.Addr().String()}
-	srv := khttp.NewServer(khttp.Listener(ln), khttp.Endpoint(endpoint), khttp.Timeout(0))
-	srv.ConnContext = withConnection
-	srv.ReadHeaderTimeout = readHeaderTimeout
-	srv.ReadTimeout = readTimeout
-	srv.IdleTimeout = idleTimeout
-	srv.MaxHeaderBytes = maxHeaderBytes
-	srv.Handle(stats.JSONPath, counters)
-	return srv, nil
-}
-
 // ParseSettings parses args into set. It returns -1 if the program should go on, and
 // otherwise the code to exit with: ExitUsage after printing each fault to out as a line,
 // or ExitOK if only a check of the settings was requested.
