Limit what clients can make entries and nodes hold

400 connections that stop short of the end of a body brought down an entry of 144 MB, and jobs of very short steps took many times their length. All servers of gypsumlanding, gypentry and gypnode have limits now that follow from memory-mb and max-fds. Steps are counted before they are decoded.

--- a/cmd/gypsumlanding/main.go
+++ b/cmd/gypsumlanding/main.go
@@ -80,6 +80,7 @@
 		cfg: cfg, settingsPath: *settingsPath, role: role, advertisedAddr: *advertisedAddr, metricsPort: *metricsPort, incarnation: rand.Uint64(), startTime: boot.Now(),
 		log: logs.New(stdout, "gypsumlanding", cfg.Name), counters: &stats.Set{},
 	}
+	p.ingress = life.NewIngress(cfg.MemoryMB, cfg.MaxFDs, p.log, p.counters)
 	err = p.serve(context.Background())
 	p.log.Flush(logFlushTimeout)
 	return life.ExitCode(err, stderr)
--- a/cmd/gypsumlanding/observe.go
+++ b/cmd/gypsumlanding/observe.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		host = ""
 	}
-	srv, err := life.NewHTTPServer(net.JoinHostPort(host, strconv.Itoa(p.metricsPort)), p.log, p.counters)
+	srv, err := life.NewGuardedHTTPServer(net.JoinHostPort(host, strconv.Itoa(p.metricsPort)), p.log, p.counters, p.ingress.Operators())
 	if err != nil {
 		p.log.Event("metrics_failed", "port", p.metricsPort, "err", err)
 		return servers
--- a/cmd/gypsumlanding/process.go
+++ b/cmd/gypsumlanding/process.go
@@ -56,6 +56,7 @@
 	startTime      boot.Time
 	log            logs.Logger
 	counters       *stats.Set
+	ingress        *life.Ingress
 }
 
 // serve runs the process until it has stopped after a signal.
@@ -96,12 +97,13 @@
 	if err != nil {
 		return err
 	}
-	callerServer, err := life.NewHTTPServer(p.cfg.CallerAddr, p.log, p.counters)
+	rpcServer.SetLimits(peer.LimitsOf(p.ingress, p.ingress.Sizes.Bytes))
+	callerServer, err := life.NewGuardedHTTPServer(p.cfg.CallerAddr, p.log, p.counters, p.ingress.Clients())
 	if err != nil {
 		return err
 	}
 	callerServer.HandlePrefix("/", callers)
-	readyServer, err := life.NewHTTPServer(p.cfg.ReadyAddr, p.log, p.counters)
+	readyServer, err := life.NewGuardedHTTPServer(p.cfg.ReadyAddr, p.log, p.counters, p.ingress.Operators())
 	if err != nil {
 		return err
 	}
@@ -155,7 +157,8 @@
 	if err != nil {
 		return err
 	}
-	heartbeatServer, err := life.NewHTTPServer(p.cfg.ControlAddr, p.log, p.counters)
+	rpcServer.SetLimits(peer.LimitsOf(p.ingress, p.ingress.Sizes.Bytes))
+	heartbeatServer, err := life.NewGuardedHTTPServer(p.cfg.ControlAddr, p.log, p.counters, p.ingress.Targets())
 	if err != nil {
 		return err
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -42,6 +42,8 @@
 	PeerAddrs  []string // of the other entries
 	TableAddr  string   // of the platform's table service
 	Shards     int      // number of shards of the region's first roster
+	MemoryMB   int      // memory that the limits for clients are sized for, MB
+	MaxFDs     int      // number of descriptors that they are sized for
 }
 
 // Declare declares the settings in set, with c as their destination.
@@ -54,6 +56,7 @@
 	set.Addrs(&c.PeerAddrs, "peers", true, "`addresses` of the other entries, IP:port")
 	set.Addr(&c.TableAddr, "table", "`address` of the platform's table service, IP:port")
 	set.Int(&c.Shards, "shards", defaultShards, 1, maxShards, "number of shards of a new roster")
+	life.DeclareIngress(set, &c.MemoryMB, &c.MaxFDs)
 }
 
 // Run runs an entry until the process is asked to stop or ctx ends. It returns an error
@@ -75,7 +78,8 @@
 		Region: cfg.Region, PeerAddrs: cfg.PeerAddrs, Table: tableClient, Clock: clusterClock, View: v, Pool: pool, Stats: counters, Log: log,
 	}
 	follower.FetchInitial(ctx)
-	srv, err := life.NewHTTPServer(cfg.HTTPAddr, log, counters)
+	ingress := life.NewIngress(cfg.MemoryMB, cfg.MaxFDs, log, counters)
+	srv, err := life.NewGuardedHTTPServer(cfg.HTTPAddr, log, counters, ingress.Clients())
 	if err != nil {
 		return err
 	}
@@ -91,6 +95,7 @@
 	if err != nil {
 		return err
 	}
+	rpc.SetLimits(peer.LimitsOf(ingress, 0))
 	counters.Gauge("wire.bytes", func() int64 { return pool.Traffic() + rpc.Traffic() })
 	daemon := life.Daemon{
 		Name: "gypentry", Log: log,
--- a/internal/entry/web/jobs.go
+++ b/internal/entry/web/jobs.go
@@ -12,6 +12,7 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/core/catlg"
 	"github.com/gypsumlanding/gypsumlanding/internal/core/clock"
 	"github.com/gypsumlanding/gypsumlanding/internal/core/ledger"
+	"github.com/gypsumlanding/gypsumlanding/internal/daem/guard"
 	"github.com/gypsumlanding/gypsumlanding/internal/daem/stats"
 	"github.com/gypsumlanding/gypsumlanding/internal/entry/relay"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/view"
@@ -56,10 +57,10 @@
 
 // jobDoc is the JSON form of a request to run a job.
 type jobDoc struct {
-	Key     string            `json:"key"`
-	Entry   string            `json:"entry"`
-	Timeout int64             `json:"timeout"` // ms
-	Tasks   []json.RawMessage `json:"tasks"`
+	Key     string   `json:"key"`
+	Entry   string   `json:"entry"`
+	Timeout int64    `json:"timeout"` // ms
+	Tasks   taskList `json:"tasks"`
 }
 
 // outcomeDoc is the JSON form of the outcome of a job.
@@ -100,6 +101,7 @@
 	j.Stats.Count("requests")
 	body := http.MaxBytesReader(ctx.Response(), ctx.Request().Body, MaxBodySize)
 	doc, reqErr := decodeJob(json.NewDecoder(body))
+	guard.FinishBody(ctx.Request().Context())
 	if reqErr != nil {
 		return j.replyError(ctx, reqErr)
 	}
@@ -129,6 +131,11 @@
 	dec.DisallowUnknownFields()
 	var doc jobDoc
 	err := dec.Decode(&doc)
+	if errors.Is(err, guard.ErrBusy) {
+		// Closes the connection. An answer would have to tell whether the job has run, and its key
+		// has not been read.
+		panic(http.ErrAbortHandler)
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		reqErr := badRequest("body", "larger than "+strconv.Itoa(MaxBodySize)+" bytes")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -42,6 +42,8 @@
 	DrainTimeout   time.Duration // longest time of a planned stop
 	Retention      time.Duration // of generated keys and their tasks, after the deadline
 	PlainRetention time.Duration // of plain keys, after their admission
+	MemoryMB       int           // memory that the limits for clients are sized for, MB
+	MaxFDs         int           // number of descriptors that they are sized for
 }
 
 // Declare declares the settings in set, with c as their destination.
@@ -56,6 +58,7 @@
 	set.Millis(&c.DrainTimeout, "grace", defaultDrainTimeout, time.Second, maxDrainTimeout, "longest time that a planned stop may take")
 	set.Millis(&c.Retention, "slack", ledger.DefaultRetention, time.Second, time.Minute, "how long a key is retained after its deadline")
 	set.Millis(&c.PlainRetention, "horizon", ledger.DefaultPlainRetention, time.Second, time.Hour, "how long a plain key is retained")
+	life.DeclareIngress(set, &c.MemoryMB, &c.MaxFDs)
 }
 
 // Node holds the parts of a node process.
@@ -74,7 +77,8 @@
 // if the node can't start.
 func Run(ctx context.Context, cfg Config, out io.Writer) error {
 	n := newNode(cfg, logs.New(out, "gypnode", cfg.ID))
-	srv, err := life.NewHTTPServer(cfg.HTTPAddr, n.log, n.stats)
+	ingress := life.NewIngress(cfg.MemoryMB, cfg.MaxFDs, n.log, n.stats)
+	srv, err := life.NewGuardedHTTPServer(cfg.HTTPAddr, n.log, n.stats, ingress.Targets())
 	if err != nil {
 		return err
 	}
@@ -86,6 +90,7 @@
 	if err != nil {
 		return err
 	}
+	rpc.SetLimits(peer.LimitsOf(ingress, 0))
 	n.stats.Gauge("wire.bytes", func() int64 { return n.pool.Traffic() + rpc.Traffic() })
 	daemon := life.Daemon{
 		Name: "gypnode", Log: n.log,
--- a/internal/stand/fleet/fleet.go
+++ b/internal/stand/fleet/fleet.go
@@ -37,6 +37,8 @@
 	Speeds   []int    // of the targets in percent of full speed, assigned round robin; none means 100
 	Shards   int      // 0 means 512
 	NodeArgs []string // further arguments of every node
+	MemoryMB int      // setting of every entry and node; 0 means its default
+	MaxFDs   int      // setting of every entry and node; 0 means its default
 	Proxies  bool     // put a proxy before the RPC address of every node and entry
 }
 
@@ -59,6 +61,18 @@
 	return o
 }
 
+// limitArgs returns the arguments that set the limits of an entry or node.
+func (o Options) limitArgs() []string {
+	var args []string
+	if o.MemoryMB > 0 {
+		args = append(args, "-memory-mb", strconv.Itoa(o.MemoryMB))
+	}
+	if o.MaxFDs > 0 {
+		args = append(args, "-max-fds", strconv.Itoa(o.MaxFDs))
+	}
+	return args
+}
+
 // Fleet runs the processes of one region. Make one with New. It is safe for
 // concurrent use.
 type Fleet struct {
@@ -150,7 +164,7 @@
 		if peers := f.entryAddrs(name); len(peers) > 0 {
 			fields["peers"] = peers
 		}
-		return "gypentry", []string{"-config", f.writeSettings(name, fields)}, nil
+		return "gypentry", append([]string{"-config", f.writeSettings(name, fields)}, f.opts.limitArgs()...), nil
 	case "n":
 		args := []string{
 			"-config", f.writeSettings(name, map[string]any{
@@ -166,7 +180,7 @@
 			}
 			args = append(args, "-reach", proxy.Addr())
 		}
-		return "gypnode", append(args, f.opts.NodeArgs...), nil
+		return "gypnode", append(append(args, f.opts.limitArgs()...), f.opts.NodeArgs...), nil
 	}
 	return "", nil, merry.Errorf("no process can be called %q", name)
 }
--- a/internal/stand/psim/psim.go
+++ b/internal/stand/psim/psim.go
@@ -1,6 +1,7 @@
 package psim
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -40,6 +41,7 @@
 	Nodes   int    // 0 means 4
 	Proxies bool   // put a proxy before each address of an entry, node or target, and between each process and the store
 	Seed    uint64 // of what the targets draw: how slowly they answer and stop
+	Limits  Limits
 }
 
 // Platform is a small simulated platform on which the dispatcher runs. Make one with
@@ -47,6 +49,7 @@
 type Platform struct {
 	dir      string // settings and logs of the processes
 	program  string // path of the dispatcher's program
+	maxBody  int    // bytes of a caller's request that the configuration allows
 	ports    ports
 	table    table
 	checker  checker
@@ -79,7 +82,7 @@
 	if o.Nodes == 0 {
 		o.Nodes = 4
 	}
-	p := &Platform{dir: dir, program: program, procs: map[string]*fleet.Proc{}, args: map[string][]string{}, proxies: map[string]*netem.Proxy{}, draws: newDraws(o.Seed)}
+	p := &Platform{dir: dir, program: program, maxBody: cmp.Or(o.Limits.MaxBodyBytes, defaultMaxBodyBytes), procs: map[string]*fleet.Proc{}, args: map[string][]string{}, proxies: map[string]*netem.Proxy{}, draws: newDraws(o.Seed)}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	p.callers = newCallers(&p.balancer)
 	p.ports = ports{
@@ -172,7 +175,7 @@
 ready = %q
 control = %q
 [limits]
-memory-mb = 200
+%s
 [bounds]
 grace-s = %d
 resend-ms = %d
@@ -180,7 +183,7 @@
 [platform]
 address = %q
 `, name, host, p.ports.internal, p.ports.internal, fmt.Sprintf("%s:%d", seedIP, p.ports.control), address(host, p.ports.target), serviceName,
-		address(host, p.ports.front), address(host, p.ports.ready), address(host, p.ports.control), graceSeconds, resubmitDelay.Milliseconds(), stopBound.Milliseconds(), storeAddr)
+		address(host, p.ports.front), address(host, p.ports.ready), address(host, p.ports.control), o.Limits.lines(), graceSeconds, resubmitDelay.Milliseconds(), stopBound.Milliseconds(), storeAddr)
 	path := filepath.Join(p.dir, name+".toml")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return err
@@ -235,6 +238,12 @@
 // Signal sends a signal to the named process.
 func (p *Platform) Signal(name string, sig syscall.Signal) error { return p.proc(name).Signal(sig) }
 
+// Pid returns the process ID of the named process.
+func (p *Platform) Pid(name string) int { return p.proc(name).Pid() }
+
+// Exited returns a channel that is closed when the named process has ended.
+func (p *Platform) Exited(name string) <-chan struct{} { return p.proc(name).Done() }
+
 // Stop sends SIGTERM to the named process and waits for its end. It returns nil if the
 // process exited with status 0, as fleet.Proc.Stop does.
 func (p *Platform) Stop(name string) error {
@@ -311,7 +320,7 @@
 	if version%2 == 1 {
 		routes = append(routes, route("extra", "/extra/"))
 	}
-	config, err := json.Marshal(map[string]any{"version": version, "routes": routes, "limits": map[string]int{"max-body-bytes": 65536}})
+	config, err := json.Marshal(map[string]any{"version": version, "routes": routes, "limits": map[string]int{"max-body-bytes": p.maxBody}})
 	if err != nil {
 		panic(err)
 	}
