Bound headers by the budget, and keep accepting calls when descriptors run out

A limit on lines would have refused headers that the platform permits, and those beyond 16 KiB were refused whatever the configuration says. What a header costs beyond 100 lines and 16 KiB is reserved instead. Heartbeats, messages and callers have a budget each, so that none uses up another's. The port for calls ended the process at the first error of accepting.

--- a/cmd/gypsumlanding/process.go
+++ b/cmd/gypsumlanding/process.go
@@ -98,7 +98,14 @@
 		return err
 	}
 	rpcServer.SetLimits(peer.LimitsOf(p.ingress, p.ingress.Sizes.Bytes))
-	callerServer, err := life.NewGuardedHTTPServer(p.cfg.CallerAddr, p.log, p.counters, p.ingress.Clients())
+	clients := p.ingress.Clients()
+	clients.MaxHeader = func() int {
+		if t := e.Config.Get(); t != nil {
+			return t.Limits.HeaderBytes
+		}
+		return 0
+	}
+	callerServer, err := life.NewGuardedHTTPServer(p.cfg.CallerAddr, p.log, p.counters, clients)
 	if err != nil {
 		return err
 	}
--- a/internal/daem/guard/body.go
+++ b/internal/daem/guard/body.go
@@ -83,7 +83,7 @@
 		return
 	}
 	c.body = body{ReadCloser: r.Body, conn: c, length: r.ContentLength, allowed: freeBytes}
-	c.bodySince.Store(time.Now().UnixNano())
+	c.bodySince.Store(c.progress.Load()) // the header has just arrived
 	c.bodyRead.Store(0)
 	c.Enter(Body)
 	r.Body = &c.body
@@ -115,6 +115,13 @@
 			next.ServeHTTP(w, r)
 			return
 		}
+		if n := int(c.lastHeader.Load()); n > freeHeader && (g.MaxHeader == nil || n > g.MaxHeader()) {
+			c.release()
+			g.report(CauseFields)
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusRequestHeaderFieldsTooLarge)
+			return
+		}
 		// net/http examines the type of the body when it writes a header, in particular that of a
 		// client that waits for status 100, so it gets its own body back.
 		original := r.Body
@@ -130,9 +137,9 @@
 	})
 }
 
-// headerLines returns the number of lines of a header in data, and whether the header ends there.
-// What follows its end may be a body.
-func headerLines(data []byte) (lines int, ended bool) {
+// headerLines returns the number of lines and bytes of a header in data, and whether the header ends
+// there. What follows its end may be a body.
+func headerLines(data []byte) (lines, length int, ended bool) {
 	end := bytes.Index(data, []byte("\n\r\n"))
 	if bare := bytes.Index(data, []byte("\n\n")); end < 0 || bare >= 0 && bare < end {
 		end = bare
@@ -140,5 +147,5 @@
 	if end >= 0 {
 		data = data[:end]
 	}
-	return bytes.Count(data, []byte("\n")), end >= 0
+	return bytes.Count(data, []byte("\n")), len(data), end >= 0
 }
--- a/internal/daem/guard/cost_test.go
+++ b/internal/daem/guard/cost_test.go
@@ -17,8 +17,8 @@
 func (d discard) Write(p []byte) (int, error) { return len(p), nil }
 func (d discard) WriteHeader(int)             {}
 
-// pathCost returns a function that passes one small request through a guard.
-func pathCost(tb testing.TB) func() {
+// pathCost returns a function that passes one small request through wrap to a handler that reads it.
+func pathCost(tb testing.TB, wrap func(*Guard, http.Handler) http.Handler) func() {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		tb.Fatal(err)
@@ -34,7 +34,7 @@
 	r := httptest.NewRequestWithContext(context.WithValue(tb.Context(), connKey{}, c), http.MethodPost, "/", nil)
 	r.ContentLength = 100
 	buf := make([]byte, 512)
-	h := g.Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+	h := wrap(g, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		for {
 			if _, err := r.Body.Read(buf); err != nil {
 				return
@@ -51,16 +51,23 @@
 
 // The memory of an entry is at its peak when it serves the most requests.
 func TestSmallRequestAllocatesNothing(t *testing.T) {
-	request := pathCost(t)
+	request := pathCost(t, (*Guard).Handler)
 	if n := testing.AllocsPerRun(100, request); n != 0 {
 		t.Errorf("%v allocations", n)
 	}
 }
 
+// The difference of the two is what the guard costs.
 func BenchmarkSmallRequest(b *testing.B) {
-	request := pathCost(b)
-	b.ReportAllocs()
-	for b.Loop() {
-		request()
+	for name, wrap := range map[string]func(*Guard, http.Handler) http.Handler{
+		"guarded": (*Guard).Handler, "bare": func(_ *Guard, h http.Handler) http.Handler { return h },
+	} {
+		b.Run(name, func(b *testing.B) {
+			request := pathCost(b, wrap)
+			b.ReportAllocs()
+			for b.Loop() {
+				request()
+			}
+		})
 	}
 }
--- a/internal/daem/guard/guard.go
+++ b/internal/daem/guard/guard.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -33,6 +34,10 @@
 	// further one costs in bytes. A line of 6 bytes costs over 100 when it is parsed.
 	freeFields = 100
 	fieldCost  = 160
+	// freeHeader is the length of a header that needs no reservation and is always permitted.
+	freeHeader = 16 << 10
+	// MaxHeaderBytes bounds the limit that MaxHeader may return.
+	MaxHeaderBytes = 1 << 20
 	// writeTimeout is how long a client may take to make room for a part of an answer.
 	writeTimeout = 20 * time.Second
 )
@@ -48,6 +53,9 @@
 	Bodies *Budget // may be shared by several guards; nil means no bound
 	// Report is called for each refused request and closed connection; nil means nothing.
 	Report func(cause string)
+	// MaxHeader returns the longest permitted header in bytes, where that is more than 16 KiB; nil
+	// means 16 KiB.
+	MaxHeader func() int
 	// NoHTTP means that the connections carry another protocol, whose server limits the length of
 	// messages and the time of writes.
 	NoHTTP bool
@@ -122,9 +130,12 @@
 	Slot
 
 	guard *Guard
-	lines int // of the header that is being read, as far as they are reserved or free
-	body  body
-	once  sync.Once
+	// Lines and bytes of the header that is being read, as far as they are reserved or free.
+	lines, headerBytes int
+	headerEnded        bool
+	lastHeader         atomic.Int64 // bytes of the latest header that ended
+	body               body
+	once               sync.Once
 }
 
 // Read reads from the connection. It fails if a header has too many fields.
@@ -135,7 +146,7 @@
 	}
 	c.Progress(time.Now().UnixNano())
 	if c.guard.NoHTTP || c.Phase() != Header {
-		c.lines = 0
+		c.lines, c.headerEnded = 0, true
 	} else if !c.readHeader(p[:n]) {
 		c.guard.report(CauseFields)
 		_ = c.Close()
@@ -146,13 +157,17 @@
 
 // readHeader reserves what the lines of a part of a header cost, and reports whether it could.
 func (c *Conn) readHeader(data []byte) bool {
-	lines, ended := headerLines(data)
-	total := c.lines + lines
-	if more := total - max(c.lines, freeFields); more > 0 && !c.reserve(int64(more)*fieldCost) {
+	if c.headerEnded {
+		c.lines, c.headerBytes, c.headerEnded = 0, 0, false
+	}
+	lines, bytes, ended := headerLines(data)
+	cost := max(c.lines+lines-max(c.lines, freeFields), 0)*fieldCost + max(c.headerBytes+bytes-max(c.headerBytes, freeHeader), 0)*bodyCost
+	if cost > 0 && !c.reserve(int64(cost)) {
 		return false
 	}
-	if c.lines = total; ended {
-		c.lines = 0
+	c.lines, c.headerBytes, c.headerEnded = c.lines+lines, c.headerBytes+bytes, ended
+	if ended {
+		c.lastHeader.Store(int64(c.headerBytes))
 	}
 	return true
 }
--- a/internal/daem/life/serve.go
+++ b/internal/daem/life/serve.go
@@ -61,6 +61,9 @@
 	srv.ReadTimeout = readTimeout
 	srv.IdleTimeout = idleTimeout
 	srv.MaxHeaderBytes = maxHeaderBytes
+	if g.MaxHeader != nil {
+		srv.MaxHeaderBytes = guard.MaxHeaderBytes
+	}
 	srv.Handler = g.Handler(srv.Handler)
 	srv.Handle(stats.JSONPath, counters)
 	return srv, nil
@@ -70,8 +73,9 @@
 type Ingress struct {
 	Sizes    guard.Sizes
 	reporter *guard.Reporter
-	bodies   *guard.Budget // of clients
-	control  *guard.Budget // of targets, operators and other processes
+	clients  *guard.Budget // of callers, and of what reaches the ports for operators
+	targets  *guard.Budget // of heartbeats
+	messages *guard.Budget // of other processes
 }
 
 // NewIngress returns the limits of a process that may use the given memory and number of
@@ -80,30 +84,30 @@
 	sizes := guard.SizesFor(memoryMB, maxFDs)
 	in := &Ingress{
 		Sizes: sizes, reporter: &guard.Reporter{Count: counters.Count, Event: log.Event},
-		bodies: &guard.Budget{Total: sizes.Bytes}, control: &guard.Budget{Total: sizes.Bytes},
+		clients: &guard.Budget{Total: sizes.Bytes}, targets: &guard.Budget{Total: sizes.Bytes}, messages: &guard.Budget{Total: sizes.Bytes},
 	}
 	for _, c := range guard.Causes() {
 		counters.Declare([]string{guard.CounterPrefix + c})
 	}
-	counters.Gauge(guard.CounterPrefix+"bytes", in.bodies.Used)
+	counters.Gauge(guard.CounterPrefix+"bytes", in.clients.Used)
 	return in
 }
 
 // Clients returns the guard of a port for callers. One address may make all connections, that
 // of a load balancer.
 func (in *Ingress) Clients() *guard.Guard {
-	return &guard.Guard{Table: guard.Table{Max: in.Sizes.ClientConns}, Bodies: in.bodies, Report: in.reporter.Report}
+	return &guard.Guard{Table: guard.Table{Max: in.Sizes.ClientConns}, Bodies: in.clients, Report: in.reporter.Report}
 }
 
 // Targets returns the guard of a port for heartbeats.
 func (in *Ingress) Targets() *guard.Guard {
 	n := in.Sizes.ClientConns
-	return &guard.Guard{Table: guard.Table{Max: n, MaxPerAddr: n / 2}, Bodies: in.control, Report: in.reporter.Report}
+	return &guard.Guard{Table: guard.Table{Max: n, MaxPerAddr: n / 2}, Bodies: in.targets, Report: in.reporter.Report}
 }
 
 // Operators returns the guard of a port for metrics or readiness checks.
 func (in *Ingress) Operators() *guard.Guard {
-	return &guard.Guard{Table: guard.Table{Max: in.Sizes.AuxConns}, Bodies: in.control, Report: in.reporter.Report}
+	return &guard.Guard{Table: guard.Table{Max: in.Sizes.AuxConns}, Bodies: in.clients, Report: in.reporter.Report}
 }
 
 // PeerListener returns a listener for calls between processes that limits the connections of ln.
@@ -119,7 +123,7 @@
 // ReserveMessage reserves bytes for a message between processes, beside those that are held for it.
 // It waits for them, as to break the connection would also end the calls in progress on it.
 func (in *Ingress) ReserveMessage(bytes, held int64) bool {
-	for end := time.Now().Add(reserveTimeout); !in.control.Reserve(bytes, held); time.Sleep(reserveInterval) {
+	for end := time.Now().Add(reserveTimeout); !in.messages.Reserve(bytes, held); time.Sleep(reserveInterval) {
 		if time.Now().After(end) {
 			return false
 		}
@@ -128,7 +132,7 @@
 }
 
 // ReleaseMessage returns bytes that ReserveMessage has reserved.
-func (in *Ingress) ReleaseMessage(bytes int64) { in.control.Release(bytes) }
+func (in *Ingress) ReleaseMessage(bytes int64) { in.messages.Release(bytes) }
 
 // ReportMessage reports that a message between processes broke the limits.
 func (in *Ingress) ReportMessage() { in.reporter.Report(guard.CauseMessage) }
--- a/internal/wire/peer/server.go
+++ b/internal/wire/peer/server.go
@@ -2,14 +2,19 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/rpc"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/codec"
 )
 
+// acceptRetryInterval is the time between two attempts to accept a connection after an error.
+const acceptRetryInterval = 10 * time.Millisecond
+
 // Server serves net/rpc methods at one TCP address. It implements the Server interface
 // of kratos transports. It must be made by Listen.
 type Server struct {
@@ -52,9 +57,14 @@
 func (s *Server) Start(context.Context) error {
 	for {
 		conn, err := s.ln.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
+		if err != nil {
+			// Descriptors may have run out. To return would end the process.
+			time.Sleep(acceptRetryInterval)
+			continue
+		}
 		s.add(conn)
 		go s.serve(conn)
 	}
