--- a/cmd/gypsumlanding/process.go
+++ b/cmd/gypsumlanding/process.go
@@ -57,6 +57,7 @@
 	startTime      boot.Time
 	log            logs.Logger
 	counters       *stats.Set
+	ingress        *life.Ingress
 }
 
 // serve runs the process until it has stopped after a signal.
@@ -99,12 +100,20 @@
 	if err != nil {
 		return err
 	}
-	callerServer, err := life.NewHTTPServer(p.cfg.CallerAddr, p.log, p.counters)
+	rpcServer.SetLimits(peer.LimitsOf(p.ingress, p.ingress.Sizes.Bytes))
+	clients := p.ingress.Clients()
+	clients.MaxHeader = func() int {
+		if t := e.Config.Get(); t != nil {
+			return t.Limits.HeaderBytes
+		}
+		return 0
+	}
+	callerServer, err := life.NewGuardedHTTPServer(p.cfg.CallerAddr, p.log, p.counters, clients)
 	if err != nil {
 		return err
 	}
 	callerServer.HandlePrefix("/", callers)
-	readyServer, err := life.NewHTTPServer(p.cfg.ReadyAddr, p.log, p.counters)
+	readyServer, err := life.NewGuardedHTTPServer(p.cfg.ReadyAddr, p.log, p.counters, p.ingress.Operators())
 	if err != nil {
 		return err
 	}
@@ -173,7 +182,8 @@
 	if err != nil {
 		return err
 	}
-	heartbeatServer, err := life.NewHTTPServer(p.cfg.ControlAddr, p.log, p.counters)
+	rpcServer.SetLimits(peer.LimitsOf(p.ingress, p.ingress.Sizes.Bytes))
+	heartbeatServer, err := life.NewGuardedHTTPServer(p.cfg.ControlAddr, p.log, p.counters, p.ingress.Targets())
 	if err != nil {
 		return err
 	}
--- a/internal/wire/peer/server.go
+++ b/internal/wire/peer/server.go
@@ -2,20 +2,28 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/rpc"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/codec"
 )
 
+// acceptRetryInterval is the time between two attempts to accept a connection after an error.
+const acceptRetryInterval = 10 * time.Millisecond
+
 // Server serves net/rpc methods at one TCP address. It implements the Server interface
 // of kratos transports. It must be made by Listen.
 type Server struct {
 	ln  net.Listener
 	rpc *rpc.Server
 
+	limits Limits
+	calls  *calls
+
 	traffic atomic.Int64 // bytes sent and received
 
 	mu    sync.Mutex
@@ -30,7 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{ln: ln, rpc: rpc.NewServer(), conns: map[net.Conn]struct{}{}}
+	s := &Server{ln: ln, rpc: rpc.NewServer(), calls: newCalls(), conns: map[net.Conn]struct{}{}}
 	for name, receiver := range receivers {
 		if err := s.rpc.RegisterName(name, receiver); err != nil {
 			return nil, err
@@ -49,9 +57,14 @@
 func (s *Server) Start(context.Context) error {
 	for {
 		conn, err := s.ln.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
+		if err != nil {
+			// Descriptors may have run out. To return would end the process.
+			time.Sleep(acceptRetryInterval)
+			continue
+		}
 		s.add(conn)
 		go s.serve(conn)
 	}
@@ -70,7 +83,10 @@
 }
 
 func (s *Server) serve(conn net.Conn) {
-	s.rpc.ServeCodec(codec.NewServer(monitoredConn{conn, &s.traffic}))
+	limits := s.limits.Limits
+	limits.SetReadDeadline = conn.SetReadDeadline
+	inner := codec.NewLimitedServer(monitoredConn{conn, &s.traffic}, limits)
+	s.rpc.ServeCodec(newLimitedCodec(inner, conn, &s.limits, s.calls))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, conn)
