--- a/internal/disp/cause/cause.go
+++ b/internal/disp/cause/cause.go
@@ -25,7 +25,6 @@
 	TooLarge         = "size"        // the task exceeds the capacity of the gate's target, or of every target
 	Stopping         = "stopping"    // the process is shutting down
 	Foreign          = "stranger"    // the process did not start the run, or the task is for another incarnation of the gate
-	Overtaken        = "overtaken"   // the target has become so slow that the task ends sooner elsewhere
 	Stuck            = "stuck"       // the run makes no progress
 	Duplicate        = "twin"        // a run of the same task is still unfinished
 	Unanswered       = "unanswered"  // the start had no answer, and the run turned out not to have started
@@ -104,7 +103,7 @@
 // Retries returns the reasons for which an entry places a task again, in sorted order.
 func Retries() []string {
 	byEntry := []string{Stalled}
-	afterStart := []string{RunFailed, EndedByTarget, Overtaken, Stuck, Missing, TargetCrashed}
+	afterStart := []string{RunFailed, EndedByTarget, Stuck, Missing, TargetCrashed}
 	all := slices.Concat(GateRefusals(), byEntry, afterStart)
 	slices.Sort(all)
 	return slices.Compact(all)
@@ -124,7 +123,7 @@
 func NodeCounters() []string {
 	return slices.Concat(
 		withPrefix(RefusedPrefix, GateRefusals()),
-		withPrefix(StoppedPrefix, []string{Cancelled, Departed, LeaseExpired, Foreign, Overtaken, Stuck, Revoked}),
+		withPrefix(StoppedPrefix, []string{Cancelled, Departed, LeaseExpired, Foreign, Stuck, Revoked}),
 		withPrefix(BreakerOpenedPrefix, []string{TargetFailing, Stuck, Unhealthy}),
 	)
 }
--- a/internal/disp/coord/admit.go
+++ b/internal/disp/coord/admit.go
@@ -26,7 +26,7 @@
 // admitStep is admit for one step.
 func (c *Coordinator) admitStep(e *execution, i int, s Step) Answer {
 	now := c.now()
-	cands := c.findCandidates(e.Route, s, c.slack(e, s))
+	cands := c.findCandidates(e.Route, s)
 	defer c.release(cands)
 	d := c.decide(e, s, cands, now)
 	c.outage(cands.usableCapacity() > 0, c.now())
@@ -78,11 +78,6 @@
 	return d
 }
 
-// slack returns the time until the latest start of a task of s with which the answer is in time.
-func (c *Coordinator) slack(e *execution, s Step) time.Duration {
-	return c.timing(e, c.runTimes.Estimate(e.Route.Name, s.DeclaredRunTime)).StartBy().Sub(c.now())
-}
-
 // timing returns the timing of e if its tasks have the given expected run time.
 func (c *Coordinator) timing(e *execution, expectedRunTime time.Duration) triage.Job {
 	return triage.Job{
--- a/internal/disp/coord/candidates.go
+++ b/internal/disp/coord/candidates.go
@@ -11,8 +11,6 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/pick"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/route"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/rsrc"
-	"github.com/gypsumlanding/gypsumlanding/internal/disp/triage"
-	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
 // remoteDataFactor is the factor by which the run time of a task grows on a target
@@ -48,16 +46,16 @@
 // findCandidates returns the gates of a route's service that have reported their load
 // recently, are not leaving, are not in an evacuated domain, have the label that the step
 // requires, and belong to the route's share while bulkheads are raised. They need not have
-// free capacity or an available target. A task has to start within slack. The caller passes them to release when it does not need them any
+// free capacity or an available target. The caller passes them to release when it does not need them any
 // more: each placement looks at all gates, so without reuse their memory would be most of
 // what an entry allocates.
-func (c *Coordinator) findCandidates(r route.Route, s Step, slack time.Duration) *candidates {
+func (c *Coordinator) findCandidates(r route.Route, s Step) *candidates {
 	cands, ok := c.candidatePool.Get().(*candidates)
 	if !ok {
 		cands = &candidates{}
 	}
 	now := c.now()
-	cands.collect(c.Links(), r.Service, s, slack, now)
+	cands.collect(c.Links(), r.Service, s, now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if cands.separate(c.guard(r.Service), r, s, now) {
@@ -67,10 +65,10 @@
 	return cands
 }
 
-// collect adds the gates of links that may run a task of s, which has to start within slack.
-func (cands *candidates) collect(links []*link.Link, service string, s Step, slack time.Duration, now boot.Time) {
+// collect adds the gates of links that may run a task of s.
+func (cands *candidates) collect(links []*link.Link, service string, s Step, now boot.Time) {
 	for _, l := range links {
-		cands.add(l, service, s, slack, now)
+		cands.add(l, service, s, now)
 	}
 }
 
@@ -158,7 +156,7 @@
 }
 
 // add adds the gate of a link if it may run a task of s.
-func (cands *candidates) add(l *link.Link, service string, s Step, slack time.Duration, now boot.Time) {
+func (cands *candidates) add(l *link.Link, service string, s Step, now boot.Time) {
 	v := l.View(now)
 	cands.explanation.see(l, v)
 	if !v.Available || v.Load.Service != service {
@@ -187,7 +185,7 @@
 	cands.gates = append(cands.gates, pick.Gate{
 		Capacity:      rsrc.Vector{CPU: v.Load.CPU, Memory: v.Load.Memory, GPU: v.Load.GPU},
 		Used:          v.Used,
-		QueuedWork:    queuedAhead(v.Load, slack),
+		QueuedWork:    v.Load.QueuedWork,
 		Speed:         v.Load.Speed,
 		Unavailable:   cause.PreventsStarts(v.Load.BlockedReason),
 		BreakerOpen:   v.Load.BlockedReason != "" && !cause.PreventsStarts(v.Load.BlockedReason),
@@ -196,15 +194,6 @@
 	})
 }
 
-// queuedAhead returns the queued work that goes before a task which has to start within slack. A
-// gate that does not tell is taken for a plain queue.
-func queuedAhead(l msgs.Load, slack time.Duration) int64 {
-	if len(l.Backlog) == 0 {
-		return l.QueuedWork
-	}
-	return triage.BacklogOf(l.Backlog).Load(slack)
-}
-
 // longestWait returns the longest expected wait for capacity of any task of s if all
 // of them are placed now. It reports false if no target can run such a task.
 func (cands *candidates) longestWait(s Step, expectedRunTime time.Duration) (time.Duration, bool) {
--- a/internal/disp/coord/refuse.go
+++ b/internal/disp/coord/refuse.go
@@ -19,7 +19,7 @@
 	if now < c.refusedFrom(e, expectedRunTime) {
 		return false
 	}
-	cands := c.findCandidates(e.Route, longest, c.slack(e, longest))
+	cands := c.findCandidates(e.Route, longest)
 	defer c.release(cands)
 	wait, _ := cands.longestWait(longest, expectedRunTime)
 	return e.refuse(Answer{State: Refused, Reason: reason, RetryAfter: c.retryDelay(e, longest, cands, wait)})
@@ -56,7 +56,7 @@
 // refuseIfEvacuated refuses the job if a task of s can run only at targets of evacuated
 // domains, and no task of the job may have started. It reports whether it refused the job.
 func (c *Coordinator) refuseIfEvacuated(e *execution, s Step) bool {
-	cands := c.findCandidates(e.Route, s, c.slack(e, s))
+	cands := c.findCandidates(e.Route, s)
 	defer c.release(cands)
 	_, fits := cands.longestWait(s, c.runTimes.Estimate(e.Route.Name, s.DeclaredRunTime))
 	if fits || !cands.evacuated {
--- a/internal/disp/coord/task.go
+++ b/internal/disp/coord/task.go
@@ -65,7 +65,6 @@
 	stepIndex int
 	failures  int             // number of failed runs
 	refusals  int             // number of refusals by gates
-	moved     bool            // a gate has stopped the task since it would end sooner elsewhere
 	avoid     map[string]bool // by target; true where the last placement ended otherwise than for lack of capacity
 }
 
@@ -99,7 +98,6 @@
 			}
 		case msgs.Lost:
 			c.recordCrash(ts.name, reply)
-			ts.moved = ts.moved || reply.Reason == cause.Overtaken
 		case msgs.Refused:
 			if c.refuseIfOverdue(e, reply.Reason) {
 				return false
@@ -151,7 +149,7 @@
 // gate's target and the message to send. It reports false if no gate can run the
 // task.
 func (c *Coordinator) place(e *execution, s Step, ts *taskState) (*link.Link, string, msgs.Task, bool) {
-	cands := c.findCandidates(e.Route, s, c.slack(e, s))
+	cands := c.findCandidates(e.Route, s)
 	defer c.release(cands)
 	wantKinds := c.weighInterference(cands, e.Route.Service, s.kind)
 	expectedRunTime := c.runTimes.Estimate(e.Route.Name, s.DeclaredRunTime)
@@ -174,7 +172,6 @@
 		MaxQueueTime:    queueTimeLimit(choice).Milliseconds(),
 		StartWithin:     c.timing(e, expectedRunTime).StartBy().Sub(c.now()).Milliseconds(),
 		Failures:        ts.failures,
-		Moved:           ts.moved,
 		IgnoreBreaker:   choice.IgnoreBreaker,
 		Kind:            s.kind,
 		WantKinds:       wantKinds,
--- a/internal/disp/coord/where.go
+++ b/internal/disp/coord/where.go
@@ -87,7 +87,7 @@
 // the step would record.
 func (c *Coordinator) planStep(e *execution, i int, s Step, known *snapshot, now boot.Time) StepPlan {
 	cands := &candidates{explanation: &explanation{}}
-	cands.collect(c.Links(), e.Route.Service, s, c.slack(e, s), now)
+	cands.collect(c.Links(), e.Route.Service, s, now)
 	cands.separate(known.guard, e.Route, s, now)
 	cands.weigh(c.knownInterference(e.Route.Service)[interf.Kind(e.Route.Name, s.Image)])
 	d := c.decide(e, s, cands, now)
--- a/internal/disp/gate/apply.go
+++ b/internal/disp/gate/apply.go
@@ -134,8 +134,6 @@
 			g.recordFailure(r, cause.Stuck, now)
 			g.trace("task_stuck", "job", r.msg.Job, "task", r.msg.Name, "percent", r.percent, "after", now.Sub(r.startedAt))
 			g.abandon(r, cause.Stuck)
-		default:
-			g.moveIfOvertaken(r, now)
 		}
 	}
 }
--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -14,7 +14,6 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/lease"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/rsrc"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/targ"
-	"github.com/gypsumlanding/gypsumlanding/internal/disp/triage"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
@@ -339,14 +338,8 @@
 	l.Service, l.TargetIncarnation, l.Labels = g.incarnation.Service, g.incarnation.ID, g.incarnation.Labels
 	l.CPU, l.Memory, l.GPU = g.incarnation.Capacity.CPU, g.incarnation.Capacity.Memory, g.incarnation.Capacity.GPU
 	l.UsedCPU, l.UsedMemory, l.UsedGPU = used.CPU, used.Memory, used.GPU
-	var backlog triage.Backlog
 	for _, r := range g.queue {
-		work := int64(r.demand.CPU) * r.msg.ExpectedRunTime / 1000
-		l.QueuedWork += work
-		backlog = backlog.With(r.startBy.Sub(now), work)
-	}
-	if len(g.queue) > 0 {
-		l.Backlog = backlog[:]
+		l.QueuedWork += int64(r.demand.CPU) * r.msg.ExpectedRunTime / 1000
 	}
 	g.addInterference(&l, now)
 	l.BlockedReason = g.breaker.OpenReason(now)
--- a/internal/wire/msgs/task.go
+++ b/internal/wire/msgs/task.go
@@ -52,7 +52,6 @@
 	IgnoreBreaker   bool     // start the task even if the target's circuit breaker is open, since too many are
 	Cancel          []uint64 // IDs of tasks to stop before this one is admitted
 	Order           Order    // newest order of the gate's failure domain that the sender knows; zero if none
-	Moved           bool     // a gate has stopped the task since it would end sooner elsewhere
 	Kind            string   // kind of the task; see package interf. Empty for none
 	WantKinds       bool     // the Loads of the next second shall have Kinds
 }
@@ -93,7 +92,6 @@
 	Leaving           bool     // the gate accepts no new tasks
 	Domain            string   // failure domain of the target; empty if unknown
 	ColdFor           int      // for how long the target is slow after its start, or after it was without work, ms; 0 if it is not
-	Backlog           []int64  // QueuedWork by the time left until the latest start, as in triage.Backlog; empty if unknown
 
 	Interference []Interference // pairs of kinds that slow each other down; usually empty
 	Kinds        []KindRuns     // runs at the target by kind; empty unless there is interference
@@ -187,7 +185,7 @@
 func (m *Task) EncodeMsgpack(e *msgpack.Encoder) error {
 	return encodeArray(e, m.Entry, m.Incarnation, m.GateIncarnation, m.EchoedTimestamp, m.ID,
 		m.Name, m.Job, m.Service, m.Spec, m.CPU, m.Memory, m.GPU,
-		m.ExpectedRunTime, m.MaxQueueTime, int64(0), m.Failures, m.IgnoreBreaker, m.StartWithin, m.Cancel, &m.Order, m.Moved, m.Kind, m.WantKinds)
+		m.ExpectedRunTime, m.MaxQueueTime, int64(0), m.Failures, m.IgnoreBreaker, m.StartWithin, m.Cancel, &m.Order, m.Kind, m.WantKinds)
 }
 
 // DecodeMsgpack reads the message. One without StartWithin, from an older process, is
@@ -196,7 +194,7 @@
 	var unused int64
 	return decodeArray(d, &m.Entry, &m.Incarnation, &m.GateIncarnation, &m.EchoedTimestamp, &m.ID,
 		&m.Name, &m.Job, &m.Service, &m.Spec, &m.CPU, &m.Memory, &m.GPU,
-		&m.ExpectedRunTime, &m.MaxQueueTime, &unused, &m.Failures, &m.IgnoreBreaker, &m.StartWithin, &m.Cancel, &m.Order, &m.Moved, &m.Kind, &m.WantKinds)
+		&m.ExpectedRunTime, &m.MaxQueueTime, &unused, &m.Failures, &m.IgnoreBreaker, &m.StartWithin, &m.Cancel, &m.Order, &m.Kind, &m.WantKinds)
 }
 
 // EncodeMsgpack writes the message.
@@ -223,7 +221,7 @@
 func (m *Load) EncodeMsgpack(e *msgpack.Encoder) error {
 	return encodeArray(e, m.Incarnation, m.Timestamp, m.Service, m.TargetIncarnation, m.Labels,
 		m.CPU, m.Memory, m.GPU, m.UsedCPU, m.UsedMemory, m.UsedGPU,
-		m.QueuedWork, m.Speed, m.BlockedReason, m.Leaving, m.Domain, m.ColdFor, m.Backlog, interferenceCodec(&m.Interference), kindsCodec(&m.Kinds))
+		m.QueuedWork, m.Speed, m.BlockedReason, m.Leaving, m.Domain, m.ColdFor, interferenceCodec(&m.Interference), kindsCodec(&m.Kinds))
 }
 
 // DecodeMsgpack reads the message. One from an older process has no Interference and no
@@ -231,7 +229,7 @@
 func (m *Load) DecodeMsgpack(d *msgpack.Decoder) error {
 	return decodeArray(d, &m.Incarnation, &m.Timestamp, &m.Service, &m.TargetIncarnation, &m.Labels,
 		&m.CPU, &m.Memory, &m.GPU, &m.UsedCPU, &m.UsedMemory, &m.UsedGPU,
-		&m.QueuedWork, &m.Speed, &m.BlockedReason, &m.Leaving, &m.Domain, &m.ColdFor, &m.Backlog, interferenceCodec(&m.Interference), kindsCodec(&m.Kinds))
+		&m.QueuedWork, &m.Speed, &m.BlockedReason, &m.Leaving, &m.Domain, &m.ColdFor, interferenceCodec(&m.Interference), kindsCodec(&m.Kinds))
 }
 
 // EncodeMsgpack writes the message.
