Take the factor of runs away from their data from the settings

Gates were told the run time near the data, so runs elsewhere counted as those of a slow target, and as long jobs.

Change: RemoteFactor from the settings; gates are told the time expected there, and the factor is taken out of what is learnt.

--- a/internal/disp/coord/candidates.go
+++ b/internal/disp/coord/candidates.go
@@ -13,9 +13,8 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/rsrc"
 )
 
-// remoteDataFactor is the factor by which the run time of a task grows on a target
-// without the step's preferred label, that is, away from its data.
-const remoteDataFactor = 1.5
+// defaultRemoteFactor replaces Coordinator.RemoteFactor where the platform states none.
+const defaultRemoteFactor = 1.5
 
 // candidates are the gates that may run a task, with what the entry knows of each.
 // links, targets and gates have the same length and order.
@@ -25,6 +24,8 @@
 	gates   []pick.Gate
 	service []serviceGate
 	scratch []pick.Gate // used by longestWait
+	// remoteFactor is Coordinator.RemoteFactor or what replaces it.
+	remoteFactor float64
 	// allCrashed is set if there are gates and their targets have all crashed. Those are
 	// back after some seconds at the earliest.
 	allCrashed bool
@@ -55,6 +56,7 @@
 		cands = &candidates{}
 	}
 	now := c.now()
+	cands.remoteFactor = c.remoteFactor()
 	cands.collect(c.Links(), r.Service, s, now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -65,6 +67,14 @@
 	return cands
 }
 
+// remoteFactor returns the factor by which a task runs longer away from its data.
+func (c *Coordinator) remoteFactor() float64 {
+	if c.RemoteFactor > 0 {
+		return c.RemoteFactor
+	}
+	return defaultRemoteFactor
+}
+
 // collect adds the gates of links that may run a task of s.
 func (cands *candidates) collect(links []*link.Link, service string, s Step, now boot.Time) {
 	for _, l := range links {
@@ -178,7 +188,7 @@
 	}
 	runTimeFactor := 1.0
 	if s.PreferredLabel != "" && !slices.Contains(v.Load.Labels, s.PreferredLabel) {
-		runTimeFactor = remoteDataFactor
+		runTimeFactor = cands.remoteFactor
 	}
 	cands.links = append(cands.links, l)
 	cands.targets = append(cands.targets, v.Load.TargetIncarnation)
--- a/internal/disp/coord/coord.go
+++ b/internal/disp/coord/coord.go
@@ -34,6 +34,9 @@
 	// ResubmitDelay is the delay after which callers repeat a job whose answer was
 	// lost; 0 if they don't.
 	ResubmitDelay time.Duration
+	// RemoteFactor is the factor by which the run time of a task grows on a target without the
+	// step's preferred label, that is, away from its data; 0 means defaultRemoteFactor.
+	RemoteFactor float64
 	// Entries returns the number of entries that share the gates; nil means 1.
 	Entries func() int
 	// GiveUpElsewhere makes other entries give up a job: all of them if its caller counts
--- a/internal/disp/coord/task.go
+++ b/internal/disp/coord/task.go
@@ -63,9 +63,11 @@
 type taskState struct {
 	name      string
 	stepIndex int
-	failures  int             // number of failed runs
-	refusals  int             // number of refusals by gates
-	avoid     map[string]bool // by target; true where the last placement ended otherwise than for lack of capacity
+	failures  int // number of failed runs
+	refusals  int // number of refusals by gates
+	// runTimeFactor is that of the gate at which the task was last placed; see pick.Gate.
+	runTimeFactor float64
+	avoid         map[string]bool // by target; true where the last placement ended otherwise than for lack of capacity
 }
 
 // runTask places a task until it is done, and then reports true. It reports false if
@@ -88,7 +90,7 @@
 		}
 		switch reply.Result {
 		case msgs.Done:
-			c.recordDone(e, s, reply)
+			c.recordDone(e, s, ts.runTimeFactor, reply)
 			return true
 		case msgs.Failed:
 			ts.failures++
@@ -134,10 +136,11 @@
 }
 
 // recordDone records the run time of a task that is done and, if it belongs to a step
-// without dependencies, how long it has waited.
-func (c *Coordinator) recordDone(e *execution, s Step, reply msgs.TaskReply) {
+// without dependencies, how long it has waited. The run was expected to take runTimeFactor times
+// as long as near its data.
+func (c *Coordinator) recordDone(e *execution, s Step, runTimeFactor float64, reply msgs.TaskReply) {
 	runTime := time.Duration(reply.RunTime) * time.Millisecond
-	c.runTimes.Observe(e.Route.Name, runTime, reply.Load.Speed)
+	c.runTimes.Observe(e.Route.Name, time.Duration(float64(runTime)/runTimeFactor), reply.Load.Speed)
 	if len(s.DependsOn) > 0 {
 		return
 	}
@@ -161,6 +164,7 @@
 		c.count(ApartCounter)
 	}
 	gate, target := cands.links[choice.Gate], cands.targets[choice.Gate]
+	ts.runTimeFactor = max(cands.gates[choice.Gate].RunTimeFactor, 1)
 	view := gate.View(c.now())
 	c.trace("task_placed", "job", e.ID, "task", ts.name, "gate", gate.Addr, "target", target,
 		"used", view.Used.CPU, "of", view.Load.CPU, "speed", int(100*view.Load.Speed), "age", c.now().Sub(view.LastAnswer),
@@ -168,7 +172,7 @@
 	return gate, target, msgs.Task{
 		ID: c.nextTaskID.Add(1), Name: ts.name, Job: e.ID, Service: e.Route.Service, Spec: e.Spec,
 		CPU: s.Size.CPU, Memory: s.Size.Memory, GPU: s.Size.GPU,
-		ExpectedRunTime: expectedRunTime.Milliseconds(),
+		ExpectedRunTime: int64(float64(expectedRunTime.Milliseconds()) * ts.runTimeFactor),
 		MaxQueueTime:    queueTimeLimit(choice).Milliseconds(),
 		StartWithin:     c.timing(e, expectedRunTime).StartBy().Sub(c.now()).Milliseconds(),
 		Failures:        ts.failures,
--- a/internal/disp/coord/where.go
+++ b/internal/disp/coord/where.go
@@ -86,7 +86,7 @@
 // planStep returns the plan for one step at now. It records in known what the admission of
 // the step would record.
 func (c *Coordinator) planStep(e *execution, i int, s Step, known *snapshot, now boot.Time) StepPlan {
-	cands := &candidates{explanation: &explanation{}}
+	cands := &candidates{remoteFactor: c.remoteFactor(), explanation: &explanation{}}
 	cands.collect(c.Links(), e.Route.Service, s, now)
 	cands.separate(known.guard, e.Route, s, now)
 	cands.weigh(c.knownInterference(e.Route.Service)[interf.Kind(e.Route.Name, s.Image)])
