--- a/internal/disp/cause/cause.go
+++ b/internal/disp/cause/cause.go
@@ -47,7 +47,6 @@
 	NoRoute            = "noroute"    // no route matches the host and path
 	RunsElsewhere      = "elsewhere"  // another entry runs the job now
 	Stalled            = "stalled"    // the process stood still before the task was sent
-	TooLate            = "toolate"    // the caller stops waiting before the job could be answered
 	Overload           = "overload"   // the expected wait for capacity would make the answer late
 	WaitOver           = "waitover"   // the caller has stopped waiting for the answer
 )
@@ -81,7 +80,7 @@
 // EntryRefusals returns the reasons for which an entry refuses a job.
 func EntryRefusals() []string {
 	return append([]string{
-		Invalid, NoConfig, NoRoute, NoGates, Overload, TooLarge, TooLate, Stopping,
+		Invalid, NoConfig, NoRoute, NoGates, Overload, TooLarge, Stopping,
 		KindAdvice, KindFills, KindGang, KindPerpetual, KindRepeats, KindStored,
 	}, GateRefusals()...)
 }
@@ -97,7 +96,7 @@
 
 // Abandonments returns the reasons for which an entry abandons a job.
 func Abandonments() []string {
-	return []string{CallerDisconnected, Cancelled, CutOff, RunsElsewhere, TooLate, WaitOver}
+	return []string{CallerDisconnected, Cancelled, CutOff, RunsElsewhere, WaitOver}
 }
 
 // Retries returns the reasons for which an entry places a task again, in sorted order.
--- a/internal/disp/coord/admit.go
+++ b/internal/disp/coord/admit.go
@@ -9,11 +9,10 @@
 )
 
 // admit decides whether to accept a job. It returns a refusal if no target is large
-// enough for one of the tasks, if the steps without dependencies would wait for
-// capacity so long that the answer would be late, or if the caller stops waiting before
-// there can be an answer. Otherwise it returns the zero Answer. An entry that does not
-// know any gates yet accepts the job, since gates answer within moments of the entry's
-// start.
+// enough for one of the tasks, or if the steps without dependencies would wait for
+// capacity so long that the answer would be late. Otherwise it returns the zero
+// Answer. An entry that does not know any gates yet accepts the job, since gates
+// answer within moments of the entry's start.
 func (c *Coordinator) admit(e *execution) Answer {
 	for i, s := range e.Steps {
 		if a := c.admitStep(e, i, s); a.State == Refused {
@@ -70,8 +69,6 @@
 	case len(cands.gates) == 0:
 	case !fits:
 		d.reason = cause.TooLarge
-	case now >= d.timing.HopelessFrom():
-		d.reason = cause.TooLate
 	case cands.allCrashed, len(s.DependsOn) == 0 && longestWait > d.maxWait:
 		d.reason = cause.Overload
 	}
--- a/internal/disp/coord/interf.go
+++ b/internal/disp/coord/interf.go
@@ -26,15 +26,16 @@
 // interference is what the gates of all services have reported of kinds that slow each other
 // down. The zero value has no reports.
 type interference struct {
-	known     atomic.Bool // there are services
+	known     atomic.Bool // a service is active
 	mu        sync.Mutex
-	byService map[string]*serviceInterference // those with pairs in force or reported
+	byService map[string]*serviceInterference // those that have been active, or asked about while one was
 }
 
 // serviceInterference is what the gates of one service have reported.
 type serviceInterference struct {
 	merger   interf.Merger
 	mergedAt boot.Time
+	active   bool // there are pairs in force or reported
 }
 
 // InterferingPair is a pair in force at the gates of a service.
@@ -102,11 +103,12 @@
 		return si.merger.Table()
 	}
 	si.mergedAt = now
-	reported := c.mergeReports(si, service, now)
-	if !reported && len(si.merger.Table()) == 0 {
-		delete(c.interference.byService, service)
-		c.interference.known.Store(len(c.interference.byService) > 0)
+	si.active = c.mergeReports(si, service, now) || len(si.merger.Table()) > 0
+	known := false
+	for _, other := range c.interference.byService {
+		known = known || other.active
 	}
+	c.interference.known.Store(known)
 	return si.merger.Table()
 }
 
@@ -135,7 +137,9 @@
 		return reported
 	}
 	for _, l := range links {
-		l.WantKinds(now.Add(wantKindsTime))
+		if l.View(now).Load.Service == service {
+			l.WantKinds(now.Add(wantKindsTime))
+		}
 	}
 	return reported
 }
--- a/internal/disp/coord/job.go
+++ b/internal/disp/coord/job.go
@@ -84,7 +84,6 @@
 	drained     chan struct{}   // closed when the job has ended and outstanding is empty
 	concluded   sync.Once       // the end of the job is reported once, whoever waited for it
 	confirming  chan struct{}   // holds a value while it is checked whether a caller still waits
-	placing     atomic.Bool     // the job was admitted, and no other entry has it
 	confirmedAt atomic.Int64    // boot.Time as of which a caller was known to wait
 	waiting     []*execution    // submissions that wait for drained; guarded by Coordinator.mu
 
@@ -203,20 +202,15 @@
 	return e.answer != nil
 }
 
-// awaitedUntil returns when the last caller stops waiting for the answer, or 0 if that is unknown.
-func (e *execution) awaitedUntil() boot.Time {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.waitsUntil
-}
-
 // remainingWait returns for how long the last caller still waits for the answer, or the
 // longest duration if that is unknown.
 func (e *execution) remainingWait(now boot.Time) time.Duration {
-	if until := e.awaitedUntil(); until != 0 {
-		return until.Sub(now)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.waitsUntil == 0 {
+		return math.MaxInt64
 	}
-	return math.MaxInt64
+	return e.waitsUntil.Sub(now)
 }
 
 // finishIfUnawaited ends the job if its callers have stopped waiting for the answer by
--- a/internal/disp/coord/refuse.go
+++ b/internal/disp/coord/refuse.go
@@ -8,15 +8,11 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/retry"
 )
 
-// refuseIfOverdue refuses the job if it has waited too long, or can't be answered while its callers
-// wait, and none of its tasks may have started. It reports whether the job has ended.
+// refuseIfOverdue refuses the job if it has waited too long and none of its tasks may
+// have started. It reports whether it refused the job.
 func (c *Coordinator) refuseIfOverdue(e *execution, reason string) bool {
 	longest, expectedRunTime := c.longestStep(e)
-	now := c.now()
-	if e.finishIfUnawaited(now) {
-		return true
-	}
-	if now < c.refusedFrom(e, expectedRunTime) {
+	if c.now() < c.refusedFrom(e, expectedRunTime) {
 		return false
 	}
 	cands := c.findCandidates(e.Route, longest)
@@ -29,28 +25,7 @@
 // is refused if none of its tasks has started.
 func (c *Coordinator) refusedFrom(e *execution, expectedRunTime time.Duration) boot.Time {
 	maxStartWait := e.Route.LatencyBudget(expectedRunTime) * maxStartWaitPercent / 100
-	overdueFrom := c.timing(e, expectedRunTime).FirstSubmitted().Add(maxStartWait)
-	return min(overdueFrom, c.hopelessFrom(e))
-}
-
-// hopelessFrom returns the time from which e can't be answered in the time that its callers wait,
-// unless a task of it has started.
-func (c *Coordinator) hopelessFrom(e *execution) boot.Time {
-	_, expectedRunTime := c.longestStep(e)
-	timing := c.timing(e, expectedRunTime)
-	timing.WaitsUntil = e.awaitedUntil()
-	return timing.HopelessFrom()
-}
-
-// endHopeless ends a job that can't be answered any more while its callers wait, unless a task of
-// it may have started or be at a gate. They learn it at once instead of at the end of their wait.
-// The job is refused only if this entry has begun to place it: before, another entry may run it.
-func (c *Coordinator) endHopeless(e *execution) {
-	if !e.placing.Load() {
-		e.finish(Answer{State: Abandoned, Reason: cause.TooLate})
-		return
-	}
-	c.refuseIfOverdue(e, cause.TooLate)
+	return c.timing(e, expectedRunTime).FirstSubmitted().Add(maxStartWait)
 }
 
 // refuseIfEvacuated refuses the job if a task of s can run only at targets of evacuated
--- a/internal/disp/coord/submit.go
+++ b/internal/disp/coord/submit.go
@@ -67,7 +67,6 @@
 		e.finish(a)
 		return
 	}
-	e.placing.Store(true)
 	for i, s := range e.Steps {
 		go c.runStep(e, i, s)
 	}
@@ -90,17 +89,11 @@
 	return *e.answer
 }
 
-// watchWait ends the job once its callers have stopped waiting for the answer, or before, once it
-// is known that they will have. It returns when the job has ended.
+// watchWait ends the job once its callers have stopped waiting for the answer. It
+// returns when the job has ended.
 func (c *Coordinator) watchWait(e *execution) {
 	for e.ctx.Err() == nil && !e.finishIfUnawaited(c.now()) {
-		wait := min(e.remainingWait(c.now()), maxWaitCheckInterval)
-		if left := c.hopelessFrom(e).Sub(c.now()); left > 0 {
-			wait = min(wait, left)
-		} else {
-			c.endHopeless(e)
-		}
-		boot.Sleep(e.ctx, wait)
+		boot.Sleep(e.ctx, min(e.remainingWait(c.now()), maxWaitCheckInterval))
 	}
 }
 
--- a/internal/disp/gate/cold.go
+++ b/internal/disp/gate/cold.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/estim"
 )
 
 // coldFor returns for how long the target is still cold at now, or 0 if it is warm.
@@ -21,6 +22,7 @@
 	if cold := left > 0; cold != g.cold {
 		g.cold = cold
 		g.speed.Distrust()
+		g.pace = estim.Pace{}
 		event := "target_warm"
 		if cold {
 			event = "target_cold"
--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -77,7 +77,8 @@
 	breaker      cbreak.Breaker
 	speed        estim.Speed
 	pace         estim.Pace
-	cold         bool // the target was cold at the last call of updateCold
+	pacedAt      boot.Time // of the latest observation of pace
+	cold         bool      // the target was cold at the last call of updateCold
 	replyTimes   estim.ReplyTimes
 	nextLoadLog  boot.Time      // when the load is logged next
 	checkedAt    boot.Time      // when the progress of runs was last checked
--- a/internal/disp/giveup/revoke.go
+++ b/internal/disp/giveup/revoke.go
@@ -16,6 +16,9 @@
 	// RevokeMethod is the method of a gate that revokes jobs.
 	RevokeMethod = "Gate.Revoke"
 
+	// reuseTime is how long the answer of a gate that has revoked a job holds for further entries. It
+	// is well below the time for which the gate refuses their tasks.
+	reuseTime     = 2 * time.Second
 	batchTime     = 2 * time.Millisecond   // for which a revocation waits for others to the same gate
 	batchInterval = 50 * time.Millisecond  // between two calls to a gate, whatever the number of jobs
 	revokeTimeout = 200 * time.Millisecond // of one call to a gate
@@ -36,9 +39,12 @@
 
 // gateOrder is what a revocation knows of one gate.
 type gateOrder struct {
-	end   boot.Time   // of the tasks there, since the gate is silent; 0 while it answers
-	done  bool        // no task of another entry may run there
-	waits []*gateWait // that wait for done
+	end  boot.Time // of the tasks there, since the gate is silent; 0 while it answers
+	done bool      // no task of another entry may run there
+	// reusableUntil is until when done holds for a further entry too: the gate has answered, and
+	// refuses the tasks of all others. Leases that have ended prove nothing about later tasks.
+	reusableUntil boot.Time
+	waits         []*gateWait // that wait for done
 }
 
 // gateWait is the wait for all gates of an entry.
@@ -64,13 +70,14 @@
 // askGates makes the gates revoke a job, and sends the proof when all of them have. It does not
 // wait for that.
 func (a *Asker) askGates(gates []string, r *revocation, proofs chan<- Proof) {
-	for _, addr := range r.await(gates, &gateWait{proofs: proofs}) {
+	for _, addr := range r.await(gates, &gateWait{proofs: proofs}, a.now()) {
 		a.revokeAt(addr, r)
 	}
 }
 
-// await makes w wait for the gates, and returns those that have not been asked before.
-func (r *revocation) await(gates []string, w *gateWait) (unasked []string) {
+// await makes w wait for the gates, and returns those that have to be asked: not before, or without
+// an answer that still holds at now.
+func (r *revocation) await(gates []string, w *gateWait, now boot.Time) (unasked []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.gates == nil {
@@ -78,7 +85,7 @@
 	}
 	for _, addr := range gates {
 		o := r.gates[addr]
-		if o == nil {
+		if o == nil || o.done && now >= o.reusableUntil {
 			o = &gateOrder{}
 			r.gates[addr] = o
 			unasked = append(unasked, addr)
@@ -129,6 +136,7 @@
 	o := r.gates[addr]
 	switch {
 	case err == nil && !mayRun:
+		o.reusableUntil = a.now().Add(reuseTime)
 		o.finish()
 		return false
 	case err == nil:
@@ -190,6 +198,9 @@
 			unfinished = append(unfinished, r)
 		}
 	}
+	if len(unfinished) == 0 {
+		return
+	}
 	time.AfterFunc(revokeInterval, func() {
 		for _, r := range unfinished {
 			a.revokeAt(addr, r)
--- a/internal/disp/pick/cold.go
+++ b/internal/disp/pick/cold.go
@@ -2,28 +2,28 @@
 
 import "time"
 
-// disfavor says which gates of equal rank count against others.
-type disfavor int
+// penalty says which gates of equal rank come after the others.
+type penalty int
 
 const (
-	none    disfavor = iota
-	cold             // those with a cold target
-	waiting          // those at which the task would wait
+	none    penalty = iota
+	cold            // those with a cold target
+	waiting         // those at which the task would wait
 )
 
-// of returns 1 if d counts against a gate at which the task would wait for the given time, and
-// otherwise 0.
-func (d disfavor) of(g Gate, wait time.Duration) int {
-	if d == cold && g.Cold || d == waiting && wait > 0 {
-		return 1
+// rankWith returns the rank of g with the penalty p, if the task would wait there for the given time.
+func (g Gate) rankWith(p penalty, wait time.Duration, ignoreBreakers bool) int {
+	rank := 2 * g.rank(ignoreBreakers)
+	if p == cold && g.Cold || p == waiting && wait > 0 {
+		rank++
 	}
-	return 0
+	return rank
 }
 
-// coldDisfavor returns the disfavor for t. It is none without a cold target among the gates of
+// coldPenalty returns the penalty for t. It is none without a cold target among the gates of
 // the best rank; cold if t could start at once at a warm one of them, and otherwise waiting if
 // it could at a cold one.
-func coldDisfavor(gates []Gate, t Task, ignoreBreakers bool) disfavor {
+func coldPenalty(gates []Gate, t Task, ignoreBreakers bool) penalty {
 	if !anyColdGate(gates) {
 		return none // the usual case, without an estimate for each gate
 	}
--- a/internal/disp/pick/pick.go
+++ b/internal/disp/pick/pick.go
@@ -57,12 +57,12 @@
 // importance, those that are available, those whose circuit breaker is closed, and
 // those that are not to be avoided; the expected end decides only between gates that
 // are equal in these. Among those, a cold target is used only if the task would wait at
-// each warm one, and then it is preferred to a wait. Circuit breakers are ignored if too many are open, since then the
-// tasks are more likely at fault than the targets.
+// each warm one, and then it is preferred to a wait. Circuit breakers are ignored if too
+// many are open, since then the tasks are more likely at fault than the targets.
 func Best(gates []Gate, t Task) Choice {
 	ignoreBreakers := tooManyOpenBreakers(gates)
 	best := Choice{Gate: -1}
-	disfavor := coldDisfavor(gates, t, ignoreBreakers)
+	p := coldPenalty(gates, t, ignoreBreakers)
 	bestRank := 0
 	var bestCost time.Duration
 	for i, g := range gates {
@@ -71,30 +71,30 @@
 		}
 		wait, finish := g.estimate(t)
 		cost := finish + g.usagePenalty()
-		rank := g.rank(ignoreBreakers)*2 + disfavor.of(g, wait)
+		rank := g.rankWith(p, wait, ignoreBreakers)
 		if best.Gate < 0 || rank < bestRank || rank == bestRank && cost < bestCost {
 			best = Choice{Gate: i, Wait: wait, Finish: finish, IgnoreBreaker: g.BreakerOpen && ignoreBreakers}
 			bestRank, bestCost = rank, cost
 		}
 	}
 	if best.Gate >= 0 && best.Wait == 0 && gates[best.Gate].interferes() {
-		return apart(gates, t, best, bestRank, ignoreBreakers)
+		return apart(gates, t, best, bestRank, p, ignoreBreakers)
 	}
 	return best
 }
 
 // apart returns the choice with the lowest cost, interference included, among the gates of
 // the given rank that can start t at once. The present best choice is one of them.
-func apart(gates []Gate, t Task, best Choice, rank int, ignoreBreakers bool) Choice {
+func apart(gates []Gate, t Task, best Choice, rank int, p penalty, ignoreBreakers bool) Choice {
 	first := best.Gate
 	bestCost := best.Finish + gates[first].usagePenalty() + gates[first].interference(t)
 	for i, g := range gates {
-		if !t.Size.Within(g.Capacity) || g.rank(ignoreBreakers) != rank {
+		if !t.Size.Within(g.Capacity) {
 			continue
 		}
 		wait, finish := g.estimate(t)
 		cost := finish + g.usagePenalty() + g.interference(t)
-		if wait == 0 && cost < bestCost {
+		if wait == 0 && cost < bestCost && g.rankWith(p, wait, ignoreBreakers) == rank {
 			best = Choice{Gate: i, Finish: finish, IgnoreBreaker: g.BreakerOpen && ignoreBreakers, Apart: true}
 			bestCost = cost
 		}
--- a/internal/disp/report/where.go
+++ b/internal/disp/report/where.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/gypsumlanding/gypsumlanding/internal/daem/guard"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/coord"
@@ -53,7 +54,7 @@
 	// Now returns the current time; nil means boot.Now.
 	Now func() boot.Time
 
-	mu sync.Mutex // held while an answer is made, so that only one takes memory
+	mu sync.Mutex // held while a job is decoded and its answer made, so that only one takes memory
 }
 
 // queryError is an error with the HTTP status to answer it with.
@@ -101,9 +102,14 @@
 		return nil, err
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.MaxBodyBytes(table)))
+	if errors.Is(err, guard.ErrBusy) {
+		return nil, &queryError{http.StatusServiceUnavailable, err.Error()}
+	}
 	if err != nil {
 		return nil, &queryError{http.StatusBadRequest, "reading the job: " + err.Error()}
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	j, unsupported, err := h.DecodeJob(body, matched)
 	if err != nil {
 		return nil, &queryError{http.StatusBadRequest, "invalid job: " + err.Error()}
@@ -140,8 +146,6 @@
 		d.Refused = unsupported
 		return d
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	d.setPlan(h.Where(j))
 	return d
 }
--- a/internal/disp/triage/triage.go
+++ b/internal/disp/triage/triage.go
@@ -1,7 +1,6 @@
 package triage
 
 import (
-	"math"
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
@@ -38,19 +37,6 @@
 	return j.FirstSubmitted().Add(j.LatencyBudget - j.RunTime)
 }
 
-// minRunTimePercent is the shortest time, in percent of the expected run time, that a job may
-// turn out to need. Targets may be faster than nominal, and declared run times are often too long.
-const minRunTimePercent = 50
-
-// HopelessFrom returns the time from which a job that has not started can't be answered any more
-// before its caller stops waiting, or the latest time there is if the wait is unknown.
-func (j Job) HopelessFrom() boot.Time {
-	if j.WaitsUntil == 0 {
-		return math.MaxInt64
-	}
-	return j.WaitsUntil.Add(-j.RunTime * minRunTimePercent / 100)
-}
-
 // Before reports whether a task that has to start by a goes before one that has to
 // start by b when capacity becomes free at now. Tasks that can still start in time go
 // first. In both groups the earlier time goes first.
--- a/internal/wire/peer/limit.go
+++ b/internal/wire/peer/limit.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/codec"
@@ -59,11 +60,12 @@
 	return c
 }
 
-// awaitRoom waits until fewer calls than the limit are in progress; 0 is no limit.
-func (c *calls) awaitRoom(limit int) {
+// awaitRoom waits until fewer calls than the limit are in progress, or the connection has failed;
+// 0 is no limit.
+func (c *calls) awaitRoom(limit int, failed *atomic.Bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for limit > 0 && c.count >= limit {
+	for limit > 0 && c.count >= limit && !failed.Load() {
 		c.waiting++
 		c.ended.Wait()
 		c.waiting--
@@ -79,10 +81,18 @@
 func (c *calls) end() {
 	c.mu.Lock()
 	c.count--
+	c.mu.Unlock()
+	c.wake()
+}
+
+// wake makes those that wait for room look again. One of them may have no further call, so all are
+// woken.
+func (c *calls) wake() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.waiting > 0 {
-		c.ended.Signal()
+		c.ended.Broadcast()
 	}
-	c.mu.Unlock()
 }
 
 // limitedCodec limits the calls in progress on a connection.
@@ -96,7 +106,8 @@
 	changed  sync.Cond // a reply has been written, or the connection has failed
 	inFlight int       // calls without a reply
 	writing  bool
-	failed   bool
+	replies  int // that have been begun
+	failed   atomic.Bool
 }
 
 func newLimitedCodec(inner rpc.ServerCodec, conn net.Conn, limits *Limits, all *calls) *limitedCodec {
@@ -108,13 +119,13 @@
 // ReadRequestHeader reads the header of the next call, once there are few enough in progress.
 func (c *limitedCodec) ReadRequestHeader(r *rpc.Request) error {
 	c.mu.Lock()
-	for !c.failed && c.inFlight >= maxUnread && c.writing {
+	for !c.failed.Load() && c.inFlight >= maxUnread && c.writing {
 		c.changed.Wait()
 	}
 	inFlight := c.inFlight
 	c.mu.Unlock()
 	if inFlight >= freeCalls {
-		c.calls.awaitRoom(c.limits.Calls)
+		c.calls.awaitRoom(c.limits.Calls, &c.failed)
 	}
 	if err := c.ServerCodec.ReadRequestHeader(r); err != nil {
 		return c.checkMessage(err)
@@ -152,21 +163,20 @@
 func (c *limitedCodec) WriteResponse(r *rpc.Response, body any) error {
 	c.mu.Lock()
 	c.writing = true
-	many := c.inFlight > freeCalls
+	c.replies++
+	many, reply := c.inFlight > freeCalls, c.replies
 	c.mu.Unlock()
-	var blocked *time.Timer // nil if there are few calls
 	if many {
-		blocked = time.AfterFunc(unreadTime, func() { c.setBusy(false) })
+		defer time.AfterFunc(unreadTime, func() { c.countAsIdle(reply) }).Stop()
 	}
 	err := c.ServerCodec.WriteResponse(r, body)
-	wasBlocked := blocked != nil && !blocked.Stop()
 	c.calls.end()
 	c.mu.Lock()
 	c.writing = false
-	if c.inFlight--; c.inFlight == 0 || wasBlocked {
+	if c.inFlight--; c.inFlight == 0 || many {
 		c.setBusy(c.inFlight > 0)
 	}
-	first := err != nil && !c.failed
+	first := err != nil && !c.failed.Load()
 	c.changed.Broadcast()
 	c.mu.Unlock()
 	if first {
@@ -179,6 +189,16 @@
 	return err
 }
 
+// countAsIdle lets the connection count as idle if the given reply is still being written: its
+// client does not read.
+func (c *limitedCodec) countAsIdle(reply int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writing && c.replies == reply {
+		c.setBusy(false)
+	}
+}
+
 // setBusy tells the connection whether calls are in progress.
 func (c *limitedCodec) setBusy(busy bool) {
 	if b, ok := c.conn.(interface{ SetBusy(bool) }); ok {
@@ -188,9 +208,10 @@
 
 // fail closes the connection. Its calls in progress go on without a reply.
 func (c *limitedCodec) fail() {
+	c.failed.Store(true)
 	c.mu.Lock()
-	c.failed = true
 	c.changed.Broadcast()
 	c.mu.Unlock()
+	c.calls.wake()
 	_ = c.conn.Close()
 }
