--- a/internal/disp/coord/task.go
+++ b/internal/disp/coord/task.go
@@ -115,7 +115,8 @@
 
 // placeOnce places a task at one gate and returns the reply. It reports false if it has not
 // sent the task: because no gate can run it, and then it refuses the job if that is overdue
-// or if only gates of evacuated domains can, or pauses, or because the step has got its last task at the target meanwhile.
+// or if only gates of evacuated domains can, or pauses; or because the step has got its last
+// task at the target meanwhile.
 func (c *Coordinator) placeOnce(e *execution, s Step, ts *taskState) (msgs.TaskReply, bool) {
 	l, target, m, ok := c.place(e, s, ts)
 	if !ok {
--- a/internal/disp/pick/apart_test.go
+++ b/internal/disp/pick/apart_test.go
@@ -41,7 +41,8 @@
 }
 
 // TestInterferenceNeverCostsWaitOrRank checks that interference never makes a task wait, or go to
-// a gate of a worse rank, such as one with a cold target, and that without interference the choice does not change.
+// a gate of a worse rank, such as one with a cold target, and that without interference the
+// choice does not change.
 func TestInterferenceNeverCostsWaitOrRank(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var gates, plain []Gate
