--- a/internal/disp/giveup/budget.go
+++ b/internal/disp/giveup/budget.go
@@ -7,23 +7,22 @@
 )
 
 const (
-	// questionRate bounds the calls to other entries, a second. It bounds what questions cost this
-	// entry, whatever the number of entries and jobs: beyond it each call has more jobs.
-	questionRate = 300
-	// callBurst is the number of calls that may be made at once: one to each of many processes.
-	callBurst = 100
+	// callInterval is the time between calls to other entries when many are made. It bounds what
+	// questions cost this entry, whatever the number of entries and jobs: beyond it each call has
+	// more jobs.
+	callInterval = time.Second / 300
+	// callBurst is the number of calls that may be made at once: some to each of many processes.
+	callBurst = 200
 )
 
-// budget bounds the rate of calls. The zero value has not been used. It is not safe for concurrent
-// use.
+// budget bounds the rate of calls. The zero value has not been used.
 type budget struct {
 	next boot.Time // when the next call may be made, had there been no burst
 }
 
-// reserve reserves one call at now, of rate calls a second, and returns when it may be made.
-func (b *budget) reserve(now boot.Time, rate int) boot.Time {
-	interval := time.Second / time.Duration(rate)
-	at := max(b.next, now.Add(-callBurst*interval))
-	b.next = at.Add(interval)
+// reserve reserves one call at now, and returns when it may be made.
+func (b *budget) reserve(now boot.Time) boot.Time {
+	at := max(b.next, now.Add(-callBurst*callInterval))
+	b.next = at.Add(callInterval)
 	return max(now, at)
 }
--- a/internal/disp/giveup/inquiry.go
+++ b/internal/disp/giveup/inquiry.go
@@ -127,7 +127,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.now()
-	return a.questions.reserve(now, questionRate).Sub(now)
+	return a.questions.reserve(now).Sub(now)
 }
 
 // hasWork reports whether there are questions. If there are none, inquire ends.
--- a/internal/disp/rules/peer_test.go
+++ b/internal/disp/rules/peer_test.go
@@ -237,11 +237,16 @@
 // askToGiveUp makes one call that makes another entry give up jobs.
 func (c *cluster) askToGiveUp(ctx context.Context, i, to int, p *entryProcess, o giveup.Order) (giveup.Reply, error) {
 	var reply giveup.Reply
+	sent := c.entryNow(to)
 	err := c.callEntry(ctx, i, to, p, func(callee *entryProcess) {
 		callee.asker.Claim(entryAddr(i), o.Claims)
 		drainCtx, cancel := context.WithTimeout(callee.ctx, drainReplyWait)
 		defer cancel()
 		for _, job := range o.Jobs {
+			if sent < c.lastStall(to) { // it has waited to be read, and is to be repeated
+				reply.Has = o.Jobs
+				break
+			}
 			if callee.coord.GiveUp(drainCtx, job) {
 				reply.Has = append(reply.Has, job)
 			}
