--- a/internal/disp/giveup/giveup.go
+++ b/internal/disp/giveup/giveup.go
@@ -60,6 +60,8 @@
 type Asker struct {
 	Entry       string // name of this entry
 	Incarnation uint64 // of this entry
+	// Started is when this entry was started; 0 means that it has no former incarnation.
+	Started boot.Time
 	// Ask gives an Order to the entry at addr. If fresh is set, it does so on a connection of
 	// its own. The error is peer.ErrRefused if the entry refuses the connection.
 	Ask func(ctx context.Context, addr string, o Order, fresh bool) (Reply, error)
--- a/internal/disp/giveup/inquiry.go
+++ b/internal/disp/giveup/inquiry.go
@@ -15,11 +15,6 @@
 	maxCalls = 4
 	// callTimeout is how long the answer to a call counts.
 	callTimeout = 2 * time.Second
-	// pauseFactor times what an answer took beyond fastAnswer is the pause before the next call: an
-	// entry that is short of processor time spends little of it on each other one.
-	pauseFactor = 2
-	fastAnswer  = 10 * time.Millisecond
-	maxPause    = 200 * time.Millisecond
 )
 
 // purpose is what a question is for.
@@ -37,7 +32,7 @@
 	job      string
 	onSilent func()       // called when the entry does not answer in time
 	onAnswer func(answer) // called with the answer, once
-	sent     boot.Time    // when a call with the question was first made; 0 before. Guarded by inquiry.mu
+	sent     bool         // a call with the question has been made; guarded by inquiry.mu
 }
 
 // answer is the outcome of a question.
@@ -103,8 +98,8 @@
 	return open
 }
 
-// sentAt returns when a call with a question was first made; 0 before.
-func (in *inquiry) sentAt(q *question) boot.Time {
+// hasSent reports whether a call with a question has been made.
+func (in *inquiry) hasSent(q *question) bool {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	return q.sent
@@ -114,11 +109,9 @@
 func (a *Asker) inquire(addr string, in *inquiry) {
 	for in.hasWork() {
 		boot.Sleep(context.Background(), a.untilNextCall())
-		pause := askRetryTime
-		if a.askAll(addr, in) {
-			pause = max(0, min(pauseFactor*(in.latest()-fastAnswer), maxPause))
+		if !a.askAll(addr, in) {
+			boot.Sleep(context.Background(), askRetryTime)
 		}
-		boot.Sleep(context.Background(), pause)
 	}
 }
 
@@ -127,7 +120,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.now()
-	return a.questions.reserve(now).Sub(now)
+	return a.questions.reserve(now, intervalAt(a.Started, now)).Sub(now)
 }
 
 // hasWork reports whether there are questions. If there are none, inquire ends.
@@ -139,13 +132,11 @@
 }
 
 // questions returns the questions that wait, and marks them as sent.
-func (in *inquiry) questions(now boot.Time) []*question {
+func (in *inquiry) questions() []*question {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	for _, q := range in.open {
-		if q.sent == 0 {
-			q.sent = now
-		}
+		q.sent = true
 	}
 	return slices.Clone(in.open)
 }
@@ -156,7 +147,7 @@
 func (a *Asker) askAll(addr string, in *inquiry) bool {
 	outcomes := make(chan error, maxCalls)
 	for n := range maxCalls {
-		questions := in.questions(a.now())
+		questions := in.questions()
 		if len(questions) == 0 {
 			return true
 		}
--- a/internal/disp/giveup/inquiry_test.go
+++ b/internal/disp/giveup/inquiry_test.go
@@ -46,25 +46,39 @@
 	})
 }
 
-// Questions of a moment in which many jobs come are bounded by the clock, not by jobs times entries.
+// Questions of a time in which many jobs come are bounded by the clock, not by jobs times entries, and
+// more so while the entry has its connections to open.
 func TestQuestionsOfAnEntryAreBounded(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		const entries, period = 99, 5 * time.Second
-		f := newFake(t, "g")
-		f.delay = time.Millisecond
-		ctx, cancel := context.WithTimeout(t.Context(), period)
-		defer cancel()
-		for i := 0; ctx.Err() == nil; i++ {
-			go f.GiveUpIfKnown(ctx, addrs("e", entries), fmt.Sprint("j", i))
-			boot.Sleep(ctx, 10*time.Millisecond)
-		}
-		f.update(func() {
-			if limit := callBurst + entries + int(period/callInterval); f.asked > limit {
-				t.Errorf("%d calls within %v, want at most %d", f.asked, period, limit)
-			}
+	const entries, period = 99, 4 * time.Second
+	for name, tt := range map[string]struct {
+		hasStarted bool // just now
+		interval   time.Duration
+	}{
+		"it has run for long": {interval: callInterval},
+		"it has just started": {hasStarted: true, interval: startInterval},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFake(t, "g")
+				f.delay = time.Millisecond
+				if tt.hasStarted {
+					f.Started = f.Now()
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), period)
+				defer cancel()
+				for i := 0; ctx.Err() == nil; i++ {
+					go f.GiveUpIfKnown(ctx, addrs("e", entries), fmt.Sprint("j", i))
+					boot.Sleep(ctx, 10*time.Millisecond)
+				}
+				f.update(func() {
+					if limit := callBurst + entries + int(period/tt.interval); f.asked > limit {
+						t.Errorf("%d calls within %v, want at most %d", f.asked, period, limit)
+					}
+				})
+				time.Sleep(time.Second)
+			})
 		})
-		time.Sleep(time.Second)
-	})
+	}
 }
 
 // outFake returns an entry that is out of rotation, and has just listed the given jobs.
--- a/internal/disp/giveup/known.go
+++ b/internal/disp/giveup/known.go
@@ -8,23 +8,14 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 )
 
-const (
-	// knownTimeout is how long an entry may take to answer whether it has a job that it need not
-	// have.
-	knownTimeout = 100 * time.Millisecond
-	// unsentTimeout is how long such a question may wait for the call before it.
-	unsentTimeout = 200 * time.Millisecond
-)
+// knownTimeout is how long an entry may take to answer whether it has a job that it need not have. It
+// includes the wait for the call before it.
+const knownTimeout = 100 * time.Millisecond
 
 // GiveUpIfKnown makes those of the entries at addrs give up a job that answer soon that they
 // have it, as GiveUp does. The others count as not having it.
 func (a *Asker) GiveUpIfKnown(ctx context.Context, addrs []string, job string) {
-	s := &survey{asker: a, expiry: func(_ string, asked, sent boot.Time) boot.Time {
-		if sent == 0 {
-			return asked.Add(unsentTimeout)
-		}
-		return sent.Add(knownTimeout)
-	}}
+	s := &survey{asker: a, expiry: func(_ string, asked boot.Time) boot.Time { return asked.Add(knownTimeout) }}
 	has, silent := s.run(ctx, toGiveUp, slices.DeleteFunc(slices.Clone(addrs), a.Silent), job)
 	for _, addr := range silent {
 		a.Record(addr, errNoAnswer)
@@ -41,7 +32,7 @@
 	for _, addr := range addrs {
 		timeouts[addr] = timeout(addr)
 	}
-	s := &survey{asker: a, first: true, expiry: func(addr string, asked, _ boot.Time) boot.Time { return asked.Add(timeouts[addr]) }}
+	s := &survey{asker: a, first: true, expiry: func(addr string, asked boot.Time) boot.Time { return asked.Add(timeouts[addr]) }}
 	has, _ := s.run(ctx, toPeek, addrs, job)
 	return len(has) > 0
 }
--- a/internal/disp/giveup/lend.go
+++ b/internal/disp/giveup/lend.go
@@ -50,7 +50,7 @@
 	if len(holders) == 0 {
 		return
 	}
-	s := &survey{asker: a, awaitRefused: true, expiry: func(addr string, _, _ boot.Time) boot.Time { return holders[addr] }}
+	s := &survey{asker: a, awaitRefused: true, expiry: func(addr string, _ boot.Time) boot.Time { return holders[addr] }}
 	if has, _ := s.run(ctx, toClaim, slices.Collect(maps.Keys(holders)), job); len(has) > 0 {
 		a.GiveUp(ctx, has, job)
 	}
--- a/internal/disp/giveup/survey.go
+++ b/internal/disp/giveup/survey.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -12,9 +13,8 @@
 // survey asks several entries one question each. It needs one goroutine, whatever their number.
 type survey struct {
 	asker *Asker
-	// expiry returns when the entry at addr is no longer waited for, given when it was asked, and
-	// when the question was sent; 0 if it was not yet.
-	expiry func(addr string, asked, sent boot.Time) boot.Time
+	// expiry returns when the entry at addr is no longer waited for, given when it was asked.
+	expiry func(addr string, asked boot.Time) boot.Time
 	// awaitRefused means that an entry that refuses the connection is waited for too.
 	awaitRefused bool
 	// first means that the first entry that has the job ends the survey.
@@ -70,9 +70,6 @@
 	}
 }
 
-// maxSurveyWait is the longest time between two looks at which questions have been sent.
-const maxSurveyWait = 50 * time.Millisecond
-
 // expire removes the entries that are no longer waited for, and adds those to silent that got the
 // question. It returns how long to wait until it is to be called again, and whether any entry is waited
 // for.
@@ -83,18 +80,17 @@
 		return 0, false
 	}
 	now := s.asker.now()
-	wait = maxSurveyWait
+	wait = math.MaxInt64
 	for addr, q := range s.open {
-		in := s.asker.inquiryTo(addr)
-		sent := in.sentAt(q)
-		left := s.expiry(addr, asked, sent).Sub(now)
+		left := s.expiry(addr, asked).Sub(now)
 		if left > 0 {
 			wait = min(wait, left)
 			continue
 		}
 		delete(s.open, addr)
+		in := s.asker.inquiryTo(addr)
 		in.take(q)
-		if sent != 0 {
+		if in.hasSent(q) {
 			*silent = append(*silent, addr)
 		}
 	}
--- a/internal/disp/proc/giveup.go
+++ b/internal/disp/proc/giveup.go
@@ -62,7 +62,7 @@
 // asker returns what makes other entries give up jobs.
 func (e *Entry) asker() *giveup.Asker {
 	e.giveUpOnce.Do(func() {
-		e.giveUp.Entry, e.giveUp.Incarnation = e.Name, e.Incarnation
+		e.giveUp.Entry, e.giveUp.Incarnation, e.giveUp.Started = e.Name, e.Incarnation, e.Started
 		e.giveUp.Ask, e.giveUp.Gates = e.askToGiveUp, e.gatesOf
 		e.giveUp.CallGate, e.giveUp.GateView = e.pool.Call, e.gateView
 		e.giveUp.Event, e.giveUp.Trace, e.giveUp.Count = e.Event, e.Trace, e.Count
--- a/internal/disp/proc/questions_test.go
+++ b/internal/disp/proc/questions_test.go
@@ -54,16 +54,20 @@
 	asks.Addr = serve(t, map[string]any{EntryServiceName: asks.Service()})
 	asks.AddMember(memb.Member{Role: memb.Entry, Addr: out.Addr})
 	out.AddMember(memb.Member{Role: memb.Entry, Addr: asks.Addr})
-	for range 2 { // the second one has a listing
+	warn := func() {
 		if err := out.warn(asks.Addr); err != nil {
 			t.Fatal(err)
 		}
 	}
+	warn()
 	if !asks.OthersOut() {
 		t.Fatal("the entry is not out of rotation")
 	}
 	var asked sync.WaitGroup
 	for i := range jobs {
+		if i%20 == 0 {
+			warn() // with a listing from the second one on, as it does every 300 ms
+		}
 		asked.Go(func() { asks.GiveUpElsewhere(context.Background(), fmt.Sprint("j", i), false) })
 		time.Sleep(time.Millisecond) // longer than a question takes
 	}
