--- a/internal/disp/coord/coord.go
+++ b/internal/disp/coord/coord.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -150,13 +148,6 @@
 	return c.jobs[id] != nil
 }
 
-// IDs returns the IDs of all jobs for which MayRun reports true, in any order.
-func (c *Coordinator) IDs() []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return slices.Collect(maps.Keys(c.jobs))
-}
-
 // unfinishedJob returns the job with the given ID, or nil if it is unknown or has
 // ended.
 func (c *Coordinator) unfinishedJob(id string) *execution {
--- a/internal/disp/giveup/giveup.go
+++ b/internal/disp/giveup/giveup.go
@@ -8,6 +8,7 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/gate"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/link"
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
 // gatesCheckInterval is the longest time between two checks whether the gates of an entry are
@@ -19,38 +20,25 @@
 
 // Proofs, as written to logs and in the names of counters.
 const (
-	ByAnswer  Proof = "answer"  // the entry has answered that it has none
-	ByListing Proof = "listing" // the entry, which is out of rotation, has listed its jobs
-	ByGates   Proof = "gates"   // the gates have revoked the job
-	ByTime    Proof = "time"    // its tasks have ended with its leases
+	ByAnswer Proof = "answer" // the entry has answered that it has none
+	ByGates  Proof = "gates"  // the gates have revoked the job
+	ByTime   Proof = "time"   // its tasks have ended with its leases
 )
 
 // Names of counters. The name of a counter of proofs is ProvedPrefix followed by a Proof.
 const (
 	ProvedPrefix      = "givenup."
 	RevocationCounter = "revocations.sent" // calls to gates that revoke jobs
-	QuestionCounter   = "questions.sent"   // calls to entries that order them to give up jobs
 )
 
 // Counters returns the names of the counters.
 func Counters() []string {
-	return []string{
-		ProvedPrefix + string(ByAnswer), ProvedPrefix + string(ByListing), ProvedPrefix + string(ByGates), ProvedPrefix + string(ByTime),
-		RevocationCounter, QuestionCounter,
-	}
-}
-
-// Order makes an entry give up jobs.
-type Order struct {
-	Jobs   []string
-	Peek   []string // jobs that it shall not give up, but tell whether it has them
-	Claims []string // jobs that this entry is about to start
+	return []string{ProvedPrefix + string(ByAnswer), ProvedPrefix + string(ByGates), ProvedPrefix + string(ByTime), RevocationCounter}
 }
 
-// Reply is the answer of an entry that was asked to give up jobs.
+// Reply is the answer of an entry that was asked to give up a job.
 type Reply struct {
-	Has  []string // those of Order.Jobs that it has, or has tasks of
-	Runs []string // the same of Order.Peek and Order.Claims
+	HasJob bool // it has the job, or tasks of it
 	// OrphansFor is how long tasks of its former incarnation may still run; 0 if none may.
 	OrphansFor time.Duration
 }
@@ -60,11 +48,9 @@
 type Asker struct {
 	Entry       string // name of this entry
 	Incarnation uint64 // of this entry
-	// Started is when this entry was started; 0 means that it has no former incarnation.
-	Started boot.Time
-	// Ask gives an Order to the entry at addr. If fresh is set, it does so on a connection of
+	// Ask asks the entry at addr to give up a job. If fresh is set, it does so on a connection of
 	// its own. The error is peer.ErrRefused if the entry refuses the connection.
-	Ask func(ctx context.Context, addr string, o Order, fresh bool) (Reply, error)
+	Ask func(ctx context.Context, addr, job string, fresh bool) (Reply, error)
 	// Gates returns the addresses of the gates at which the entry at addr may have tasks. It
 	// reports false if they are not known; nil means that they never are.
 	Gates func(addr string) ([]string, bool)
@@ -81,18 +67,9 @@
 	// Count increments the named counter; nil discards it.
 	Count func(name string)
 
-	mu        sync.Mutex
-	inquiries map[string]*inquiry  // by the address of the entry that is asked
-	listings  map[string]listing   // by the address of the entry that has listed its jobs
-	claims    map[string]claims    // by the address of the entry that has told of jobs
-	holders   map[string]boot.Time // until when a listing of this entry counts, by the address of the entry that has it
-	questions budget               // of calls to entries
-
-	silences        map[string]*silence  // by the address of an entry that does not answer
-	lastSilenceLogs map[string]boot.Time // when a line about an entry that fell silent was last logged
-	batches         map[string]*batch    // revocations that are about to be sent, by the address of the gate
-	revoking        int                  // calls to gates in progress
-	revoked         *sync.Cond           // a call to a gate has ended; nil before the first one
+	mu       sync.Mutex
+	silences map[string]*silence // by the address of an entry that does not answer
+	batches  map[string]*batch   // revocations that are about to be sent, by the address of the gate
 	// lastBatches has when the latest call to a gate is or was made, by its address.
 	lastBatches map[string]boot.Time
 	// silentGates has what the calls to a gate have shown since it last answered, by its address.
@@ -102,19 +79,57 @@
 // GiveUp makes the entries at addrs give up a job. It returns when it is proved that none of
 // them has a task of the job that can still be running, or when ctx ends.
 func (a *Asker) GiveUp(ctx context.Context, addrs []string, job string) {
-	a.giveUp(ctx, addrs, job, 0)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r := &revocation{ctx: ctx, job: job}
+	var asked sync.WaitGroup
+	for _, addr := range addrs {
+		asked.Go(func() { a.giveUpAt(ctx, addr, r) })
+	}
+	asked.Wait()
 }
 
-// GiveUpUnlessUnlisted is GiveUp for a job whose caller has waited for the resubmit delay if it had
-// submitted the job before. The listing of an entry that is out of rotation is a proof then.
-func (a *Asker) GiveUpUnlessUnlisted(ctx context.Context, addrs []string, job string) {
-	var asked []string
-	for _, addr := range addrs {
-		if !a.isUnlisted(addr, job) {
-			asked = append(asked, addr)
+// giveUpAt is GiveUp for one other entry. It asks the entry, and its gates as well from the
+// first sign that the entry has no proof to give.
+func (a *Asker) giveUpAt(ctx context.Context, addr string, r *revocation) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	gates, gatesKnown := a.gatesOf(addr)
+	begin, proofs := a.now(), make(chan Proof, 3) // one from each source
+	askGates := sync.OnceFunc(func() {
+		if gatesKnown {
+			a.askGates(gates, r, proofs)
+		}
+	})
+	if a.unanswered(addr) {
+		askGates()
+	}
+	go a.askEntry(ctx, addr, r.job, askGates, proofs)
+	if !gatesKnown {
+		go a.awaitGates(ctx, addr, r, begin, proofs)
+	}
+	select {
+	case <-ctx.Done():
+	case p := <-proofs:
+		a.recordProof(addr, r.job, p, a.now().Sub(begin))
+	}
+}
+
+// awaitGates asks the gates of the entry at addr once they are known. Until then it sends a proof
+// if the tasks of the entry count as ended since it has been silent for so long.
+func (a *Asker) awaitGates(ctx context.Context, addr string, r *revocation, begin boot.Time, proofs chan<- Proof) {
+	for ctx.Err() == nil {
+		if gates, ok := a.gatesOf(addr); ok {
+			a.askGates(gates, r, proofs)
+			return
+		}
+		left := a.untilEndedBySilence(addr, begin)
+		if left <= 0 {
+			proofs <- ByTime
+			return
 		}
+		boot.Sleep(ctx, min(left, gatesCheckInterval))
 	}
-	a.giveUp(ctx, asked, job, len(addrs)-len(asked))
 }
 
 // gatesOf returns the gates at which the entry at addr may have tasks, and whether they are
@@ -127,6 +142,50 @@
 	return gates, ok && len(gates) > 0
 }
 
+// askEntry asks an entry until it proves that it has no task of the job, and sends the proof.
+// It calls askGates whenever the entry gives a sign that it can't prove that soon.
+func (a *Asker) askEntry(ctx context.Context, addr, job string, askGates func(), proofs chan<- Proof) {
+	wait := a.firstWait(addr)
+	for ctx.Err() == nil {
+		began := a.now()
+		reply, err := a.ask(ctx, addr, job, wait, askGates)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case isRefused(err):
+			if left := a.refusedSince(addr).Add(gate.MaxOrphanTime).Sub(a.now()); left > 0 {
+				askGates()
+				boot.Sleep(ctx, left)
+			}
+			proofs <- ByTime
+			return
+		case err != nil:
+			boot.Sleep(ctx, askRetryTime)
+		case reply.HasJob:
+			wait = max(wait, 2*a.now().Sub(began))
+			boot.Sleep(ctx, askRetryTime)
+		case reply.OrphansFor > 0:
+			askGates()
+			boot.Sleep(ctx, reply.OrphansFor)
+			proofs <- ByTime
+			return
+		default:
+			proofs <- ByAnswer
+			return
+		}
+	}
+}
+
+// recordProof counts and logs the proof that an entry has no task of a job.
+func (a *Asker) recordProof(addr, job string, p Proof, took time.Duration) {
+	if a.Count != nil {
+		a.Count(ProvedPrefix + string(p))
+	}
+	if a.Trace != nil && p != ByAnswer {
+		a.Trace("job_given_up", "job", job, "entry", addr, "proof", string(p), "took", took)
+	}
+}
+
 // Orphans returns how long tasks of the former incarnation of a process may run at now that has
 // been started at started, in the unit of msgs.LookupReply; 0 if none may. A start at 0 means
 // that there is no former incarnation.
@@ -138,18 +197,17 @@
 	return max(0, (left + time.Millisecond - 1).Milliseconds())
 }
 
+// ReplyOf returns the Reply that a message contains.
+func ReplyOf(m *msgs.LookupReply) Reply {
+	return Reply{HasJob: m.State != "" || m.Timestamp != 0, OrphansFor: time.Duration(m.OrphansFor) * time.Millisecond}
+}
+
 func (a *Asker) event(event string, pairs ...any) {
 	if a.Event != nil {
 		a.Event(event, pairs...)
 	}
 }
 
-func (a *Asker) count(name string) {
-	if a.Count != nil {
-		a.Count(name)
-	}
-}
-
 func (a *Asker) now() boot.Time {
 	if a.Now != nil {
 		return a.Now()
--- a/internal/disp/giveup/giveup_test.go
+++ b/internal/disp/giveup/giveup_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -25,7 +24,6 @@
 	Asker
 	mu         sync.Mutex
 	reply      Reply
-	hasJob     bool          // the entry has each job that it is asked about
 	err        error         // of the entry; nil if it answers
 	delay      time.Duration // of its answer; negative for never
 	running    bool          // tasks run at the gates
@@ -38,8 +36,7 @@
 }
 
 // newFake returns an entry that answers at once that it has no job, with the given gates.
-func newFake(t *testing.T, gates ...string) *fake {
-	t.Cleanup(func() { time.Sleep(2 * callTimeout) }) // until the calls in progress have ended
+func newFake(gates ...string) *fake {
 	f := &fake{counters: map[string]int{}}
 	start := time.Now()
 	f.Now = func() boot.Time { return boot.Time(time.Hour).Add(time.Since(start)) }
@@ -58,7 +55,7 @@
 	return f
 }
 
-func (f *fake) ask(ctx context.Context, _ string, o Order, _ bool) (Reply, error) {
+func (f *fake) ask(ctx context.Context, _, _ string, _ bool) (Reply, error) {
 	f.mu.Lock()
 	f.asked++
 	delay := f.delay
@@ -70,11 +67,7 @@
 	boot.Sleep(ctx, delay)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	reply := f.reply
-	if f.hasJob {
-		reply.Has, reply.Runs = o.Jobs, append(slices.Clone(o.Peek), o.Claims...)
-	}
-	return reply, f.err
+	return f.reply, f.err
 }
 
 func (f *fake) callGate(ctx context.Context, _, _ string, args, reply any) error {
@@ -116,7 +109,7 @@
 // An entry that did not answer counted as having no task, though one ran at a gate.
 func TestTasksOfSilentEntryEndBeforeTheJobStarts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFake(t, "g", "h")
+		f := newFake("g", "h")
 		f.delay, f.running = -1, true
 		time.AfterFunc(2*time.Second, func() { f.update(func() { f.running = false }) })
 		if took := f.timeToGiveUp("j"); took < 2*time.Second || took > 2*time.Second+50*time.Millisecond {
@@ -134,9 +127,9 @@
 // An entry that is slow to answer lives, and was given up.
 func TestSlowAnswerIsWaitedFor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFake(t)
-		f.delay, f.hasJob = 900*time.Millisecond, true
-		time.AfterFunc(5*time.Second, func() { f.update(func() { f.hasJob = false }) })
+		f := newFake()
+		f.delay, f.reply.HasJob = 900*time.Millisecond, true
+		time.AfterFunc(5*time.Second, func() { f.update(func() { f.reply.HasJob = false }) })
 		if took := f.timeToGiveUp("j"); took < 5*time.Second {
 			t.Errorf("took %v", took)
 		}
@@ -149,7 +142,7 @@
 // An entry that answers costs one call, and the gates none.
 func TestGatesAreNotAskedWhileEntriesAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFake(t, "g")
+		f := newFake("g")
 		f.delay = 50 * time.Millisecond
 		f.timeToGiveUp("j")
 		time.Sleep(time.Second)
@@ -162,7 +155,7 @@
 // Jobs that are submitted at the same moment cost a call each at each gate.
 func TestJobsShareRevocations(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFake(t, "g")
+		f := newFake("g")
 		f.delay = -1
 		var done sync.WaitGroup
 		for i := range 20 {
@@ -179,7 +172,7 @@
 // delay further jobs.
 func TestEntryThatHasDiedDelaysJobsOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFake(t)
+		f := newFake()
 		f.err = peer.ErrRefused
 		if took := f.timeToGiveUp("j"); took != gate.MaxOrphanTime {
 			t.Errorf("took %v", took)
@@ -194,7 +187,7 @@
 // was served in time.
 func TestGateThatIsDownDelaysJobsOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFake(t, "g", "h")
+		f := newFake("g", "h")
 		f.delay, f.gateDown = -1, true
 		if took := f.timeToGiveUp("j"); took < gate.MaxOrphanTime {
 			t.Errorf("took %v", took)
@@ -225,13 +218,12 @@
 // A job on a new connection is seldom elsewhere: only an entry that answers is waited for.
 func TestOnlyEntriesThatKnowTheJobAreWaitedFor(t *testing.T) {
 	for name, tt := range map[string]struct {
-		reply  Reply
-		hasJob bool
-		err    error
-		delay  time.Duration // of the answer; negative for none
-		want   time.Duration
+		reply Reply
+		err   error
+		delay time.Duration // of the answer; negative for none
+		want  time.Duration
 	}{
-		"it has the job":             {hasJob: true, want: 3 * time.Second},
+		"it has the job":             {reply: Reply{HasJob: true}, want: 3 * time.Second},
 		"it does not have the job":   {delay: time.Millisecond, want: time.Millisecond},
 		"it has just been restarted": {reply: Reply{OrphansFor: time.Second}},
 		"it refuses connections":     {err: peer.ErrRefused},
@@ -239,9 +231,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newFake(t, "g")
-				f.reply, f.hasJob, f.err, f.delay = tt.reply, tt.hasJob, tt.err, tt.delay
-				time.AfterFunc(tt.want, func() { f.update(func() { f.hasJob = false }) })
+				f := newFake("g")
+				f.reply, f.err, f.delay = tt.reply, tt.err, tt.delay
+				time.AfterFunc(tt.want, func() { f.update(func() { f.reply.HasJob = false }) })
 				start := time.Now()
 				f.GiveUpIfKnown(context.Background(), []string{"e"}, "j")
 				if took := time.Since(start); took < tt.want || took > tt.want+20*time.Millisecond {
@@ -261,7 +253,7 @@
 // The time of an entry that was slow, and then died, counted from when it was slow.
 func TestSlowEntryThatDiesHasTasksUntilItsLeasesEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFake(t)
+		f := newFake()
 		for range 3 {
 			f.Record("e", errDown)
 			time.Sleep(time.Second)
@@ -276,7 +268,7 @@
 // An entry that refused a connection long ago has lived since, though nobody has heard of it.
 func TestEntryThatMayHaveLivedSinceIsNotTakenForLongDead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFake(t)
+		f := newFake()
 		f.err = peer.ErrRefused
 		f.Record("e", f.err)
 		time.Sleep(time.Minute)
@@ -291,7 +283,7 @@
 func TestEntryThatWasJustStartedMayHaveTasks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const left = 700 * time.Millisecond
-		f := newFake(t, "g")
+		f := newFake("g")
 		f.reply.OrphansFor, f.running = left, true
 		if took := f.timeToGiveUp("j"); took != left {
 			t.Errorf("took %v", took)
@@ -306,7 +298,7 @@
 // What runs at a gate that does not answer ends by the leases, and not before.
 func TestSilentGateIsWaitedFor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFake(t, "g")
+		f := newFake("g")
 		f.delay, f.gateDown = -1, true
 		if took := f.timeToGiveUp("j"); took < gate.MaxOrphanTime || took > gate.MaxOrphanTime+answerWait+50*time.Millisecond {
 			t.Errorf("took %v", took)
@@ -338,7 +330,7 @@
 // died, had tasks until its leases ended. They counted as over by the time of the first refusal.
 func TestEntryThatDiesAgainHasTasksUntilItsLeasesEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFake(t)
+		f := newFake()
 		f.Record("e", peer.ErrRefused)
 		for range 3 {
 			time.Sleep(500 * time.Millisecond)
--- a/internal/disp/giveup/load_test.go
+++ b/internal/disp/giveup/load_test.go
@@ -4,15 +4,11 @@
 	"context"
 	"fmt"
 	"runtime"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/gate"
-	"github.com/gypsumlanding/gypsumlanding/internal/disp/link"
-	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
 const (
@@ -38,7 +34,7 @@
 // came close to their memory limit, and no processor time was left for callers.
 func TestManyJobsWithoutProofCostLittle(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFake(t, addrs("g", crowdGates)...)
+		f := newFake(addrs("g", crowdGates)...)
 		f.delay, f.running = -1, true
 		ctx, cancel := context.WithCancel(t.Context())
 		before := runtime.NumGoroutine()
@@ -65,7 +61,7 @@
 func TestGatesAreAskedOnceTheyAreKnown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const knownAfter = 300 * time.Millisecond
-		f := newFake(t, "g")
+		f := newFake("g")
 		f.reply.OrphansFor = gate.MaxOrphanTime
 		start := time.Now()
 		f.Gates = func(string) ([]string, bool) { return []string{"g"}, time.Since(start) >= knownAfter }
@@ -74,35 +70,3 @@
 		}
 	})
 }
-
-// BenchmarkSilentEntries shows what one job costs an entry that asks 34 others, two of which do not
-// answer, so that 72 gates are asked as well.
-func BenchmarkSilentEntries(b *testing.B) {
-	gates, entries := addrs("g", 72), addrs("e", 34)
-	a := &Asker{
-		Entry: "a", Incarnation: 1,
-		Gates:    func(string) ([]string, bool) { return gates, true },
-		GateView: func(string) link.View { return link.View{LastAnswer: boot.Now()} },
-		Ask: func(ctx context.Context, addr string, _ Order, _ bool) (Reply, error) {
-			if addr == "e0" || addr == "e1" {
-				<-ctx.Done()
-				return Reply{}, ctx.Err()
-			}
-			return Reply{}, nil
-		},
-		CallGate: func(_ context.Context, _, _ string, _, reply any) error {
-			if out, ok := reply.(*msgs.RevokeReply); ok {
-				out.Applied = true
-			}
-			return nil
-		},
-	}
-	a.Record("e0", errNoAnswer)
-	a.Record("e1", errNoAnswer)
-	var running sync.WaitGroup
-	for i := range b.N {
-		running.Go(func() { a.GiveUp(context.Background(), entries, fmt.Sprint("j", i)) })
-		time.Sleep(2 * time.Millisecond)
-	}
-	running.Wait()
-}
--- a/internal/disp/giveup/revoke.go
+++ b/internal/disp/giveup/revoke.go
@@ -22,9 +22,6 @@
 	batchTime     = 2 * time.Millisecond   // for which a revocation waits for others to the same gate
 	batchInterval = 50 * time.Millisecond  // between two calls to a gate, whatever the number of jobs
 	revokeTimeout = 200 * time.Millisecond // of one call to a gate
-	// maxRevoking is the number of calls to gates at a time. An entry that is short of processor
-	// time, whose calls take long, thus makes few, with more jobs each.
-	maxRevoking = 16
 	// revokeInterval is the pause before a gate is asked again, which has tasks that are being
 	// stopped or has not answered.
 	revokeInterval = 15 * time.Millisecond
@@ -52,8 +49,8 @@
 
 // gateWait is the wait for all gates of an entry.
 type gateWait struct {
-	left   int    // gates that are not done
-	proved func() // called when none is left, with revocation.mu held
+	left   int // gates that are not done
+	proofs chan<- Proof
 }
 
 // batch is a set of revocations that are sent to a gate in one call.
@@ -70,10 +67,10 @@
 	return jobs
 }
 
-// askGates makes the gates revoke a job, and calls proved when all of them have. It does not
+// askGates makes the gates revoke a job, and sends the proof when all of them have. It does not
 // wait for that.
-func (a *Asker) askGates(gates []string, r *revocation, proved func()) {
-	for _, addr := range r.await(gates, &gateWait{proved: proved}, a.now()) {
+func (a *Asker) askGates(gates []string, r *revocation, proofs chan<- Proof) {
+	for _, addr := range r.await(gates, &gateWait{proofs: proofs}, a.now()) {
 		a.revokeAt(addr, r)
 	}
 }
@@ -99,7 +96,7 @@
 		}
 	}
 	if w.left == 0 {
-		w.proved()
+		w.proofs <- ByGates
 	}
 	return unasked
 }
@@ -110,7 +107,7 @@
 	for _, w := range o.waits {
 		w.left--
 		if w.left == 0 {
-			w.proved()
+			w.proofs <- ByGates
 		}
 	}
 }
@@ -184,8 +181,9 @@
 // send makes the call of a batch, and has the gate asked again for the jobs of which tasks may
 // still run there.
 func (a *Asker) send(addr string, b *batch) {
-	a.beginRevoking(addr)
-	defer a.endRevoking()
+	a.mu.Lock()
+	delete(a.batches, addr)
+	a.mu.Unlock()
 	jobs := b.jobs()
 	if len(jobs) == 0 {
 		return
@@ -210,36 +208,15 @@
 	})
 }
 
-// beginRevoking waits until a call to a gate may be made. Until then further revocations join its
-// batch.
-func (a *Asker) beginRevoking(addr string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.revoked == nil {
-		a.revoked = sync.NewCond(&a.mu)
-	}
-	for a.revoking >= maxRevoking {
-		a.revoked.Wait()
-	}
-	a.revoking++
-	delete(a.batches, addr)
-}
-
-// endRevoking lets another call to a gate begin.
-func (a *Asker) endRevoking() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.revoking--
-	a.revoked.Signal()
-}
-
 // callGate revokes jobs at a gate, and returns those of which a task may still run. If the gate
 // finds that the order may be old, it is repeated with the timestamp of the gate.
 func (a *Asker) callGate(ctx context.Context, addr string, jobs []string) ([]string, error) {
 	load := a.gateView(addr).Load
 	sender := msgs.Sender{Entry: a.Entry, Incarnation: a.Incarnation, GateIncarnation: load.Incarnation, EchoedTimestamp: load.Timestamp}
 	for {
-		a.count(RevocationCounter)
+		if a.Count != nil {
+			a.Count(RevocationCounter)
+		}
 		reply := &msgs.RevokeReply{}
 		if err := a.CallGate(ctx, addr, RevokeMethod, &msgs.Revoke{Sender: sender, Jobs: jobs}, reply); err != nil {
 			return nil, err
--- a/internal/disp/giveup/silence.go
+++ b/internal/disp/giveup/silence.go
@@ -7,16 +7,11 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/gate"
 )
 
-// silenceLogInterval is the shortest time between two lines about one entry that falls silent, as one
-// that is short of processor time does again and again.
-const silenceLogInterval = time.Second
-
 // silence is what the calls to an entry have shown since it last answered or called.
 type silence struct {
 	since   boot.Time // when it first did not answer
 	refused boot.Time // since when it refuses connections; 0 if it has not refused the last one
 	last    boot.Time // when it last did not answer
-	logged  bool      // there is a line about it
 }
 
 // Record records the outcome of a call to the entry at addr: nil if it has answered.
@@ -31,24 +26,20 @@
 }
 
 // recordSilence records a call without an answer, and whether the connection was refused. It
-// reports whether a line is to be logged: the entry had answered the call before, and there was none
-// lately.
-func (a *Asker) recordSilence(addr string, refused bool) (log bool) {
+// reports whether the entry had answered the call before.
+func (a *Asker) recordSilence(addr string, refused bool) (first bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := a.now()
 	s := a.silences[addr]
-	first := s == nil
+	first = s == nil
 	if first {
-		s = &silence{logged: now >= a.lastSilenceLogs[addr].Add(silenceLogInterval)}
+		s = &silence{}
 		if a.silences == nil {
-			a.silences, a.lastSilenceLogs = map[string]*silence{}, map[string]boot.Time{}
+			a.silences = map[string]*silence{}
 		}
 		a.silences[addr] = s
 	}
-	if first && s.logged {
-		a.lastSilenceLogs[addr] = now
-	}
+	now := a.now()
 	if first || now.Sub(s.last) > gate.MaxOrphanTime {
 		s.since, s.refused = now, 0 // it may have lived in between
 	}
@@ -59,35 +50,23 @@
 		s.refused = now
 	}
 	s.last = now
-	return first && s.logged
+	return first
 }
 
 // Heard records that the entry at addr has answered or called.
 func (a *Asker) Heard(addr string) {
-	if s := a.forget(addr); s != nil && s.logged {
+	if a.Forget(addr) {
 		a.event("entry_answers", "peer", addr)
 	}
 }
 
-// Expire deletes all that is stored about the entry at addr, which has not been heard of for long.
-func (a *Asker) Expire(addr string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	delete(a.silences, addr)
-	delete(a.lastSilenceLogs, addr)
-	delete(a.listings, addr)
-	delete(a.claims, addr)
-	delete(a.holders, addr)
-	delete(a.inquiries, addr)
-}
-
-// forget deletes and returns the silence of the entry at addr; nil if it has answered the last call.
-func (a *Asker) forget(addr string) *silence {
+// Forget deletes what is stored about the entry at addr. It reports whether it did not answer.
+func (a *Asker) Forget(addr string) (silent bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	s := a.silences[addr]
+	silent = a.silences[addr] != nil
 	delete(a.silences, addr)
-	return s
+	return silent
 }
 
 // Silent reports whether the entry at addr has not answered the last call.
--- a/internal/disp/link/link.go
+++ b/internal/disp/link/link.go
@@ -27,8 +27,7 @@
 	blockedSyncInterval = 50 * time.Millisecond
 	blockedSyncPeriod   = time.Second
 	minSyncInterval     = 10 * time.Millisecond // between two Sync calls
-	// SyncTimeout is the longest time that a Sync call may take.
-	SyncTimeout = 300 * time.Millisecond
+	syncTimeout         = 300 * time.Millisecond
 	// maxRetryInterval is the maximum pause between Sync calls to a gate that does
 	// not answer.
 	maxRetryInterval = time.Second
@@ -54,8 +53,7 @@
 	// Call calls a method at an address, as peer.Pool does. It may go on using
 	// args and reply after it has returned an error.
 	Call func(ctx context.Context, addr, method string, args, reply any) error
-	// Drop closes the connection to an address after a call without an answer, unless it has
-	// carried data for SyncTimeout; see peer.Pool.DropSilent.
+	// Drop closes the connection to an address, as peer.Pool does.
 	Drop func(addr string)
 	// Orders has the evacuations that this entry knows; nil means none. Each message carries
 	// the order of the gate's failure domain.
@@ -261,7 +259,7 @@
 		sender = msgs.Sender{Entry: l.Entry, Incarnation: l.Incarnation}
 	}
 	cancels, order := l.cancelsToSend(), l.orderToSend()
-	ctx, cancel := context.WithTimeout(ctx, SyncTimeout)
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	reply := &msgs.Load{}
 	err := l.Call(ctx, l.Addr, SyncMethod, &msgs.Sync{Sender: sender, Cancel: cancels, Order: order, WantKinds: l.wantsKinds()}, reply)
@@ -277,8 +275,8 @@
 	l.confirmOrder(evac.Order(order))
 }
 
-// recordFailure records a Sync call without an answer. It closes the connection if that is silent:
-// it may never work again, and the next call opens a new one.
+// recordFailure records a Sync call without an answer. It closes the connection,
+// which may never work again, so that the next call opens a new one.
 func (l *Link) recordFailure(err error) {
 	l.mu.Lock()
 	l.failures++
--- a/internal/disp/link/retire_test.go
+++ b/internal/disp/link/retire_test.go
@@ -96,7 +96,7 @@
 		l.gate.setSilent(true)
 		l.Cancel(4)
 		l.Retire()
-		time.Sleep(SyncTimeout)
+		time.Sleep(syncTimeout)
 		l.gate.setSilent(false)
 		<-l.ended
 		if !slices.Equal(l.gate.cancelled, []uint64{4}) {
--- a/internal/disp/proc/entry.go
+++ b/internal/disp/proc/entry.go
@@ -57,7 +57,6 @@
 	members memb.Set
 	pool    peer.Pool
 	others  rotate.Others
-	warned  rotate.Warned
 
 	giveUp       giveup.Asker // returned by asker, which sets its fields
 	giveUpOnce   sync.Once
@@ -94,11 +93,7 @@
 			expire = now.Add(expiryInterval)
 			go e.expire(ctx, now)
 		}
-		interval := gossipInterval
-		if e.Rotation.Out() {
-			interval = warnInterval
-		}
-		e.Rotation.Await(ctx, interval)
+		e.Rotation.Await(ctx, gossipInterval)
 	}
 }
 
@@ -240,13 +235,18 @@
 // askPeers asks all other entries about a job and returns the first state that
 // one reports, or the empty string if none does in time.
 func (e *Entry) askPeers(ctx context.Context, m msgs.Lookup) string {
+	return e.askPeersFor(ctx, m, func(string) time.Duration { return lookupTimeout })
+}
+
+// askPeersFor is askPeers with a timeout for each entry, by its address.
+func (e *Entry) askPeersFor(ctx context.Context, m msgs.Lookup, timeout func(addr string) time.Duration) string {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	peers := e.members.Addrs(memb.Entry)
 	answers := make(chan string, len(peers))
 	for _, addr := range peers {
 		go func() {
-			ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+			ctx, cancel := context.WithTimeout(ctx, timeout(addr))
 			defer cancel()
 			reply := &msgs.LookupReply{}
 			if err := e.pool.Call(ctx, addr, lookupMethod, &m, reply); err != nil {
--- a/internal/disp/proc/giveup.go
+++ b/internal/disp/proc/giveup.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
@@ -24,9 +23,6 @@
 	// drainReplyWait is how long an entry that gives up a job waits for its tasks to
 	// end before it replies that they have not ended, and is asked again.
 	drainReplyWait = 50 * time.Millisecond
-	// freshAfter is the time without data after which a connection to another entry may never
-	// work again.
-	freshAfter = 100 * time.Millisecond
 	// gateMargin is the number of gates beyond maxLinks that another entry may have selected
 	// since it knows fewer or other members.
 	gateMargin = 8
@@ -37,21 +33,14 @@
 
 // GiveUpElsewhere makes other entries give up a job, and waits until it is proved that none of its
 // tasks can be running there any more, or ctx ends: all other entries if its caller counts as
-// having submitted it before, and otherwise those that are out of rotation. If this entry may have
-// been cut off itself, these are those that have not told otherwise lately. It also tells the entries
-// of the job that rely on a listing of this one.
+// having submitted it before or this entry may have been cut off itself, and otherwise those that
+// are out of rotation.
 func (e *Entry) GiveUpElsewhere(ctx context.Context, job string, repeated bool) {
-	var told sync.WaitGroup
-	told.Go(func() { e.asker().Tell(ctx, job) })
-	defer told.Wait()
-	switch all := e.members.Addrs(memb.Entry); {
-	case repeated:
-		e.asker().GiveUp(ctx, all, job)
-	case e.Rotation.Out():
-		e.asker().GiveUpUnlessUnlisted(ctx, e.others.Unsure(all), job)
-	default:
-		e.asker().GiveUpUnlessUnlisted(ctx, e.others.Out(), job)
+	addrs := e.others.Out()
+	if repeated || e.Rotation.Out() {
+		addrs = e.members.Addrs(memb.Entry)
 	}
+	e.asker().GiveUp(ctx, addrs, job)
 }
 
 // GiveUpIfKnown makes the other entries give up a job that answer soon that they have it.
@@ -62,7 +51,7 @@
 // asker returns what makes other entries give up jobs.
 func (e *Entry) asker() *giveup.Asker {
 	e.giveUpOnce.Do(func() {
-		e.giveUp.Entry, e.giveUp.Incarnation, e.giveUp.Started = e.Name, e.Incarnation, e.Started
+		e.giveUp.Entry, e.giveUp.Incarnation = e.Name, e.Incarnation
 		e.giveUp.Ask, e.giveUp.Gates = e.askToGiveUp, e.gatesOf
 		e.giveUp.CallGate, e.giveUp.GateView = e.pool.Call, e.gateView
 		e.giveUp.Event, e.giveUp.Trace, e.giveUp.Count = e.Event, e.Trace, e.Count
@@ -70,40 +59,33 @@
 	return &e.giveUp
 }
 
-// askToGiveUp asks another entry to give up jobs. If fresh is set and the connection is silent, it opens
-// one for that.
-func (e *Entry) askToGiveUp(ctx context.Context, addr string, o giveup.Order, fresh bool) (giveup.Reply, error) {
+// askToGiveUp asks another entry to give up a job. If fresh is set, it opens a connection for that.
+func (e *Entry) askToGiveUp(ctx context.Context, addr, job string, fresh bool) (giveup.Reply, error) {
 	pool := &e.pool
-	if fresh && e.pool.Silent(addr, freshAfter) {
+	if fresh {
 		pool = &peer.Pool{Dial: e.pool.Dial}
 		defer pool.Drop(addr)
 	}
-	m := msgs.GiveUp{Entry: e.Addr, Jobs: o.Jobs, Peek: o.Peek, Claims: o.Claims}
-	reply, err := orderToGiveUp(ctx, pool, addr, m)
+	reply, err := orderToGiveUp(ctx, pool, addr, job, 0)
 	if err == nil && reply.Timestamp != 0 {
-		m.EchoedTimestamp = reply.Timestamp
-		reply, err = orderToGiveUp(ctx, pool, addr, m)
+		reply, err = orderToGiveUp(ctx, pool, addr, job, reply.Timestamp)
 	}
 	if err != nil {
 		return giveup.Reply{}, err
 	}
-	return giveUpReply(reply), nil
+	return giveup.ReplyOf(reply), nil
 }
 
 // orderToGiveUp makes one call for askToGiveUp.
-func orderToGiveUp(ctx context.Context, pool *peer.Pool, addr string, m msgs.GiveUp) (*msgs.GiveUpReply, error) {
-	reply := &msgs.GiveUpReply{}
-	if err := pool.Call(ctx, addr, giveUpMethod, &m, reply); err != nil {
+func orderToGiveUp(ctx context.Context, pool *peer.Pool, addr, job string, echoed int64) (*msgs.LookupReply, error) {
+	reply := &msgs.LookupReply{}
+	m := &msgs.Lookup{Job: job, Cancel: true, Drain: true, EchoedTimestamp: echoed}
+	if err := pool.Call(ctx, addr, lookupMethod, m, reply); err != nil {
 		return nil, err
 	}
 	return reply, nil
 }
 
-// giveUpReply returns what a reply to an order says.
-func giveUpReply(m *msgs.GiveUpReply) giveup.Reply {
-	return giveup.Reply{Has: m.Has, Runs: m.Runs, OrphansFor: time.Duration(m.OrphansFor) * time.Millisecond}
-}
-
 // gatesOf returns the gates at which the entry at addr may have tasks: those that it selects from
 // the members that are known here. It reports false if too little has been heard of members.
 func (e *Entry) gatesOf(addr string) ([]string, bool) {
@@ -138,7 +120,8 @@
 // has ended it with tasks that may still be running.
 // An entry that does not answer in time counts as not having it, though that is no proof.
 func (e *Entry) RunsElsewhere(ctx context.Context, job string) bool {
-	return e.asker().Runs(ctx, e.members.Addrs(memb.Entry), job, e.giveUpTimeoutFor)
+	state := e.askPeersFor(ctx, msgs.Lookup{Job: job, Drain: true}, e.giveUpTimeoutFor)
+	return state == StateWaiting || state == StateWorking
 }
 
 // giveUpTimeoutFor returns how long to wait until an entry answers whether it runs a job. One that
--- a/internal/disp/proc/giveup_test.go
+++ b/internal/disp/proc/giveup_test.go
@@ -250,10 +250,10 @@
 	delay time.Duration
 }
 
-// GiveUp answers late.
-func (s slowService) GiveUp(m *msgs.GiveUp, reply *msgs.GiveUpReply) error {
+// Lookup answers late.
+func (s slowService) Lookup(m *msgs.Lookup, reply *msgs.LookupReply) error {
 	time.Sleep(s.delay)
-	return s.EntryService.GiveUp(m, reply)
+	return s.EntryService.Lookup(m, reply)
 }
 
 // An entry that lives, renews its leases and answers periodic messages, but is slower than
--- a/internal/disp/proc/gossip.go
+++ b/internal/disp/proc/gossip.go
@@ -14,19 +14,17 @@
 const (
 	gossipInterval = rotate.RepeatInterval
 	gossipTimeout  = 400 * time.Millisecond
-	// warnInterval replaces gossipInterval while this entry is out of rotation, so that the
-	// others always have a listing of its jobs that counts.
-	warnInterval = 300 * time.Millisecond
 	// gossipFanout is the number of entries called in each round.
 	gossipFanout = 2
 )
 
 // gossip starts a round: it calls randomly chosen entries to exchange members
-// and evacuations, and to get a newer configuration and their numbers of pending jobs. In its first round
-// it calls all entries, to learn which of them are out of rotation.
+// and evacuations, and to get a newer configuration and their numbers of pending jobs. In its first round,
+// and while it is out of rotation, it calls all entries, to learn which of them are out, or so
+// that each of them knows.
 func (e *Entry) gossip(ctx context.Context, first bool) {
 	peers := e.members.Addrs(memb.Entry)
-	if !first {
+	if !first && !e.Rotation.Out() {
 		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 		peers = peers[:min(gossipFanout, len(peers))]
 	}
@@ -36,26 +34,19 @@
 }
 
 func (e *Entry) gossipWith(ctx context.Context, addr string) {
-	_ = e.contact(ctx, addr, func(ctx context.Context) error { return e.exchange(ctx, addr) })
-}
-
-// contact makes a call to another entry within gossipTimeout, and records whether it was answered. A
-// connection that has carried no answer meanwhile is closed.
-func (e *Entry) contact(ctx context.Context, addr string, call func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
 	defer cancel()
-	err := call(ctx)
+	err := e.exchange(ctx, addr)
 	e.asker().Record(addr, err)
 	if err != nil {
-		e.pool.DropSilent(addr, gossipTimeout)
+		e.pool.Drop(addr)
 	}
-	return err
 }
 
 // exchange makes one call for gossipWith and applies the reply.
 func (e *Entry) exchange(ctx context.Context, addr string) error {
 	m := &msgs.Gossip{Entry: e.Addr, Members: e.recentMembers(), ConfigVersion: e.Config.Version(), OutOfRotation: e.Rotation.Out(), Orders: e.ordersToSend()}
-	reply, asked := &msgs.GossipReply{}, boot.Now()
+	reply := &msgs.GossipReply{}
 	if err := e.pool.Call(ctx, addr, gossipMethod, m, reply); err != nil {
 		return err
 	}
@@ -66,7 +57,6 @@
 	if reply.OutOfRotation {
 		e.others.Record(addr)
 	}
-	e.others.RecordAnswer(addr, asked)
 	if len(reply.Config) == 0 || reply.ConfigVersion <= e.Config.Version() {
 		return nil
 	}
@@ -137,8 +127,7 @@
 
 // removePeerState deletes what is stored about another entry.
 func (e *Entry) removePeerState(addr string) {
-	e.asker().Expire(addr)
-	e.warned.Forget(addr)
+	e.asker().Forget(addr)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	delete(e.peerPending, addr)
--- a/internal/disp/proc/links.go
+++ b/internal/disp/proc/links.go
@@ -97,7 +97,7 @@
 	}
 	l := &link.Link{
 		Addr: addr, Entry: e.Name, Incarnation: e.Incarnation,
-		Call: e.pool.Call, Drop: func(addr string) { e.pool.DropSilent(addr, link.SyncTimeout) }, Event: e.Event, Orders: &e.Orders,
+		Call: e.pool.Call, Drop: e.pool.Drop, Event: e.Event, Orders: &e.Orders,
 	}
 	e.links[addr] = l
 	go e.runLink(e.ctx, l)
--- a/internal/disp/proc/rotation_test.go
+++ b/internal/disp/proc/rotation_test.go
@@ -85,7 +85,7 @@
 		e.AddMember(memb.Member{Role: memb.Entry, Addr: serve(t, map[string]any{EntryServiceName: other.Service()})})
 	}
 	e.Rotation.Now = minuteLater // so that its check is overdue
-	e.rotationGuard().Check(t.Context())
+	e.gossip(t.Context(), false)
 	for begin := time.Now(); slices.ContainsFunc(others, func(o *Entry) bool { return !o.OthersOut() }); {
 		if time.Since(begin) > gossipInterval {
 			t.Fatalf("some do not know after %v", gossipInterval)
--- a/internal/disp/proc/service.go
+++ b/internal/disp/proc/service.go
@@ -8,6 +8,7 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/coord"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/gate"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/giveup"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/memb"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
@@ -21,8 +22,6 @@
 	helloMethod  = EntryServiceName + ".Hello"
 	gossipMethod = EntryServiceName + ".Gossip"
 	lookupMethod = EntryServiceName + ".Lookup"
-	giveUpMethod = EntryServiceName + ".GiveUp"
-	warnMethod   = EntryServiceName + ".Warn"
 )
 
 // GateService has the methods of a node that entries call by net/rpc.
@@ -79,14 +78,6 @@
 	return nil
 }
 
-// Warn records whether the calling entry is out of rotation and the listing of its jobs, and replies
-// whether this one is out.
-func (s *EntryService) Warn(m *msgs.Rotation, reply *msgs.Rotation) error {
-	s.entry.hearRotation(m.Entry, *m)
-	*reply = s.entry.rotation()
-	return nil
-}
-
 // Lookup replies with the state of a job, after cancelling it if m asks for that.
 // The state is empty if the job is not at this entry. If m asks for the job to be
 // drained, the state is empty only when none of its tasks can be running any more, and the
@@ -95,7 +86,16 @@
 // ended counts as working as long as its tasks can be running.
 func (s *EntryService) Lookup(m *msgs.Lookup, reply *msgs.LookupReply) error {
 	if m.Cancel && m.Drain {
-		s.giveUpOne(m, reply)
+		if s.entry.mayBeOld(boot.Time(m.EchoedTimestamp)) {
+			reply.Timestamp = int64(boot.Now())
+			return nil
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), drainReplyWait)
+		defer cancel()
+		if s.entry.Coord.GiveUp(ctx, m.Job) {
+			reply.State = StateCancelled
+		}
+		reply.OrphansFor = giveup.Orphans(s.entry.Started, boot.Now())
 		return nil
 	}
 	if m.Cancel && s.entry.Coord.Cancel(m.Job) {
@@ -110,23 +110,6 @@
 	return nil
 }
 
-// giveUpOne gives up a job for an older process, which orders that by Lookup.
-func (s *EntryService) giveUpOne(m *msgs.Lookup, reply *msgs.LookupReply) {
-	got := s.entry.giveUpJobs(&msgs.GiveUp{Jobs: []string{m.Job}, EchoedTimestamp: m.EchoedTimestamp})
-	reply.Timestamp, reply.OrphansFor = got.Timestamp, got.OrphansFor
-	if len(got.Has) > 0 && got.Timestamp == 0 {
-		reply.State = StateCancelled
-	}
-}
-
-// GiveUp gives up jobs and replies with those that the entry has, or has tasks of that may still be
-// running, and with those of the other jobs that m names that it has. The order must not have waited to be
-// read while the process stood still: a job may have been submitted here again since.
-func (s *EntryService) GiveUp(m *msgs.GiveUp, reply *msgs.GiveUpReply) error {
-	*reply = s.entry.giveUpJobs(m)
-	return nil
-}
-
 // Job states as returned by Entry.State and sent in replies to Lookup.
 const (
 	StateWaiting   = "waiting"
--- a/internal/disp/rotate/others.go
+++ b/internal/disp/rotate/others.go
@@ -1,7 +1,6 @@
 package rotate
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -12,10 +11,6 @@
 // again every RepeatInterval, or earlier.
 const retention = 4 * RepeatInterval
 
-// answerRetention is how long the answer of an entry that was asked whether it is out of rotation
-// counts for an entry that is out itself.
-const answerRetention = 2 * RepeatInterval
-
 // RepeatInterval is the longest time after which an entry that is out of rotation tells the
 // others again.
 const RepeatInterval = 500 * time.Millisecond
@@ -28,7 +23,6 @@
 
 	mu       sync.Mutex
 	lastWord map[string]boot.Time // when an entry last said that it is out
-	asked    map[string]boot.Time // when an entry was last asked whether it is out, and answered
 }
 
 // Record records that the entry at addr says that it is out of rotation.
@@ -41,34 +35,6 @@
 	o.lastWord[addr] = o.now()
 }
 
-// RecordAnswer records that the entry at addr has answered a call that was made at asked, and that
-// Record was called if it is out. From then on it tells this entry at once when it leaves the rotation,
-// or ends its jobs.
-func (o *Others) RecordAnswer(addr string, asked boot.Time) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.asked == nil {
-		o.asked = map[string]boot.Time{}
-	}
-	o.asked[addr] = max(o.asked[addr], asked)
-}
-
-// Unsure returns those of addrs that may be out of rotation, as far as an entry knows that was cut off
-// itself: they are out, or have not answered for answerRetention.
-func (o *Others) Unsure(addrs []string) []string {
-	out := o.Out()
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	now := o.now()
-	for _, addr := range addrs {
-		asked, answered := o.asked[addr]
-		if (!answered || now.Sub(asked) >= answerRetention) && !slices.Contains(out, addr) {
-			out = append(out, addr)
-		}
-	}
-	return out
-}
-
 // Out returns the addresses of the entries that are out of rotation, in any order.
 func (o *Others) Out() []string {
 	o.mu.Lock()
--- a/internal/disp/rotate/others_test.go
+++ b/internal/disp/rotate/others_test.go
@@ -1,7 +1,6 @@
 package rotate
 
 import (
-	"strings"
 	"testing"
 	"time"
 
@@ -29,26 +28,3 @@
 		}
 	}
 }
-
-// An entry that was cut off itself asked all others about each job, since it might not have heard that
-// one is out.
-func TestAnswersTellWhoIsSurelyInRotation(t *testing.T) {
-	now := boot.Time(time.Hour)
-	o := &Others{Now: func() boot.Time { return now }}
-	unsure := func() string { return strings.Join(o.Unsure([]string{"a", "b"}), " ") }
-	expect := func(when, want string) {
-		t.Helper()
-		if got := unsure(); got != want {
-			t.Errorf("%s: unsure of %q, want %q", when, got, want)
-		}
-	}
-	expect("before any answer", "a b")
-	o.RecordAnswer("a", now)
-	expect("after an answer", "b")
-	o.RecordAnswer("b", now.Add(-answerRetention))
-	expect("after a late answer", "b")
-	o.Record("a")
-	expect("after the word that it is out", "a b")
-	now = now.Add(retention)
-	expect("after a while", "a b")
-}
--- a/internal/disp/rules/cluster_test.go
+++ b/internal/disp/rules/cluster_test.go
@@ -78,7 +78,6 @@
 	kill     context.CancelFunc
 	rotation rotate.Monitor
 	others   rotate.Others
-	warned   rotate.Warned
 	members  memb.Set
 	asker    giveup.Asker
 	started  boot.Time // 0 for the first incarnation
@@ -234,7 +233,7 @@
 		Links: p.usableLinks, Now: now, ResubmitDelay: resubmitDelay,
 		GiveUpElsewhere: func(ctx context.Context, job string, repeated bool) { c.giveUpElsewhere(ctx, i, p, job, repeated) },
 		GiveUpIfKnown:   func(ctx context.Context, job string) { c.giveUpIfKnown(ctx, i, p, job) },
-		OthersOut:       func() bool { return p.rotation.Out() || len(p.others.Out()) > 0 || p.asker.HasLent() },
+		OthersOut:       func() bool { return p.rotation.Out() || len(p.others.Out()) > 0 },
 		RunsElsewhere:   func(ctx context.Context, job string) bool { return c.runsElsewhere(ctx, i, p, job) },
 		LastStall:       func() boot.Time { return c.lastStall(i) },
 	}
--- a/internal/disp/rules/peer_test.go
+++ b/internal/disp/rules/peer_test.go
@@ -11,10 +11,12 @@
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/coord"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/giveup"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/link"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/memb"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/rotate"
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/peer"
 )
 
@@ -80,11 +82,11 @@
 // warnOthers exchanges messages with the other entries that were in contact with entry i not
 // long before its last check, and returns how many have not answered when ctx ends.
 func (c *cluster) warnOthers(ctx context.Context, i int, p *entryProcess) int {
-	now, recent := c.entryNow(i), p.members.Recent(p.rotation.LastCheck())
+	recent := p.members.Recent(p.rotation.LastCheck())
 	var unwarned atomic.Int32
 	var calls sync.WaitGroup
 	for to := range c.others(i) {
-		if !slices.Contains(recent, memb.Member{Role: memb.Entry, Addr: entryAddr(to)}) || p.warned.Knows(entryAddr(to), now) {
+		if !slices.Contains(recent, memb.Member{Role: memb.Entry, Addr: entryAddr(to)}) {
 			continue
 		}
 		calls.Go(func() {
@@ -109,13 +111,9 @@
 // are evacuated. An entry
 // that can serve lets the caller serve too, with its orders.
 func (c *cluster) exchange(ctx context.Context, i, to int, p *entryProcess) error {
-	callerOut, calleeOut, asked := p.rotation.Out(), false, c.entryNow(i)
+	callerOut, calleeOut := p.rotation.Out(), false
 	orders, serves := p.orders.Orders(), false
-	listed := c.list(i, to, p)
-	var echo rotate.Echo
 	err := c.callEntry(ctx, i, to, p, func(callee *entryProcess) {
-		listed(callee)
-		echo.Incarnation, echo.Timestamp = callee.asker.Incarnation, int64(c.entryNow(to))
 		callee.hear(i, callerOut, c.entryNow(to))
 		calleeOut = callee.rotation.Out()
 		callee.applyOrders(orders)
@@ -128,31 +126,10 @@
 			p.serves.Store(true)
 		}
 		p.hear(to, calleeOut, c.entryNow(i))
-		p.others.RecordAnswer(entryAddr(to), asked)
-		if callerOut {
-			echo.Received = c.entryNow(i)
-			p.warned.Record(entryAddr(to), asked, echo)
-		}
 	}
 	return err
 }
 
-// list returns a function that gives another entry a listing of the jobs of entry i, as proc.Entry does.
-func (c *cluster) list(i, to int, p *entryProcess) func(callee *entryProcess) {
-	now := c.entryNow(i)
-	echo, ok := p.warned.Echo(entryAddr(to), now)
-	if !p.rotation.Out() || !ok || giveup.Orphans(p.started, now) > 0 {
-		return func(*entryProcess) {}
-	}
-	p.asker.Lend(entryAddr(to), echo.Received.Add(giveup.ListingTime))
-	jobs := p.coord.IDs()
-	return func(callee *entryProcess) {
-		if callee.asker.Incarnation == echo.Incarnation {
-			callee.asker.StoreListing(entryAddr(i), boot.Time(echo.Timestamp), jobs)
-		}
-	}
-}
-
 // hear records a message of entry from that was received at now, and whether it says that
 // the entry is out of rotation.
 func (p *entryProcess) hear(from int, out bool, now boot.Time) {
@@ -184,23 +161,18 @@
 	return nil
 }
 
-// giveUpElsewhere makes other entries give up a job, and tells them of it, as proc.Entry does.
+// giveUpElsewhere makes other entries give up a job, and waits until they have: all of them
+// if it was submitted repeatedly or this entry may have been cut off itself, and otherwise
+// those that are out of rotation.
 func (c *cluster) giveUpElsewhere(ctx context.Context, i int, p *entryProcess, job string, repeated bool) {
-	var told sync.WaitGroup
-	told.Go(func() { p.asker.Tell(ctx, job) })
-	defer told.Wait()
-	var all []string
+	out, all := p.others.Out(), repeated || p.rotation.Out()
+	var addrs []string
 	for to := range c.others(i) {
-		all = append(all, entryAddr(to))
-	}
-	switch {
-	case repeated:
-		p.asker.GiveUp(ctx, all, job)
-	case p.rotation.Out():
-		p.asker.GiveUpUnlessUnlisted(ctx, p.others.Unsure(all), job)
-	default:
-		p.asker.GiveUpUnlessUnlisted(ctx, p.others.Out(), job)
+		if all || slices.Contains(out, entryAddr(to)) {
+			addrs = append(addrs, entryAddr(to))
+		}
 	}
+	p.asker.GiveUp(ctx, addrs, job)
 }
 
 // giveUpIfKnown makes the other entries give up a job that answer soon that they have it.
@@ -225,57 +197,57 @@
 	a.CallGate = func(ctx context.Context, addr, method string, args, reply any) error {
 		return c.call(ctx, i, p, slices.Index(gates, addr), method, args, reply)
 	}
-	a.Ask = func(ctx context.Context, addr string, o giveup.Order, _ bool) (giveup.Reply, error) {
+	a.Ask = func(ctx context.Context, addr, job string, _ bool) (giveup.Reply, error) {
 		to, err := strconv.Atoi(addr)
 		if err != nil {
 			return giveup.Reply{}, err
 		}
-		return c.askToGiveUp(ctx, i, to, p, o)
+		return c.askToGiveUp(ctx, i, to, p, job)
 	}
 }
 
-// askToGiveUp makes one call that makes another entry give up jobs.
-func (c *cluster) askToGiveUp(ctx context.Context, i, to int, p *entryProcess, o giveup.Order) (giveup.Reply, error) {
-	var reply giveup.Reply
-	sent := c.entryNow(to)
+// askToGiveUp makes one call that makes another entry give up a job.
+func (c *cluster) askToGiveUp(ctx context.Context, i, to int, p *entryProcess, job string) (giveup.Reply, error) {
+	reply := &msgs.LookupReply{}
 	err := c.callEntry(ctx, i, to, p, func(callee *entryProcess) {
-		callee.asker.Claim(entryAddr(i), o.Claims)
 		drainCtx, cancel := context.WithTimeout(callee.ctx, drainReplyWait)
 		defer cancel()
-		for _, job := range o.Jobs {
-			if sent < c.lastStall(to) { // it has waited to be read, and is to be repeated
-				reply.Has = o.Jobs
-				break
-			}
-			if callee.coord.GiveUp(drainCtx, job) {
-				reply.Has = append(reply.Has, job)
-			}
-		}
-		for _, job := range slices.Concat(o.Peek, o.Claims) {
-			if callee.coord.MayRun(job) {
-				reply.Runs = append(reply.Runs, job)
-			}
+		if callee.coord.GiveUp(drainCtx, job) {
+			reply.State = "cancelled"
 		}
-		reply.OrphansFor = time.Duration(giveup.Orphans(callee.started, c.entryNow(to))) * time.Millisecond
+		reply.OrphansFor = giveup.Orphans(callee.started, c.entryNow(to))
 	})
 	if err != nil {
 		return giveup.Reply{}, err
 	}
-	return reply, nil
+	return giveup.ReplyOf(reply), nil
 }
 
 // runsElsewhere reports whether an entry other than i that answers runs a job.
 func (c *cluster) runsElsewhere(ctx context.Context, i int, p *entryProcess, job string) bool {
-	var addrs []string
+	var runs atomic.Bool
+	var asked sync.WaitGroup
 	for to := range c.others(i) {
-		addrs = append(addrs, entryAddr(to))
+		asked.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, p.timeoutFor(to))
+			defer cancel()
+			hasJob := false
+			err := c.callEntry(ctx, i, to, p, func(callee *entryProcess) {
+				s, ok := callee.coord.State(job)
+				hasJob = ok && (s == coord.Waiting || s == coord.Working) || !ok && callee.coord.MayRun(job)
+			})
+			if err == nil && hasJob {
+				runs.Store(true)
+			}
+		})
 	}
-	return p.asker.Runs(ctx, addrs, job, p.timeoutFor)
+	asked.Wait()
+	return runs.Load()
 }
 
 // timeoutFor returns how long to wait for the answer of another entry.
-func (p *entryProcess) timeoutFor(addr string) time.Duration {
-	if p.asker.SilentFor(addr) >= answerTimeout {
+func (p *entryProcess) timeoutFor(to int) time.Duration {
+	if p.asker.SilentFor(entryAddr(to)) >= answerTimeout {
 		return silentAnswerTimeout
 	}
 	return answerTimeout
--- a/internal/wire/codec/fuzz_test.go
+++ b/internal/wire/codec/fuzz_test.go
@@ -31,7 +31,7 @@
 		&msgs.Run{}, &msgs.RunReply{}, &msgs.Start{}, &msgs.StartReply{}, &msgs.Watch{}, &msgs.WatchReply{}, &msgs.RosterChange{},
 		&msgs.Probe{}, &msgs.ProbeReply{}, &msgs.Take{}, &msgs.TakeReply{}, &msgs.Settle{}, &msgs.Empty{}, &msgs.Task{}, &msgs.TaskReply{},
 		&msgs.Sync{}, &msgs.Load{}, &msgs.Revoke{}, &msgs.RevokeReply{}, &msgs.Hello{}, &msgs.Gossip{}, &msgs.GossipReply{},
-		&msgs.Lookup{}, &msgs.LookupReply{}, &msgs.Rotation{}, &msgs.GiveUp{}, &msgs.GiveUpReply{}, nil,
+		&msgs.Lookup{}, &msgs.LookupReply{}, nil,
 	}
 }
 
--- a/internal/wire/msgs/msgs_test.go
+++ b/internal/wire/msgs/msgs_test.go
@@ -65,9 +65,6 @@
 		&GossipReply{Members: []string{"m"}, ConfigVersion: 1, Config: []byte("c"), PendingRoutes: []string{"r"}, PendingCounts: []int64{2}, OutOfRotation: true, Orders: []Order{order}},
 		&Lookup{Job: "j", Cancel: true, Drain: true, EchoedTimestamp: 5},
 		&LookupReply{State: "s", Timestamp: 5, OrphansFor: 6},
-		&Rotation{Entry: "e", Incarnation: 1, Out: true, Timestamp: 2, EchoedIncarnation: 3, EchoedTimestamp: 4, Listed: []string{"j"}},
-		&GiveUp{Entry: "e", Jobs: []string{"j", "k"}, Peek: []string{"l"}, Claims: []string{"m"}, EchoedTimestamp: 2},
-		&GiveUpReply{Has: []string{"j"}, Runs: []string{"l"}, Timestamp: 1, OrphansFor: 2},
 	}
 }
 
--- a/internal/wire/peer/pool.go
+++ b/internal/wire/peer/pool.go
@@ -17,9 +17,6 @@
 const (
 	dialTimeout  = 500 * time.Millisecond // longest time to open a connection
 	writeTimeout = 2 * time.Second        // longest time of one write, in case the peer does not read
-	// maxDials is the number of connections that a Pool opens at a time. A process that is short of
-	// processor time opens few.
-	maxDials = 32
 )
 
 // Errors returned by Pool.Call.
@@ -46,7 +43,6 @@
 
 	mu          sync.Mutex
 	connections map[string]*connection
-	dials       chan struct{} // has a value for each connection that is being opened
 }
 
 // Traffic returns the number of bytes sent and received so far.
@@ -54,10 +50,8 @@
 
 // connection holds the client that is connected to one address, if there is one.
 type connection struct {
-	mu       sync.Mutex
-	client   *rpc.Client  // nil if not connected
-	conn     clientConn   // of client
-	lastRead atomic.Int64 // when data was last read or the connection was opened, time since processStart
+	mu     sync.Mutex
+	client *rpc.Client // nil if not connected
 }
 
 // Call calls method at addr and waits for the reply until ctx ends. An error returned
@@ -168,41 +162,17 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	if err := p.beginDial(ctx); err != nil {
-		return nil, false, err
-	}
 	conn, err := p.dial(ctx, addr)
-	p.endDial()
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return nil, false, ErrRefused
 	}
 	if err != nil {
 		return nil, false, merry.Append(ErrNotSent, err.Error())
 	}
-	c.lastRead.Store(int64(time.Since(processStart)))
-	c.conn = clientConn{monitoredConn{conn, &p.traffic}, &c.lastRead}
-	c.client = rpc.NewClientWithCodec(trackingCodec{codec.NewClient(c.conn)})
+	c.client = rpc.NewClientWithCodec(trackingCodec{codec.NewClient(monitoredConn{conn, &p.traffic})})
 	return c.client, true, nil
 }
 
-// beginDial waits until a connection may be opened, or ctx ends.
-func (p *Pool) beginDial(ctx context.Context) error {
-	p.mu.Lock()
-	if p.dials == nil {
-		p.dials = make(chan struct{}, maxDials)
-	}
-	p.mu.Unlock()
-	select {
-	case p.dials <- struct{}{}:
-		return nil
-	case <-ctx.Done():
-		return merry.Append(ErrNotSent, "other connections are being opened")
-	}
-}
-
-// endDial lets another connection be opened.
-func (p *Pool) endDial() { <-p.dials }
-
 // dial opens a network connection to addr.
 func (p *Pool) dial(ctx context.Context, addr string) (net.Conn, error) {
 	if p.Dial != nil {
