--- a/internal/disp/proc/questions_test.go
+++ b/internal/disp/proc/questions_test.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"testing"
 
-	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/memb"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/rotate"
 )
@@ -30,9 +29,9 @@
 func TestEntryOutOfRotationIsNotAskedAboutEachJob(t *testing.T) {
 	const jobs, most = 200, 5
 	out := newPeer()
-	out.Rotation = rotate.Monitor{ResubmitDelay: resubmitDelay, Now: minuteLater}
+	out.Rotation = rotate.Monitor{ResubmitDelay: resubmitDelay}
 	out.Rotation.Begin()
-	out.Rotation.Now = func() boot.Time { return minuteLater().Add(resubmitDelay) }
+	out.Rotation.Now = minuteLater // so that its check is overdue
 	out.Addr = serve(t, map[string]any{EntryServiceName: out.Service()})
 	sent := &atomic.Int64{}
 	asks := newPeer()
