--- a/cmd/gypsumlanding/process.go
+++ b/cmd/gypsumlanding/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/go-kratos/kratos/v2/transport"
@@ -162,7 +163,7 @@
 		IncarnationID: p.incarnation, Domain: p.cfg.FailureDomain, Start: target.Start, Stop: target.Stop, Poll: target.Poll, Steady: boot.Steady,
 		StopTime: p.cfg.StopTime, Event: p.log.Event, Trace: p.log.Trace, Count: p.counters.Count, Observe: p.counters.Observe,
 	}
-	p.counters.Declare(append(append(cause.NodeCounters(), gate.ProofCounters()...), gate.RevokedCounter))
+	p.counters.Declare(slices.Concat(cause.NodeCounters(), gate.ProofCounters(), gate.CrashCounters(), []string{gate.RevokedCounter}))
 	p.counters.Declare(interf.Counters())
 	p.counters.Gauge("tasks.running", func() int64 { return int64(g.State().Running) })
 	p.counters.Gauge("evacuated", func() int64 {
--- /dev/null
+++ b/internal/disp/blame/blame.go
@@ -0,0 +1,134 @@
+// Package blame decides whether a task may be placed again after runs of it were lost with
+// their targets.
+//
+// The load that it answers: tasks that crash whatever target starts them, beside others that are
+// lost with them, and targets that go down before they answer. Without a bound such a task takes
+// down one target after the other; with one that counts too much, a job is told that it has failed
+// though nothing of it has. So losses that prove a crash are counted apart from those that only
+// may have been one.
+//
+// The package reads no clock and does no I/O.
+package blame
+
+import (
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
+)
+
+const (
+	maxProven = 2 // targets that may provably crash under a task before its job fails
+	maxLost   = 3 // losses of a task with its target, proven to be crashes or not, before its job is abandoned
+	// Retention is how long losses are remembered after the latest one, and after the latest
+	// submission that ended for them: a caller that keeps coming must not get its task placed anew.
+	Retention     = time.Minute
+	sweepInterval = time.Second // between two removals of what is not remembered any more
+)
+
+// Verdict is what may be done with a task.
+type Verdict int
+
+const (
+	// Place means that the task may be placed.
+	Place Verdict = iota
+	// Fail means that targets have crashed under the task, and that its job has failed.
+	Fail
+	// Abandon means that the task has been lost too often with its target, which may have
+	// crashed under it. Its job may have run.
+	Abandon
+)
+
+// String returns the name of v as it is written to logs.
+func (v Verdict) String() string { return [...]string{"place", "fail", "abandon"}[v] }
+
+// Loss is a run that was lost with its target.
+type Loss struct {
+	Gate        string // address of the gate
+	Incarnation uint64 // of the gate
+	msgs.TaskCrash
+}
+
+// id identifies a loss, of which more than one message may tell.
+type id struct {
+	gate        string
+	incarnation uint64
+	number      int64
+}
+
+// record is what is known of the losses of a task.
+type record struct {
+	proofs map[id]msgs.Crash
+	last   boot.Time // when the latest loss was added, or the latest submission ended for them
+}
+
+// Log is a log of losses, over all submissions of jobs. The zero value is empty. It is not safe
+// for concurrent use.
+type Log struct {
+	tasks   map[string]record
+	sweptAt boot.Time
+}
+
+// Add adds a loss at now, unless it proves nothing or has been added before.
+func (l *Log) Add(loss Loss, now boot.Time) {
+	if loss.Crash == msgs.NoCrash {
+		return
+	}
+	l.sweep(now)
+	r := l.tasks[loss.Task]
+	key := id{loss.Gate, loss.Incarnation, loss.Number}
+	if _, known := r.proofs[key]; known {
+		return
+	}
+	if r.proofs == nil {
+		r.proofs = map[id]msgs.Crash{}
+	}
+	r.proofs[key], r.last = loss.Crash, now
+	if l.tasks == nil {
+		l.tasks = map[string]record{}
+	}
+	l.tasks[loss.Task] = r
+}
+
+// Empty reports whether there is no loss in the log.
+func (l *Log) Empty() bool { return len(l.tasks) == 0 }
+
+// Verdict returns what may be done with a task at now. If it may not be placed, its losses are
+// remembered from then on.
+func (l *Log) Verdict(task string, now boot.Time) Verdict {
+	r, ok := l.tasks[task]
+	if !ok || r.expired(now) {
+		return Place
+	}
+	proven := 0
+	for _, c := range r.proofs {
+		if c == msgs.CrashProven {
+			proven++
+		}
+	}
+	if proven < maxProven && len(r.proofs) < maxLost {
+		return Place
+	}
+	r.last = now
+	l.tasks[task] = r
+	if proven >= maxProven {
+		return Fail
+	}
+	return Abandon
+}
+
+// sweep removes what is not remembered any more, at most once in sweepInterval.
+func (l *Log) sweep(now boot.Time) {
+	if now.Sub(l.sweptAt) < sweepInterval {
+		return
+	}
+	l.sweptAt = now
+	for task, r := range l.tasks {
+		if r.expired(now) {
+			delete(l.tasks, task)
+		}
+	}
+}
+
+// expired reports whether r is not remembered any more at now.
+func (r record) expired(now boot.Time) bool { return now.Sub(r.last) > Retention }
--- a/internal/disp/cause/cause.go
+++ b/internal/disp/cause/cause.go
@@ -37,6 +37,7 @@
 const (
 	AttemptsExhausted  = "attempts"   // a task failed as often as its route allows
 	CrashesTargets     = "crashes"    // too many targets have crashed under a task
+	LostTargets        = "doubt"      // a task was lost with its target too often, which may have crashed under it
 	CallerDisconnected = "callerleft" // the caller closed the connection
 	JobEnded           = "ended"      // the job ended before the task was sent, or while it ran
 	RunFailed          = "failed"     // the run failed
@@ -96,7 +97,7 @@
 
 // Abandonments returns the reasons for which an entry abandons a job.
 func Abandonments() []string {
-	return []string{CallerDisconnected, Cancelled, CutOff, RunsElsewhere, WaitOver}
+	return []string{CallerDisconnected, Cancelled, CutOff, LostTargets, RunsElsewhere, WaitOver}
 }
 
 // Retries returns the reasons for which an entry places a task again, in sorted order.
--- a/internal/disp/coord/coord.go
+++ b/internal/disp/coord/coord.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/admit"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/blame"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/bulk"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
@@ -77,7 +78,7 @@
 	mu          sync.Mutex
 	jobs        map[string]*execution
 	guards      map[string]*bulk.Guard // by service
-	crashes     crashLog
+	losses      blame.Log
 	outageSince boot.Time // since when no gate can start tasks; 0 if one can
 }
 
--- a/internal/disp/coord/crash.go
+++ b/internal/disp/coord/crash.go
@@ -1,61 +1,68 @@
 package coord
 
 import (
-	"time"
+	"fmt"
 
-	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/blame"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
-const (
-	// maxCrashes is the number of targets that may crash under a task before its job is
-	// given up: a task that crashes whatever runs it must not take the fleet down.
-	maxCrashes = 2
-	// crashRetention is how long crashes are remembered. It is longer than callers wait
-	// before they submit a job again.
-	crashRetention = 10 * time.Second
-)
-
-// crashLog counts the targets that crashed under tasks, over all submissions of their jobs
-// to this entry. The zero value is empty. It is not safe for concurrent use.
-type crashLog struct{ tasks map[string]crashRecord }
-
-// crashRecord is how often a target crashed under a task, and when last.
-type crashRecord struct {
-	count int
-	last  boot.Time
+// RecordCrashes records losses of runs with a target of which an incarnation of the gate at addr
+// tells. They may be of tasks of any entry, which may come here next.
+func (c *Coordinator) RecordCrashes(addr string, incarnation uint64, crashes []msgs.TaskCrash) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	for _, t := range crashes {
+		c.losses.Add(blame.Loss{Gate: addr, Incarnation: incarnation, TaskCrash: t}, now)
+	}
 }
 
-// add counts a crash and forgets old ones.
-func (l *crashLog) add(task string, now boot.Time) {
-	if l.tasks == nil {
-		l.tasks = map[string]crashRecord{}
-	}
-	for name, r := range l.tasks {
-		if now.Sub(r.last) > crashRetention {
-			delete(l.tasks, name)
-		}
+// recordLoss records what the reply of the gate at addr proves about the loss of a task.
+func (c *Coordinator) recordLoss(addr, task string, reply msgs.TaskReply) {
+	if reply.Result == msgs.Lost {
+		c.RecordCrashes(addr, reply.Load.Incarnation, []msgs.TaskCrash{{Number: reply.CrashNumber, Task: task, Crash: reply.Crash}})
 	}
-	l.tasks[task] = crashRecord{l.tasks[task].count + 1, now}
 }
 
-// count returns the number of crashes under a task.
-func (l *crashLog) count(task string) int { return l.tasks[task].count }
-
-// recordCrash counts a crash if a task was lost with one.
-func (c *Coordinator) recordCrash(task string, reply msgs.TaskReply) {
-	if reply.Reason != cause.TargetCrashed && reply.Reason != cause.TargetRestarted {
-		return
-	}
+// finishIfLost ends the job if a task has been lost too often with its target. It reports
+// whether it has ended the job.
+func (c *Coordinator) finishIfLost(e *execution, task string) bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.crashes.add(task, c.now())
+	verdict := c.losses.Verdict(task, c.now())
+	c.mu.Unlock()
+	switch verdict {
+	case blame.Fail:
+		e.finish(Answer{State: Failed, Reason: cause.CrashesTargets})
+	case blame.Abandon:
+		e.finish(Answer{State: Abandoned, Reason: cause.LostTargets})
+	default:
+		return false
+	}
+	c.trace("task_blamed", "job", e.ID, "task", task, "verdict", verdict)
+	return true
 }
 
-// crashesTargets reports whether too many targets have crashed under a task.
-func (c *Coordinator) crashesTargets(task string) bool {
+// finishIfAnyLost does the same for all tasks of a job that has been submitted before.
+func (c *Coordinator) finishIfAnyLost(e *execution) bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.crashes.count(task) >= maxCrashes
+	none := c.losses.Empty()
+	c.mu.Unlock()
+	if none {
+		return false
+	}
+	for i, s := range e.Steps {
+		for j := range s.Count {
+			if c.finishIfLost(e, taskName(e.ID, i, j)) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// taskName returns the name of a task of a job.
+func taskName(job string, stepIndex, taskIndex int) string {
+	return fmt.Sprintf("%s.0.%d.%d", job, stepIndex, taskIndex)
 }
--- a/internal/disp/coord/submit.go
+++ b/internal/disp/coord/submit.go
@@ -60,7 +60,7 @@
 // start begins to run a job, or ends it with a refusal. It does nothing if the job has
 // ended.
 func (c *Coordinator) start(e *execution) {
-	if e.hasEnded() {
+	if e.hasEnded() || c.finishIfAnyLost(e) {
 		return
 	}
 	if a := c.admit(e); a.State == Refused {
--- a/internal/disp/coord/task.go
+++ b/internal/disp/coord/task.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"strconv"
 	"time"
@@ -74,10 +73,9 @@
 // the job ends first. A task of a job that was revoked is not placed again: another entry has
 // the job.
 func (c *Coordinator) runTask(e *execution, s Step, stepIndex, taskIndex int) bool {
-	ts := &taskState{name: fmt.Sprintf("%s.0.%d.%d", e.ID, stepIndex, taskIndex), stepIndex: stepIndex, avoid: map[string]bool{}}
+	ts := &taskState{name: taskName(e.ID, stepIndex, taskIndex), stepIndex: stepIndex, avoid: map[string]bool{}}
 	for e.ctx.Err() == nil && !e.finishIfUnawaited(c.now()) && c.confirm(e) {
-		if c.crashesTargets(ts.name) {
-			e.finish(Answer{State: Failed, Reason: cause.CrashesTargets})
+		if c.finishIfLost(e, ts.name) {
 			return false
 		}
 		reply, sent := c.placeOnce(e, s, ts)
@@ -98,8 +96,6 @@
 				e.finish(Answer{State: Failed, Reason: cause.AttemptsExhausted})
 				return false
 			}
-		case msgs.Lost:
-			c.recordCrash(ts.name, reply)
 		case msgs.Refused:
 			if c.refuseIfOverdue(e, reply.Reason) {
 				return false
@@ -132,6 +128,7 @@
 	sentAt := c.now()
 	reply := c.send(e, l, m)
 	e.release(key)
+	c.recordLoss(l.Addr, ts.name, reply)
 	c.recordRetry(e, ts, target, reply, c.now().Sub(sentAt))
 	return reply, true
 }
--- a/internal/disp/gate/absent.go
+++ b/internal/disp/gate/absent.go
@@ -5,6 +5,7 @@
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/start"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/targ"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
@@ -63,14 +64,14 @@
 // excluded; a run that should have been listed is stopped first, which excludes it.
 func (g *Gate) resolveAbsent(r *run, p poll, clock int64) {
 	switch {
-	case r.phase == ordered && !r.inDoubt:
+	case r.state.Phase() == start.Ordered:
 	case g.certainlyOver(r, p):
 		g.reportInferred(r, r.exclusionProof(), clock)
 		g.finishExcluded(r)
-	case r.excludedAt > 0:
-	case r.phase == ordered && p.clock > r.startDeadline:
-		r.excludedAt = g.steady()
-	case r.phase == running && p.sentAt > r.startedAt && !r.stopWanted:
+	case r.state.ExcludedAt() > 0:
+	case r.state.InDoubt() && p.clock > r.startDeadline:
+		r.state = r.state.Exclude(g.steady(), false)
+	case r.state.InProgress() && p.sentAt > r.startedAt && !r.state.Stopping():
 		g.count("target.vanished")
 		g.abandon(r, cause.Missing)
 	}
@@ -81,15 +82,16 @@
 // known to have begun, its end is not concluded from that time, which the target may exceed.
 func (g *Gate) certainlyOver(r *run, p poll) bool {
 	limit := g.stopTime()
-	if r.begun {
+	if r.state.ListsEnd() {
 		limit = max(limit, lostEndTime)
 	}
-	return r.excludedAt > 0 && p.steadyAt >= r.excludedAt.Add(limit)
+	excludedAt := r.state.ExcludedAt()
+	return excludedAt > 0 && p.steadyAt >= excludedAt.Add(limit)
 }
 
 // exclusionProof returns what the end of r is concluded from if r is certainly over.
 func (r *run) exclusionProof() proof {
-	if r.stopAcked {
+	if r.state.Stopped() {
 		return provedByStop
 	}
 	return provedByDeadline
@@ -128,7 +130,7 @@
 	}
 	g.checkUnknownRun(row, now)
 	g.count(cause.StoppedPrefix + cause.Foreign)
-	r := &run{msg: msgs.Task{Name: row.Task}, number: row.Run, phase: running, begun: true, orphanedAt: now}
+	r := &run{msg: msgs.Task{Name: row.Task}, number: row.Run, state: start.State{}.See(now, 0), orphanedAt: now}
 	if g.unknownRuns == nil {
 		g.unknownRuns = map[string]*run{}
 	}
--- a/internal/disp/gate/apply.go
+++ b/internal/disp/gate/apply.go
@@ -7,6 +7,7 @@
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/start"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/targ"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
@@ -29,7 +30,7 @@
 	listed := make(map[string]bool, len(l.Running))
 	for _, row := range l.Running {
 		listed[row.Task] = true
-		if !g.applyProgress(row, now) && !g.endedSince(row, p) {
+		if !g.applyProgress(p, row, now) && !g.endedSince(row, p) {
 			g.stopUnknownRun(row, now)
 		}
 	}
@@ -71,24 +72,24 @@
 		g.recordFailure(r, cause.TargetFailing, now)
 		g.finish(r, msgs.Failed, "")
 	default:
-		if !r.stopWanted {
+		if !r.state.Stopping() {
 			r.stopReason = cause.EndedByTarget
 		}
 		g.finish(r, msgs.Lost, r.stopReason)
 	}
 }
 
-// applyProgress processes a run in progress and reports whether this gate knows
-// the run. A start in doubt is thereby resolved.
-func (g *Gate) applyProgress(row targ.Running, now boot.Time) bool {
+// applyProgress processes a run in progress in the answer to p and reports whether this gate
+// knows the run. A start in doubt is thereby resolved.
+func (g *Gate) applyProgress(p poll, row targ.Running, now boot.Time) bool {
 	r := g.runs[row.Task]
 	if r == nil || r.number != row.Run {
 		return false
 	}
-	if r.phase == ordered && r.inDoubt {
+	if r.state.InDoubt() {
 		g.recordStart(r, 0, now)
 	}
-	r.begun = true
+	r.state = r.state.See(p.sentAt, g.remaining(r, row.Percent))
 	if row.Percent > r.percent {
 		r.percent, r.progressedAt = row.Percent, now
 	}
@@ -99,15 +100,14 @@
 // finishExcluded finishes a run that is certainly not at the target and can't start any
 // more.
 func (g *Gate) finishExcluded(r *run) {
+	crash, mayHaveStarted := r.state.CrashIfExcluded()
 	switch {
-	case r.phase == running:
+	case !mayHaveStarted:
+		g.refuse(r, cause.Unanswered)
+	case r.state.InProgress():
 		g.finish(r, msgs.Lost, r.stopReason)
-	case r.wasRunning:
-		g.finish(r, msgs.Lost, cause.TargetRestarted)
-	case r.mayHaveRun:
-		g.finish(r, msgs.Lost, cause.Unanswered)
 	default:
-		g.refuse(r, cause.Unanswered)
+		g.lose(r, crash, cause.TargetRestarted)
 	}
 }
 
@@ -121,12 +121,12 @@
 		r.progressedAt = r.progressedAt.Add(stalled)
 		switch {
 		case g.silent:
-		case r.phase == ordered && r.inDoubt && r.mayHaveRun:
+		case r.state.Phase() == start.Moved:
 			if now >= r.nextStop {
 				g.stopNow(r, now)
 			}
-		case r.phase != running:
-		case r.stopWanted:
+		case !r.state.InProgress():
+		case r.state.Stopping():
 			if now >= r.nextStop {
 				g.stopNow(r, now)
 			}
--- /dev/null
+++ b/internal/disp/gate/crash.go
@@ -0,0 +1,89 @@
+package gate
+
+import (
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/blame"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/start"
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
+)
+
+// CrashPrefix begins the names of the counters of losses of runs with the target. What the loss
+// proves follows.
+const CrashPrefix = "lost.crash."
+
+// CrashCounters returns the names of these counters.
+func CrashCounters() []string {
+	return []string{CrashPrefix + msgs.CrashSuspected.String(), CrashPrefix + msgs.CrashProven.String()}
+}
+
+// maxCrashes is the number of losses that are kept; older ones are dropped.
+const maxCrashes = 256
+
+// crashList is the list of the recent losses of runs with the target. The zero value is empty.
+type crashList struct {
+	last  int64 // number of the newest loss
+	items []crashItem
+}
+
+// crashItem is a loss and its time.
+type crashItem struct {
+	msgs.TaskCrash
+	at boot.Time
+}
+
+// add adds the loss of a run of a task at now and returns its number.
+func (l *crashList) add(task string, c msgs.Crash, now boot.Time) int64 {
+	l.last++
+	l.items = append(l.items, crashItem{msgs.TaskCrash{Number: l.last, Task: task, Crash: c}, now})
+	for len(l.items) > maxCrashes || now.Sub(l.items[0].at) > blame.Retention {
+		l.items = l.items[1:]
+	}
+	return l.last
+}
+
+// after returns the losses within blame.Retention with a higher number.
+func (l *crashList) after(number int64, now boot.Time) []msgs.TaskCrash {
+	var crashes []msgs.TaskCrash
+	for _, item := range l.items {
+		if item.Number > number && now.Sub(item.at) <= blame.Retention {
+			crashes = append(crashes, item.TaskCrash)
+		}
+	}
+	return crashes
+}
+
+// isOver reports whether the task of r has a result.
+func (r *run) isOver() bool { return r.state.Phase() == start.Over }
+
+// remaining returns for how long r is expected to go on, of which the target has listed percent.
+func (g *Gate) remaining(r *run, percent int) time.Duration {
+	left := time.Duration(r.msg.ExpectedRunTime) * time.Millisecond * time.Duration(max(0, 100-percent)) / 100
+	return time.Duration(float64(left) / max(1, g.currentSpeed()))
+}
+
+// loseWithTarget finishes r, which is lost for the given reason with its target. That was known to
+// be down at downAt; 0 means that it is only silent.
+func (g *Gate) loseWithTarget(r *run, reason string, downAt boot.Time) {
+	if reason == cause.Departed {
+		g.finish(r, msgs.Lost, reason)
+		return
+	}
+	g.lose(r, r.state.Crash(downAt), reason)
+}
+
+// lose finishes r, which is lost with its target, and records what that proves. Its entry is not
+// told that a target crashed or restarted that need not have begun r.
+func (g *Gate) lose(r *run, c msgs.Crash, reason string) {
+	if !r.state.HasBegun() && (reason == cause.TargetCrashed || reason == cause.TargetRestarted) {
+		reason = cause.Unanswered
+	}
+	r.crash = c
+	if c != msgs.NoCrash {
+		r.crashNumber = g.crashes.add(r.msg.Name, c, g.now())
+		g.count(CrashPrefix + c.String())
+	}
+	g.finish(r, msgs.Lost, reason)
+}
--- a/internal/disp/gate/crash_test.go
+++ b/internal/disp/gate/crash_test.go
@@ -70,3 +70,80 @@
 		})
 	}
 }
+
+// A run may end, and its target crash before the listing with its end has arrived: it was not in
+// progress when the target crashed.
+func TestEndThatNobodyHasReadIsNoProvenCrash(t *testing.T) {
+	f := newFakeTarget(1000)
+	inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
+		f.update(func(f *fakeTarget) { f.pollDelay = 90 * time.Millisecond })
+		m := o.task("a", 10)
+		m.ExpectedRunTime = 20
+		replies := o.begin(m)
+		if f.running() > 0 {
+			t.Fatal("the run has not ended")
+		}
+		f.update(func(f *fakeTarget) { f.down = true })
+		if got := <-replies; got.Result != msgs.Lost || got.Crash != msgs.CrashSuspected {
+			t.Errorf("got %v %q, crash %v, want a suspicion", got.Result, got.Reason, got.Crash)
+		}
+	})
+}
+
+// What the loss of a run with its target proves depends on what shows that it was in progress.
+func TestCrashIsProvenOnlyUnderARunInProgress(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		spoil func(o *openGate, m msgs.Task)
+		want  msgs.Crash
+	}{
+		{"in progress", func(*openGate, msgs.Task) {}, msgs.CrashProven},
+		{"not seen for long", func(o *openGate, _ msgs.Task) {
+			o.target.update(func(f *fakeTarget) { f.unresponsive = true })
+			time.Sleep(300 * time.Millisecond)
+		}, msgs.CrashSuspected},
+		{"being stopped", func(o *openGate, m msgs.Task) {
+			o.target.update(func(f *fakeTarget) { f.dropStops = true })
+			o.sync(m.ID)
+		}, msgs.CrashSuspected},
+		{"leaving", func(o *openGate, _ msgs.Task) {
+			leaving := o.target.incarnation
+			leaving.Leaving = true
+			o.HandleHeartbeat(leaving)
+		}, msgs.NoCrash},
+	} {
+		f := newFakeTarget(1000)
+		f.stallRuns = true
+		inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
+			m := o.task("a", 10)
+			replies := o.begin(m)
+			tc.spoil(o, m)
+			f.update(func(f *fakeTarget) { f.down = true })
+			if got := <-replies; got.Result != msgs.Lost || got.Crash != tc.want {
+				t.Errorf("%s: got %v %q, crash %v, want %v", tc.name, got.Result, got.Reason, got.Crash, tc.want)
+			}
+		})
+	}
+}
+
+// A target that has restarted under its ID has lost its runs. One whose start had no answer may
+// never have been there.
+func TestRestartProvesACrashOnlyUnderARunInProgress(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		f := newFakeTarget(1000)
+		f.stallRuns = true
+		inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
+			want := msgs.CrashProven
+			if !answered {
+				f.update(func(f *fakeTarget) { f.dropStarts, f.dropStops = 2, true })
+				want = msgs.CrashSuspected
+			}
+			replies := o.begin(o.task("a", 10))
+			f.restartInPlace()
+			f.update(func(f *fakeTarget) { f.dropStops = false })
+			if got := <-replies; got.Result != msgs.Lost || got.Crash != want {
+				t.Errorf("answered %v: got %v %q, crash %v, want %v", answered, got.Result, got.Reason, got.Crash, want)
+			}
+		})
+	}
+}
--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -13,6 +13,7 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/interf"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/lease"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/rsrc"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/start"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/targ"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
@@ -62,8 +63,9 @@
 	ackedEndSeq  int64               // sequence number of the newest end acknowledged to the target
 	recentEnds   map[runID]boot.Time // when the ends of runs were received, for endRetention
 	missedPolls  int                 // consecutive polls without an answer
-	down         bool                // the target has refused a connection since it last answered
-	downWithRuns bool                // runs were there when down was set
+	downAt       boot.Time           // when the target first refused a connection since it last answered; 0 if it has not
+	downWithRuns bool                // runs were there when downAt was set
+	crashes      crashList           // losses of runs with the target
 	silent       bool                // missedPolls has reached maxMissedPolls, or the connection was refused
 	hedgeUntil   boot.Time           // end of the time during which a second poll is kept open
 	leaseEnd     boot.Time           // latest time at which the target's lease lapses, by Steady
@@ -100,38 +102,19 @@
 	number int
 }
 
-// phase is the progress of a run.
-type phase int
-
-const (
-	queued  phase = iota
-	ordered       // the start has been ordered and has no answer yet, or is in doubt
-	running
-	over // the task has a result
-)
-
 // run is a task at this gate, and its run at the target.
 type run struct {
 	id            taskID
 	msg           msgs.Task
 	demand        rsrc.Vector // resources that the task requires
 	number        int         // run number, which the target compares with earlier runs of the task
-	phase         phase
-	inDoubt       bool   // whether the run is at the target is not known, and is being resolved
-	mayHaveRun    bool   // inDoubt is set since the target has restarted, maybe after the run had started
-	wasRunning    bool   // the run was known to be in progress when inDoubt was set for a restart
-	begun         bool   // the target has answered the start, or listed the run, and so will list its end
-	maybeOlder    bool   // the target knows a run of this number, which may be an earlier one of the task
-	endedReason   string // why the target's incarnation ended while the start order had no answer yet; otherwise empty
-	stopWanted    bool   // the run is to be stopped
-	stopReason    string // why stopWanted is set
-	stopAcked     bool   // the target has acknowledged a stop
-	startDeadline int64  // deadline of the newest start order, target's clock, ms
-	startClock    int64  // target's clock when it answered the start, ms; 0 without an answer
+	state         start.State // its times of exclusion are by Steady
+	endedReason   string      // why the target's incarnation ended while the start order had no answer yet; otherwise empty
+	detachedAt    boot.Time   // when that incarnation was known to be down; 0 without endedReason
+	stopReason    string      // why the run is to be stopped, if it is
+	startDeadline int64       // deadline of the newest start order, target's clock, ms
+	startClock    int64       // target's clock when it answered the start, ms; 0 without an answer
 
-	// excludedAt is the time, by Steady, from which the run can't start any more, and by which it
-	// is being stopped if it was in progress and is not listed; 0 before.
-	excludedAt    boot.Time
 	arrivedAt     boot.Time
 	startBy       boot.Time // latest desired start
 	queueDeadline boot.Time // latest time to leave the queue
@@ -146,6 +129,8 @@
 	proof         proof // what the end was concluded from; empty if it was not
 	result        msgs.Result
 	reason        string        // why the task was refused or its run lost; otherwise empty
+	crash         msgs.Crash    // what the loss of the run proves
+	crashNumber   int64         // of the loss in Gate.crashes; 0 if it is not there
 	runTime       time.Duration // by the target's clock; 0 if unknown
 	finished      chan struct{} // closed once result is set
 	mark          *interf.Mark  // start of the run, for interference; nil if it is not in progress or not observed
@@ -176,7 +161,10 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return msgs.TaskReply{Result: r.result, Reason: r.reason, RunTime: r.runTime.Milliseconds(), Load: g.load()}
+	return msgs.TaskReply{
+		Result: r.result, Reason: r.reason, RunTime: r.runTime.Milliseconds(),
+		Crash: r.crash, CrashNumber: r.crashNumber, Load: g.load(),
+	}
 }
 
 // Sync renews the sender's lease, stops the tasks that it cancels, and returns
@@ -241,7 +229,7 @@
 	}
 	g.queue = append(g.queue, r)
 	g.startQueued()
-	if r.phase == queued && m.MaxQueueTime <= 0 {
+	if r.state.Phase() == start.Queued && m.MaxQueueTime <= 0 {
 		g.dequeue(r)
 		g.finish(r, msgs.Refused, cause.NoCapacity)
 	}
@@ -308,11 +296,11 @@
 // finish records the result of r and frees its resources. It does nothing if r
 // has a result.
 func (g *Gate) finish(r *run, result msgs.Result, reason string) {
-	if r.phase == over {
+	if r.isOver() {
 		return
 	}
-	previous := r.phase
-	r.phase = over
+	previous := r.state.Phase()
+	r.state = r.state.End()
 	r.endedAt = g.now()
 	r.result = result
 	r.reason = reason
--- a/internal/disp/gate/incarnation.go
+++ b/internal/disp/gate/incarnation.go
@@ -1,13 +1,16 @@
 package gate
 
 import (
+	"cmp"
 	"errors"
 	"math"
 	"time"
 
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cbreak"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/estim"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/start"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/targ"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
@@ -18,22 +21,26 @@
 func (g *Gate) followRestart(inc targ.Incarnation) {
 	g.event("target_gone", "target", g.incarnation.ID, "reason", cause.TargetRestarted, "running", len(g.runs), "sameid", true)
 	g.refuseQueue(cause.TargetRestarted)
+	downAt := g.knownDownAt()
 	g.adopt(inc)
 	// Deadlines for the previous clock are no limit for the new one.
 	g.leaseEnd = g.steady().Add(maxGrantedLease * 100 / 98)
 	for _, r := range g.runs {
-		r.doubt()
+		r.followRestart(downAt)
 		go g.resolve(r)
 	}
 }
 
-// doubt puts in doubt whether r, which was at an incarnation that has ended, is at the one
-// that has replaced it.
-func (r *run) doubt() {
-	r.wasRunning = r.wasRunning || r.phase == running
-	r.phase, r.inDoubt, r.mayHaveRun, r.begun = ordered, true, true, false
+// knownDownAt returns when it was first known that the target's incarnation, which has ended, is
+// down: now, unless it has refused a connection before.
+func (g *Gate) knownDownAt() boot.Time { return cmp.Or(g.downAt, g.now()) }
+
+// followRestart puts in doubt whether r, which was at an incarnation that has ended, is at the one
+// that has replaced it. The former was known to be down at downAt.
+func (r *run) followRestart(downAt boot.Time) {
+	r.state = r.state.Move(downAt)
 	r.percent, r.progress = 0, progress{}
-	r.startClock, r.excludedAt, r.stopAcked = 0, 0, false
+	r.startClock = 0
 	r.startDeadline = math.MaxInt64 // a deadline of the previous clock never passes
 }
 
@@ -97,8 +104,9 @@
 		reason = cause.Departed
 	}
 	g.event("target_gone", "target", g.incarnation.ID, "reason", reason, "running", len(g.runs))
+	downAt := g.knownDownAt()
 	for _, r := range g.runs {
-		g.endRun(r, reason)
+		g.endRun(r, reason, downAt)
 	}
 	g.refuseQueue(reason)
 	g.targetKnown = false
@@ -106,26 +114,30 @@
 	g.adoptSuccessor()
 }
 
-// endRun reports r, which was at an incarnation that has ended, as lost. If the order to
-// start it has no answer yet, that answer decides: another incarnation may have rejected it.
-func (g *Gate) endRun(r *run, reason string) {
-	if r.phase == ordered && !r.inDoubt {
-		r.endedReason = reason
+// endRun reports r, which was at an incarnation that has ended and was known to be down at
+// downAt, as lost. If the order to start it has no answer yet, that answer decides: another
+// incarnation may have rejected it.
+func (g *Gate) endRun(r *run, reason string, downAt boot.Time) {
+	if r.state.Phase() == start.Ordered {
+		r.state, r.endedReason, r.detachedAt = r.state.Detach(), reason, downAt
 		delete(g.runs, r.msg.Name)
 		return
 	}
 	g.reportInferred(r, provedByRestart, 0)
-	g.finish(r, msgs.Lost, r.lossReason(reason))
+	g.loseWithTarget(r, reason, downAt)
 }
 
 // finishEnded finishes r, whose target's incarnation has ended, by the answer to the order
-// to start it.
-func (g *Gate) finishEnded(r *run, err error) {
-	if errors.Is(err, targ.ErrRestarted) || errors.Is(err, targ.ErrUnreachable) {
+// to start it, which was sent at sentAt.
+func (g *Gate) finishEnded(r *run, sentAt boot.Time, err error) {
+	if err != nil && !errors.Is(err, targ.ErrUnanswered) && !errors.Is(err, targ.ErrStaleRun) {
 		g.refuse(r, r.endedReason)
 		return
 	}
-	g.finish(r, msgs.Lost, r.endedReason)
+	if err == nil {
+		r.state = r.state.Answer(sentAt, g.remaining(r, 0))
+	}
+	g.loseWithTarget(r, r.endedReason, r.detachedAt)
 }
 
 // targetReady reports whether tasks can be started at the target.
--- a/internal/disp/gate/lease.go
+++ b/internal/disp/gate/lease.go
@@ -5,6 +5,7 @@
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/start"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
@@ -57,7 +58,7 @@
 		g.event("entry_lapsed", "entry", lapse.Holder, "life", lapse.Incarnation, "since", now.Sub(lapse.Expiry))
 	}
 	for _, r := range g.tasks {
-		if r.phase != over && !g.leaseValid(r.msg.Sender) {
+		if !r.isOver() && !g.leaseValid(r.msg.Sender) {
 			g.abandon(r, cause.LeaseExpired)
 		}
 	}
@@ -70,15 +71,14 @@
 		r.orphanedAt = now.Add(-max(0, g.entryLeases.LapsedFor(r.msg.Entry, r.msg.Incarnation, now)))
 	}
 	switch {
-	case r.phase == over || r.stopWanted:
-	case r.phase == queued:
+	case r.isOver() || r.state.Stopping():
+	case r.state.Phase() == start.Queued:
 		g.dequeue(r)
 		g.finish(r, msgs.Refused, reason)
 	default:
-		r.stopWanted = true
-		r.stopReason = reason
+		r.state, r.stopReason = r.state.Stop(), reason
 		g.count(cause.StoppedPrefix + reason)
-		if r.phase == running {
+		if r.state.InProgress() {
 			g.stopNow(r, g.now())
 		}
 	}
--- a/internal/disp/gate/observe.go
+++ b/internal/disp/gate/observe.go
@@ -5,6 +5,7 @@
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/start"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/targ"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
@@ -16,9 +17,6 @@
 	RunHistogram   = "task.run.ms"     // run time of runs that ended done or failed
 )
 
-// phaseNames are the names of phases in logs.
-var phaseNames = [...]string{"queued", "ordered", "running", "over"}
-
 // State is the part of a gate's state that operators see.
 type State struct {
 	Incarnation  targ.Incarnation // of the target
@@ -55,7 +53,7 @@
 }
 
 // logEnded logs and counts the result of r, which was in the given phase before.
-func (g *Gate) logEnded(r *run, previous phase) {
+func (g *Gate) logEnded(r *run, previous start.Phase) {
 	if r.result == msgs.Refused {
 		g.count(cause.RefusedPrefix + r.reason)
 	} else {
@@ -65,7 +63,7 @@
 		g.observe(RunHistogram, r.runTime)
 	}
 	g.trace("task_ended", "job", r.msg.Job, "task", r.msg.Name, "run", r.number, "target", g.incarnation.ID,
-		"entry", r.msg.Entry, "was", phaseNames[previous], "result", r.result, "reason", r.reason,
+		"entry", r.msg.Entry, "was", previous, "result", r.result, "reason", r.reason, "crash", r.crash,
 		"percent", r.percent, "ran", r.runTime, "after", r.endedAt.Sub(r.arrivedAt), "reported", r.endReported)
 }
 
--- a/internal/disp/gate/order.go
+++ b/internal/disp/gate/order.go
@@ -7,6 +7,7 @@
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/start"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/targ"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
@@ -31,7 +32,7 @@
 		clock, err := g.Start(ctx, incarnation, o)
 		cancel()
 		g.recordReply(g.now().Sub(sentAt), err)
-		if g.handleStartReply(r, incarnation, clock, err) {
+		if g.handleStartReply(r, incarnation, sentAt, clock, err) {
 			if errors.Is(err, targ.ErrUnanswered) {
 				g.resolve(r)
 			}
@@ -71,7 +72,7 @@
 func (g *Gate) prepareStart(r *run) (targ.Incarnation, targ.Order, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if r.phase != ordered || r.inDoubt {
+	if r.state.Phase() != start.Ordered && r.state.Phase() != start.Detached {
 		return targ.Incarnation{}, targ.Order{}, false
 	}
 	if reason := g.orderRefusal(r); reason != "" {
@@ -87,7 +88,7 @@
 	switch {
 	case r.endedReason != "":
 		return r.endedReason
-	case r.stopWanted:
+	case r.state.Stopping():
 		return r.stopReason
 	case !g.leaseValid(r.msg.Sender):
 		return cause.LeaseExpired
@@ -107,17 +108,17 @@
 	return targ.Order{Task: r.msg.Name, Run: r.number, Spec: r.msg.Spec, Deadline: r.startDeadline, Fence: g.fence}
 }
 
-// handleStartReply processes the answer to a start order. It reports false if the
-// start should be ordered again.
-func (g *Gate) handleStartReply(r *run, incarnation targ.Incarnation, clock int64, err error) bool {
+// handleStartReply processes the answer to a start order that was sent at sentAt. It reports
+// false if the start should be ordered again.
+func (g *Gate) handleStartReply(r *run, incarnation targ.Incarnation, sentAt boot.Time, clock int64, err error) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
-	if r.phase == ordered && r.endedReason != "" {
-		g.finishEnded(r, err)
+	if r.state.Phase() == start.Detached {
+		g.finishEnded(r, sentAt, err)
 		return true
 	}
-	if !incarnation.Same(g.incarnation) || r.phase != ordered {
+	if !incarnation.Same(g.incarnation) || r.state.Phase() != start.Ordered {
 		return true
 	}
 	if clock > 0 {
@@ -125,6 +126,7 @@
 	}
 	switch {
 	case err == nil:
+		r.state = r.state.Answer(sentAt, g.remaining(r, 0))
 		g.recordStart(r, clock, now)
 	case errors.Is(err, targ.ErrStaleRun):
 		r.number += runNumberStep
@@ -138,7 +140,7 @@
 		g.count("target.unanswered")
 		g.trace("start_unanswered", "job", r.msg.Job, "task", r.msg.Name, "run", r.number, "target", incarnation.ID, "err", err)
 		g.hedgeUntil = now.Add(hedgeDuration)
-		r.inDoubt = true
+		r.state = r.state.Doubt()
 	case errors.Is(err, targ.ErrRestarted):
 		g.refuse(r, cause.TargetRestarted)
 		g.endIncarnation(cause.TargetRestarted)
@@ -155,14 +157,14 @@
 	return true
 }
 
-// recordStart records that r is in progress, since the target's time clock; 0 if that is unknown.
+// recordStart records that r, whose state says so, is in progress since the target's time clock; 0
+// if that is unknown.
 func (g *Gate) recordStart(r *run, clock int64, now boot.Time) {
-	r.phase, r.inDoubt = running, false
-	r.startClock, r.begun = clock, !r.maybeOlder
+	r.startClock = clock
 	r.startedAt, r.progressedAt = now, now
 	g.observeStart(r)
 	g.logStarted(r, now)
-	if r.stopWanted {
+	if r.state.Stopping() {
 		g.stopNow(r, now)
 	}
 }
@@ -211,12 +213,12 @@
 func (g *Gate) handleStopReply(r *run, incarnation targ.Incarnation, clock int64, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !incarnation.Same(g.incarnation) || r.phase == over {
+	if !incarnation.Same(g.incarnation) || r.isOver() {
 		return
 	}
 	switch {
 	case err == nil:
-		g.exclude(r)
+		r.state = r.state.Exclude(g.steady(), true)
 		g.clock.Update(clock, g.steady())
 		g.waker.Wake()
 	case errors.Is(err, targ.ErrFenced):
@@ -226,14 +228,6 @@
 	}
 }
 
-// exclude records that the target has acknowledged a stop of r.
-func (g *Gate) exclude(r *run) {
-	r.stopAcked = true
-	if r.excludedAt == 0 {
-		r.excludedAt = g.steady()
-	}
-}
-
 // raiseFence raises the fencing token by the milliseconds of an hour. No other
 // process calls this target, so a higher token that it has seen can only come from
 // a previous incarnation of this process.
--- a/internal/disp/gate/poll.go
+++ b/internal/disp/gate/poll.go
@@ -8,7 +8,6 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/targ"
-	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
 const (
@@ -19,7 +18,7 @@
 	hedgeCheckInterval = 100 * time.Millisecond // between checks whether a second poll is needed
 	maxMissedPolls     = 2                      // consecutive polls without an answer after which the target counts as silent
 	idlePollInterval   = time.Second            // between polls while nothing runs
-	pollPause          = 10 * time.Millisecond  // after a poll that failed or did not wait
+	pollPause          = 10 * time.Millisecond  // after a poll that did not wait, or after the second one that failed
 	tickInterval       = 25 * time.Millisecond  // between periodic checks
 	idleTickInterval   = 100 * time.Millisecond // while there are no tasks
 	resultRetention    = 5 * time.Second        // how long results are kept for a repeated task message
@@ -57,11 +56,22 @@
 	call, cancel := context.WithTimeout(ctx, time.Duration(p.renewal.Wait)*time.Millisecond+pollTimeout)
 	l, err := g.Poll(call, p.incarnation, p.renewal)
 	cancel()
-	if !g.handlePollReply(p, l, err) || p.renewal.Wait == 0 {
+	answered := g.handlePollReply(p, l, err)
+	if !answered && g.missedOnce() {
+		return // the sooner a target is known to be down, the more that proves of its runs
+	}
+	if !answered || p.renewal.Wait == 0 {
 		boot.Sleep(ctx, pollPause)
 	}
 }
 
+// missedOnce reports whether one poll has had no answer since the last that had.
+func (g *Gate) missedOnce() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.missedPolls == 1
+}
+
 // hedging reports whether a second poll is needed.
 func (g *Gate) hedging() bool {
 	g.mu.Lock()
@@ -97,7 +107,7 @@
 // awaitingStop reports whether a run is excluded whose end the target has not reported.
 func (g *Gate) awaitingStop() bool {
 	for _, r := range g.runs {
-		if r.excludedAt > 0 {
+		if r.state.ExcludedAt() > 0 {
 			return true
 		}
 	}
@@ -153,13 +163,13 @@
 // recordAnswer records that the target answers, or is given another chance to.
 func (g *Gate) recordAnswer() {
 	g.missedPolls, g.silent = 0, false
-	g.down, g.downWithRuns = false, false
+	g.downAt, g.downWithRuns = 0, false
 }
 
 // recordDown records that the target refuses connections.
 func (g *Gate) recordDown() {
-	if !g.down {
-		g.down, g.downWithRuns = true, len(g.runs) > 0
+	if g.downAt == 0 {
+		g.downAt, g.downWithRuns = g.now(), len(g.runs) > 0
 	}
 }
 
@@ -175,15 +185,15 @@
 	switch {
 	case g.incarnation.Leaving:
 		reason = cause.Departed
-	case g.down:
+	case g.downAt > 0:
 		reason = cause.TargetCrashed
 	}
 	for _, r := range g.runs {
-		if r.phase == ordered && !g.down && now < g.leaseEnd.Add(stopSlack+restartedLeaseExcess) {
+		if !r.state.InProgress() && g.downAt == 0 && now < g.leaseEnd.Add(stopSlack+restartedLeaseExcess) {
 			continue
 		}
 		g.reportInferred(r, provedByLease, g.clock.At(now))
-		g.finish(r, msgs.Lost, r.lossReason(reason))
+		g.loseWithTarget(r, reason, g.downAt)
 	}
 	if g.successor.ID != "" && len(g.runs) == 0 {
 		g.endIncarnation(cause.TargetRestarted)
@@ -227,7 +237,7 @@
 // forgetResults removes results older than resultRetention.
 func (g *Gate) forgetResults(now boot.Time) {
 	for id, r := range g.tasks {
-		if r.phase == over && now.Sub(r.endedAt) > resultRetention {
+		if r.isOver() && now.Sub(r.endedAt) > resultRetention {
 			delete(g.tasks, id)
 		}
 	}
--- a/internal/disp/gate/resolve.go
+++ b/internal/disp/gate/resolve.go
@@ -7,6 +7,7 @@
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/start"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/targ"
 )
 
@@ -35,7 +36,7 @@
 // excludeRun orders the target to stop r, unless it has acknowledged that already.
 func (g *Gate) excludeRun(r *run) {
 	g.mu.Lock()
-	acked := r.stopAcked
+	acked := r.state.Stopped()
 	g.mu.Unlock()
 	if !acked {
 		g.stop(r)
@@ -46,10 +47,11 @@
 func (g *Gate) untilResolvable(r *run) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if r.excludedAt == 0 {
+	excludedAt := r.state.ExcludedAt()
+	if excludedAt == 0 {
 		return resolveInterval
 	}
-	return max(resolveInterval, r.excludedAt.Add(g.stopTime()).Sub(g.steady()))
+	return max(resolveInterval, excludedAt.Add(g.stopTime()).Sub(g.steady()))
 }
 
 // pollNow polls the target without waiting, and reports whether r is no longer in
@@ -67,7 +69,7 @@
 		g.applyListing(p, l, g.now())
 		g.startQueued()
 	}
-	return !r.inDoubt || r.phase != ordered
+	return !r.state.InDoubt()
 }
 
 // repeatStart repeats the order to start r that has had no answer. The run number makes the
@@ -82,7 +84,7 @@
 	sentAt := g.now()
 	clock, err := g.Start(ctx, incarnation, o)
 	g.recordReply(g.now().Sub(sentAt), err)
-	return g.handleRepeatReply(r, incarnation, clock, err)
+	return g.handleRepeatReply(r, incarnation, sentAt, clock, err)
 }
 
 // prepareRepeat returns the repeated order and the incarnation to send it to. It reports
@@ -90,27 +92,19 @@
 func (g *Gate) prepareRepeat(r *run) (targ.Incarnation, targ.Order, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if r.phase != ordered || !r.inDoubt || r.mayHaveRun || g.orderRefusal(r) != "" {
+	if r.state.Phase() != start.Doubtful || g.orderRefusal(r) != "" {
 		return targ.Incarnation{}, targ.Order{}, false
 	}
 	return g.incarnation, g.startOrder(r), true
 }
 
-// lossReason returns the reason to report for r if its target's incarnation has ended for the
-// given one. A crash does not count under a task that the target need not have begun.
-func (r *run) lossReason(reason string) string {
-	if r.maybeOlder && (reason == cause.TargetCrashed || reason == cause.TargetRestarted) {
-		return cause.Unanswered
-	}
-	return reason
-}
-
-// handleRepeatReply processes the answer to a repeated order, and reports whether r is no
-// longer in doubt. A run that the target has seen the end of is looked for like one in progress.
-func (g *Gate) handleRepeatReply(r *run, incarnation targ.Incarnation, clock int64, err error) bool {
+// handleRepeatReply processes the answer to a repeated order that was sent at sentAt, and reports
+// whether r is no longer in doubt. A run that the target has seen the end of is looked for like one
+// in progress.
+func (g *Gate) handleRepeatReply(r *run, incarnation targ.Incarnation, sentAt boot.Time, clock int64, err error) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !incarnation.Same(g.incarnation) || r.phase != ordered || !r.inDoubt {
+	if !incarnation.Same(g.incarnation) || r.state.Phase() != start.Doubtful {
 		return true
 	}
 	if clock > 0 {
@@ -118,9 +112,10 @@
 	}
 	switch {
 	case err == nil:
+		r.state = r.state.Answer(sentAt, g.remaining(r, 0))
 		g.recordStart(r, clock, g.now())
 	case errors.Is(err, targ.ErrStaleRun):
-		r.maybeOlder = true
+		r.state = r.state.Know()
 		g.recordStart(r, 0, g.now())
 	case errors.Is(err, targ.ErrFenced):
 		g.raiseFence()
@@ -129,5 +124,5 @@
 	case errors.Is(err, targ.ErrUnreachable):
 		g.recordUnreachable()
 	}
-	return r.phase != ordered || !r.inDoubt
+	return !r.state.InDoubt()
 }
--- a/internal/disp/gate/revoke.go
+++ b/internal/disp/gate/revoke.go
@@ -59,12 +59,12 @@
 	g.revocations[job] = v
 	running, stopped := g.mayHaveUnknownRun(job), false
 	for _, r := range g.tasks {
-		if r.phase == over || r.msg.Job != job || v.allows(r.msg.Sender) {
+		if r.isOver() || r.msg.Job != job || v.allows(r.msg.Sender) {
 			continue
 		}
-		stopped = stopped || !r.stopWanted
+		stopped = stopped || !r.state.Stopping()
 		g.abandon(r, cause.Revoked)
-		running = running || r.phase != over
+		running = running || !r.isOver()
 	}
 	if stopped {
 		g.count(RevokedCounter)
--- /dev/null
+++ b/internal/disp/start/start_test.go
@@ -0,0 +1,96 @@
+package start
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
+)
+
+// ms returns the time that many milliseconds after a start was ordered.
+func ms(n int) boot.Time { return boot.Time(time.Hour).Add(time.Duration(n) * time.Millisecond) }
+
+// A start without an answer may have begun or not when its target goes down, so that proves no
+// crash under the task. One that was answered shortly before had begun.
+func ExampleState_Crash() {
+	ordered := State{}.Order()
+	down := ms(20)
+	fmt.Println(ordered.Doubt().Crash(down))
+	fmt.Println(ordered.Answer(ms(0), 100*time.Millisecond).Crash(down))
+	// Output:
+	// suspected
+	// proven
+}
+
+func TestCrash(t *testing.T) {
+	ordered := State{}.Order()
+	running := ordered.Answer(ms(0), time.Second)
+	for _, tc := range []struct {
+		name   string
+		state  State
+		downAt boot.Time
+		want   msgs.Crash
+	}{
+		{"not ordered", State{}, ms(10), msgs.NoCrash},
+		{"ordered", ordered, ms(10), msgs.CrashSuspected},
+		{"in doubt", ordered.Doubt(), ms(10), msgs.CrashSuspected},
+		{"known by its number", ordered.Doubt().Know(), ms(10), msgs.CrashSuspected},
+		{"listed after that", ordered.Doubt().Know().See(ms(5), time.Second), ms(10), msgs.CrashProven},
+		{"listed before the answer", ordered.See(ms(5), time.Second), ms(10), msgs.CrashProven},
+		{"in progress", running, ms(10), msgs.CrashProven},
+		{"in progress at a silent target", running, 0, msgs.CrashSuspected},
+		{"about to end", ordered.Answer(ms(0), 19*time.Millisecond), ms(10), msgs.CrashSuspected},
+		{"at the limit", ordered.Answer(ms(0), 20*time.Millisecond), ms(10), msgs.CrashProven},
+		{"not seen for too long", ordered.Answer(ms(0), time.Minute), ms(251), msgs.CrashSuspected},
+		{"seen since", ordered.Answer(ms(0), time.Minute).See(ms(200), time.Minute), ms(251), msgs.CrashProven},
+		{"an older answer arrives later", running.See(ms(-200), time.Second), ms(10), msgs.CrashProven},
+		{"to be stopped", running.Stop(), ms(10), msgs.CrashSuspected},
+		{"ended before", running.End(), ms(10), msgs.NoCrash},
+		{"moved from a run", running.Move(ms(10)), 0, msgs.CrashProven},
+		{"moved from a run to be stopped", running.Stop().Move(ms(10)), ms(20), msgs.CrashSuspected},
+		{"moved from a doubt", ordered.Doubt().Move(ms(10)), ms(20), msgs.CrashSuspected},
+		{"moved twice", running.Move(ms(10)).Move(ms(300)), ms(400), msgs.CrashProven},
+		{"in progress after a restart", ordered.Doubt().Move(ms(10)).See(ms(20), time.Second), ms(30), msgs.CrashProven},
+		{"detached", ordered.Detach(), ms(10), msgs.CrashSuspected},
+		{"detached and answered", ordered.Detach().Answer(ms(0), time.Second), ms(10), msgs.CrashProven},
+	} {
+		if got := tc.state.Crash(tc.downAt); got != tc.want {
+			t.Errorf("%s: got %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
+
+// An exclusion proves that a start without an answer never took effect, unless its target has
+// restarted since.
+func TestCrashIfExcluded(t *testing.T) {
+	ordered := State{}.Order()
+	for _, tc := range []struct {
+		name        string
+		state       State
+		want        msgs.Crash
+		mayHaveBeen bool
+	}{
+		{"in doubt", ordered.Doubt(), msgs.NoCrash, false},
+		{"in progress", ordered.Answer(ms(0), time.Second), msgs.NoCrash, true},
+		{"known by its number", ordered.Doubt().Know(), msgs.NoCrash, true},
+		{"moved from a doubt", ordered.Doubt().Move(ms(10)), msgs.CrashSuspected, true},
+		{"moved from a run", ordered.Answer(ms(0), time.Second).Move(ms(10)), msgs.CrashProven, true},
+	} {
+		got, mayHaveBeen := tc.state.Exclude(ms(20), true).CrashIfExcluded()
+		if got != tc.want || mayHaveBeen != tc.mayHaveBeen {
+			t.Errorf("%s: got %v, %v, want %v, %v", tc.name, got, mayHaveBeen, tc.want, tc.mayHaveBeen)
+		}
+	}
+}
+
+func TestRestartForgetsWhatTheFormerIncarnationHasAnswered(t *testing.T) {
+	s := State{}.Order().Answer(ms(0), time.Second).Stop().Exclude(ms(5), true).Move(ms(10))
+	if s.ListsEnd() || s.Stopped() || s.ExcludedAt() != 0 || !s.InDoubt() {
+		t.Errorf("got %+v", s)
+	}
+	if !s.Stopping() || !s.HasBegun() {
+		t.Errorf("got %+v, which has begun and is to be stopped", s)
+	}
+}
--- /dev/null
+++ b/internal/wire/msgs/crash.go
@@ -0,0 +1,47 @@
+package msgs
+
+import "github.com/vmihailenco/msgpack/v5"
+
+// Crash is what the loss of a run proves about a crash of its target under the task.
+type Crash int
+
+const (
+	// NoCrash means that the run was not lost with its target.
+	NoCrash Crash = iota
+	// CrashSuspected means that the target went down, or is silent, with a start of the task
+	// that may have been carried out, or with a run that may have ended before.
+	CrashSuspected
+	// CrashProven means that the target went down with the run in progress.
+	CrashProven
+)
+
+// String returns the name of c as it is written to logs.
+func (c Crash) String() string {
+	switch c {
+	case NoCrash:
+		return "none"
+	case CrashSuspected:
+		return "suspected"
+	case CrashProven:
+		return "proven"
+	}
+	return "unknown"
+}
+
+// TaskCrash is the loss of a run with its target.
+type TaskCrash struct {
+	Number int64  // of the loss, from 1 in each incarnation of the gate
+	Task   string // name of the task
+	Crash  Crash
+}
+
+// crashesCodec returns a codec for a list of losses, each encoded as an array.
+func crashesCodec(items *[]TaskCrash) *sliceCodec[TaskCrash] {
+	return &sliceCodec[TaskCrash]{
+		items:  items,
+		encode: func(e *msgpack.Encoder, c TaskCrash) error { return encodeArray(e, c.Number, c.Task, int(c.Crash)) },
+		decode: func(d *msgpack.Decoder) (c TaskCrash, err error) {
+			return c, decodeArray(d, &c.Number, &c.Task, (*int)(&c.Crash))
+		},
+	}
+}
--- a/internal/wire/msgs/task.go
+++ b/internal/wire/msgs/task.go
@@ -62,6 +62,9 @@
 	Reason  string // why the task was refused or its run lost; otherwise empty
 	RunTime int64  // run time by the target's clock, ms; 0 if unknown
 	Load    Load
+	// Crash is what the loss of the run proves, and CrashNumber its TaskCrash.Number; 0 if there is none.
+	Crash       Crash
+	CrashNumber int64
 }
 
 // Sync is the argument of Gate.Sync. It renews the sender's lease on its tasks at a gate.
@@ -71,6 +74,8 @@
 	Cancel    []uint64 // IDs of tasks to stop
 	Order     Order    // as in Task
 	WantKinds bool     // the Loads of the next second shall have Kinds
+	// CrashesSeen is the highest TaskCrash.Number of the addressed incarnation that the sender knows.
+	CrashesSeen int64
 }
 
 // Load is the capacity and use of a gate's target.
@@ -95,6 +100,7 @@
 
 	Interference []Interference // pairs of kinds that slow each other down; usually empty
 	Kinds        []KindRuns     // runs at the target by kind; empty unless there is interference
+	Crashes      []TaskCrash    // recent losses with the target above Sync.CrashesSeen; only in replies to Sync
 }
 
 // Interference means that tasks of one kind run longer beside tasks of another.
@@ -197,39 +203,51 @@
 		&m.ExpectedRunTime, &m.MaxQueueTime, &unused, &m.Failures, &m.IgnoreBreaker, &m.StartWithin, &m.Cancel, &m.Order, &m.Kind, &m.WantKinds)
 }
 
-// EncodeMsgpack writes the message.
+// EncodeMsgpack writes the message. Without a Crash it takes no more room than before there was one.
 func (m *TaskReply) EncodeMsgpack(e *msgpack.Encoder) error {
-	return encodeArray(e, int(m.Result), m.Reason, m.RunTime, &m.Load)
+	fields := []any{int(m.Result), m.Reason, m.RunTime, &m.Load}
+	if m.Crash != NoCrash {
+		fields = append(fields, int(m.Crash), m.CrashNumber)
+	}
+	return encodeArray(e, fields...)
 }
 
-// DecodeMsgpack reads the message.
+// DecodeMsgpack reads the message. One from an older process has no Crash, so it proves none.
 func (m *TaskReply) DecodeMsgpack(d *msgpack.Decoder) error {
-	return decodeArray(d, (*int)(&m.Result), &m.Reason, &m.RunTime, &m.Load)
+	return decodeArray(d, (*int)(&m.Result), &m.Reason, &m.RunTime, &m.Load, (*int)(&m.Crash), &m.CrashNumber)
 }
 
-// EncodeMsgpack writes the message.
+// EncodeMsgpack writes the message, without CrashesSeen if that is 0.
 func (m *Sync) EncodeMsgpack(e *msgpack.Encoder) error {
-	return encodeArray(e, m.Entry, m.Incarnation, m.GateIncarnation, m.EchoedTimestamp, m.Cancel, &m.Order, m.WantKinds)
+	fields := []any{m.Entry, m.Incarnation, m.GateIncarnation, m.EchoedTimestamp, m.Cancel, &m.Order, m.WantKinds}
+	if m.CrashesSeen != 0 {
+		fields = append(fields, m.CrashesSeen)
+	}
+	return encodeArray(e, fields...)
 }
 
-// DecodeMsgpack reads the message. One from an older process has no WantKinds.
+// DecodeMsgpack reads the message. One from an older process has no WantKinds, or no CrashesSeen.
 func (m *Sync) DecodeMsgpack(d *msgpack.Decoder) error {
-	return decodeArray(d, &m.Entry, &m.Incarnation, &m.GateIncarnation, &m.EchoedTimestamp, &m.Cancel, &m.Order, &m.WantKinds)
+	return decodeArray(d, &m.Entry, &m.Incarnation, &m.GateIncarnation, &m.EchoedTimestamp, &m.Cancel, &m.Order, &m.WantKinds, &m.CrashesSeen)
 }
 
-// EncodeMsgpack writes the message.
+// EncodeMsgpack writes the message, without Crashes if there are none.
 func (m *Load) EncodeMsgpack(e *msgpack.Encoder) error {
-	return encodeArray(e, m.Incarnation, m.Timestamp, m.Service, m.TargetIncarnation, m.Labels,
+	fields := []any{m.Incarnation, m.Timestamp, m.Service, m.TargetIncarnation, m.Labels,
 		m.CPU, m.Memory, m.GPU, m.UsedCPU, m.UsedMemory, m.UsedGPU,
-		m.QueuedWork, m.Speed, m.BlockedReason, m.Leaving, m.Domain, m.ColdFor, interferenceCodec(&m.Interference), kindsCodec(&m.Kinds))
+		m.QueuedWork, m.Speed, m.BlockedReason, m.Leaving, m.Domain, m.ColdFor, interferenceCodec(&m.Interference), kindsCodec(&m.Kinds)}
+	if len(m.Crashes) > 0 {
+		fields = append(fields, crashesCodec(&m.Crashes))
+	}
+	return encodeArray(e, fields...)
 }
 
 // DecodeMsgpack reads the message. One from an older process has no Interference and no
-// Kinds.
+// Kinds, or no Crashes.
 func (m *Load) DecodeMsgpack(d *msgpack.Decoder) error {
 	return decodeArray(d, &m.Incarnation, &m.Timestamp, &m.Service, &m.TargetIncarnation, &m.Labels,
 		&m.CPU, &m.Memory, &m.GPU, &m.UsedCPU, &m.UsedMemory, &m.UsedGPU,
-		&m.QueuedWork, &m.Speed, &m.BlockedReason, &m.Leaving, &m.Domain, &m.ColdFor, interferenceCodec(&m.Interference), kindsCodec(&m.Kinds))
+		&m.QueuedWork, &m.Speed, &m.BlockedReason, &m.Leaving, &m.Domain, &m.ColdFor, interferenceCodec(&m.Interference), kindsCodec(&m.Kinds), crashesCodec(&m.Crashes))
 }
 
 // EncodeMsgpack writes the message.
