Keep what a crash proves when its run is stopped afterwards

A run whose entry died after the crash counted as a suspicion only, since the lapse of the lease stops it before the loss is told. A stop that was decided when the target was known to be down can't have ended the run.

--- a/internal/disp/gate/lease.go
+++ b/internal/disp/gate/lease.go
@@ -76,7 +76,7 @@
 		g.dequeue(r)
 		g.finish(r, msgs.Refused, reason)
 	default:
-		r.state, r.stopReason = r.state.Stop(), reason
+		r.state, r.stopReason = r.state.Stop(g.now()), reason
 		g.count(cause.StoppedPrefix + reason)
 		if r.state.InProgress() {
 			g.stopNow(r, g.now())
--- a/internal/disp/start/start.go
+++ b/internal/disp/start/start.go
@@ -42,7 +42,7 @@
 type State struct {
 	phase      Phase
 	begun      bool          // the target has answered the start, or listed the run, and so will list its end
-	stopping   bool          // the run is to be stopped
+	stopAt     boot.Time     // when it was decided to stop the run; 0 if it was not
 	seenAt     boot.Time     // when a call was sent whose answer shows the run in progress; 0 if none was
 	remaining  time.Duration // for how long the run was expected to go on at seenAt
 	crash      msgs.Crash    // what restarts of the target under its ID have proved
@@ -68,7 +68,7 @@
 func (s State) ListsEnd() bool { return s.begun }
 
 // Stopping reports whether the run is to be stopped.
-func (s State) Stopping() bool { return s.stopping }
+func (s State) Stopping() bool { return s.stopAt > 0 }
 
 // ExcludedAt returns the time from which the run can't start any more, or 0 if it may.
 func (s State) ExcludedAt() boot.Time { return s.excludedAt }
@@ -119,9 +119,9 @@
 	return s
 }
 
-// Stop returns s after it has been decided to stop the run.
-func (s State) Stop() State {
-	s.stopping = true
+// Stop returns s after it has been decided, at the given time, to stop the run.
+func (s State) Stop(at boot.Time) State {
+	s.stopAt = at
 	return s
 }
 
@@ -138,7 +138,7 @@
 // Move returns s after the target has restarted under its ID. It was known to be down, or to have
 // restarted, at downAt.
 func (s State) Move(downAt boot.Time) State {
-	return State{phase: Moved, stopping: s.stopping, crash: s.Crash(downAt), begunOnce: s.HasBegun()}
+	return State{phase: Moved, stopAt: s.stopAt, crash: s.Crash(downAt), begunOnce: s.HasBegun()}
 }
 
 // Detach returns s after the target's incarnation has ended before it has answered the order.
@@ -155,17 +155,20 @@
 
 // Crash returns what it proves about the task if its run is lost with the target, which was known
 // to be down at downAt; 0 means that it is only silent. The crash is proven if the run had begun
-// and can hardly have ended, unread, before. One that is being stopped may have.
+// and can hardly have ended, unread, before. One that was being stopped may have.
 func (s State) Crash(downAt boot.Time) msgs.Crash {
 	switch {
 	case s.phase == Queued || s.phase == Over:
 		return msgs.NoCrash
-	case s.crash == msgs.CrashProven, s.begun && !s.stopping && downAt > 0 && s.seenUntil(downAt):
+	case s.crash == msgs.CrashProven, s.begun && downAt > 0 && s.seenUntil(downAt) && !s.stoppingAt(downAt):
 		return msgs.CrashProven
 	}
 	return msgs.CrashSuspected
 }
 
+// stoppingAt reports whether the run was to be stopped at a time.
+func (s State) stoppingAt(t boot.Time) bool { return s.stopAt > 0 && s.stopAt <= t }
+
 // seenUntil reports whether the run was seen so shortly before a time that it can hardly have
 // ended by then.
 func (s State) seenUntil(t boot.Time) bool {
--- a/internal/disp/start/start_test.go
+++ b/internal/disp/start/start_test.go
@@ -46,10 +46,11 @@
 		{"not seen for too long", ordered.Answer(ms(0), time.Minute), ms(251), msgs.CrashSuspected},
 		{"seen since", ordered.Answer(ms(0), time.Minute).See(ms(200), time.Minute), ms(251), msgs.CrashProven},
 		{"an older answer arrives later", running.See(ms(-200), time.Second), ms(10), msgs.CrashProven},
-		{"to be stopped", running.Stop(), ms(10), msgs.CrashSuspected},
+		{"to be stopped", running.Stop(ms(5)), ms(10), msgs.CrashSuspected},
+		{"to be stopped since its target was down", running.Stop(ms(15)), ms(10), msgs.CrashProven},
 		{"ended before", running.End(), ms(10), msgs.NoCrash},
 		{"moved from a run", running.Move(ms(10)), 0, msgs.CrashProven},
-		{"moved from a run to be stopped", running.Stop().Move(ms(10)), ms(20), msgs.CrashSuspected},
+		{"moved from a run to be stopped", running.Stop(ms(5)).Move(ms(10)), ms(20), msgs.CrashSuspected},
 		{"moved from a doubt", ordered.Doubt().Move(ms(10)), ms(20), msgs.CrashSuspected},
 		{"moved twice", running.Move(ms(10)).Move(ms(300)), ms(400), msgs.CrashProven},
 		{"in progress after a restart", ordered.Doubt().Move(ms(10)).See(ms(20), time.Second), ms(30), msgs.CrashProven},
@@ -86,7 +87,7 @@
 }
 
 func TestRestartForgetsWhatTheFormerIncarnationHasAnswered(t *testing.T) {
-	s := State{}.Order().Answer(ms(0), time.Second).Stop().Exclude(ms(5), true).Move(ms(10))
+	s := State{}.Order().Answer(ms(0), time.Second).Stop(ms(2)).Exclude(ms(5), true).Move(ms(10))
 	if s.ListsEnd() || s.Stopped() || s.ExcludedAt() != 0 || !s.InDoubt() {
 		t.Errorf("got %+v", s)
 	}
--- a/test/mutants_test.go
+++ b/test/mutants_test.go
@@ -132,11 +132,11 @@
 	},
 	{
 		rule: "LOST crash after an end that nobody has read", file: dispStart, test: "internal/disp/gate TestEndThatNobodyHasReadIsNoProvenCrash",
-		old: " && s.seenUntil(downAt):", new: ":",
+		old: " && s.seenUntil(downAt) && ", new: " && ",
 	},
 	{
 		rule: "LOST crash of a run being stopped", file: dispStart, test: "internal/disp/gate TestCrashIsProvenOnlyUnderARunInProgress",
-		old: "!s.stopping && ", new: "",
+		old: " && !s.stoppingAt(downAt):", new: ":",
 	},
 	{
 		rule: "LOST silent target", file: dispStart, test: "internal/disp/start TestCrash",
