Tell all entries of the runs that were lost with a target

A task that crashes its targets was placed anew by each entry that its job came to, since crash counts were an entry's own and died with it.

Each Sync call says up to which number the entry knows them, and the answer has the later ones; without losses no message is longer than before. Losses have an identity, so that one of which several messages tell counts once. Gates that die take their losses along.

--- a/internal/disp/gate/crash_test.go
+++ b/internal/disp/gate/crash_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/blame"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
@@ -147,3 +148,32 @@
 		})
 	}
 }
+
+// An entry learns of the losses of all entries' tasks, and of each once.
+func TestSyncTellsLossesOfAllEntries(t *testing.T) {
+	f := newFakeTarget(1000)
+	f.stallRuns = true
+	inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
+		replies := o.begin(o.task("a", 10))
+		f.update(func(f *fakeTarget) { f.down = true })
+		lost := <-replies
+		other := msgs.Sync{Sender: msgs.Sender{Entry: "other", Incarnation: 5, GateIncarnation: 7}}
+		got := o.Sync(other).Crashes
+		want := msgs.TaskCrash{Number: lost.CrashNumber, Task: "a", Crash: msgs.CrashProven}
+		if len(got) != 1 || got[0] != want {
+			t.Fatalf("got %+v, want %+v", got, want)
+		}
+		other.CrashesSeen = got[0].Number
+		if again := o.Sync(other).Crashes; len(again) > 0 {
+			t.Errorf("told again: %+v", again)
+		}
+		other.GateIncarnation = 6
+		if restarted := o.Sync(other).Crashes; len(restarted) != 1 {
+			t.Errorf("an entry that knows the losses of another incarnation is told %+v", restarted)
+		}
+		time.Sleep(blame.Retention + time.Second)
+		if late := o.Sync(msgs.Sync{Sender: other.Sender}).Crashes; len(late) > 0 {
+			t.Errorf("told after blame.Retention: %+v", late)
+		}
+	})
+}
--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -177,7 +177,12 @@
 		g.renewEntry(m.Sender, m.Cancel)
 	}
 	g.wantKinds(m.WantKinds)
-	return g.load()
+	l := g.load()
+	if m.GateIncarnation != g.IncarnationID {
+		m.CrashesSeen = 0
+	}
+	l.Crashes = g.crashes.after(m.CrashesSeen, g.now())
+	return l
 }
 
 // Drain makes the gate refuse new and queued tasks, and waits for those at the
--- a/internal/disp/link/link.go
+++ b/internal/disp/link/link.go
@@ -58,6 +58,9 @@
 	// Orders has the evacuations that this entry knows; nil means none. Each message carries
 	// the order of the gate's failure domain.
 	Orders *evac.Set
+	// Crashes is told the losses of runs with the target of which an incarnation of the gate
+	// tells, each once; nil discards them.
+	Crashes func(incarnation uint64, crashes []msgs.TaskCrash)
 	// Now reads the clock; nil means boot.Now.
 	Now func() boot.Time
 	// Event logs a change of state; nil discards it.
@@ -80,6 +83,7 @@
 	retired        bool                // Run ends once no task or cancellation needs it
 	closed         bool                // Run has ended, or ends without another call; final
 	kindsUntil     boot.Time           // until when Sync calls ask for Load.Kinds
+	crashesSeen    int64               // highest TaskCrash.Number of this incarnation of the gate
 	waker          boot.Waker          // makes Run look at the state, and make a Sync call, at once
 }
 
@@ -262,7 +266,7 @@
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	reply := &msgs.Load{}
-	err := l.Call(ctx, l.Addr, SyncMethod, &msgs.Sync{Sender: sender, Cancel: cancels, Order: order, WantKinds: l.wantsKinds()}, reply)
+	err := l.Call(ctx, l.Addr, SyncMethod, &msgs.Sync{Sender: sender, Cancel: cancels, Order: order, WantKinds: l.wantsKinds(), CrashesSeen: l.lastCrash()}, reply)
 	l.mu.Lock()
 	l.lastSync = l.now()
 	l.mu.Unlock()
@@ -271,7 +275,10 @@
 		return
 	}
 	l.confirmCancels(cancels)
+	crashes := reply.Crashes
+	reply.Crashes = nil
 	l.applyLoad(*reply, true)
+	l.tellCrashes(reply.Incarnation, crashes)
 	l.confirmOrder(evac.Order(order))
 }
 
@@ -305,6 +312,7 @@
 		l.previousEnd = max(l.previousEnd, l.echoedReceived.Add(gate.MaxOrphanTime))
 		l.echoedReceived = 0
 		l.confirmed = evac.Order{}
+		l.crashesSeen = 0
 	}
 	l.updateRecheck(load, now)
 	l.load, l.loadReceived, l.lastAnswer, l.failures = load, now, now, 0
--- a/internal/disp/rules/cluster_test.go
+++ b/internal/disp/rules/cluster_test.go
@@ -220,12 +220,14 @@
 	for g := range c.gates {
 		l := &link.Link{
 			Addr: fmt.Sprintf("g%d", g), Entry: fmt.Sprintf("e%d", i), Incarnation: c.lastIncarnation, Now: now, Drop: func(string) {}, Orders: &p.orders,
+			Crashes: func(incarnation uint64, crashes []msgs.TaskCrash) {
+				p.coord.RecordCrashes(fmt.Sprintf("g%d", g), incarnation, crashes)
+			},
 			Call: func(ctx context.Context, _, method string, args, reply any) error {
 				return c.call(ctx, i, p, g, method, args, reply)
 			},
 		}
 		links = append(links, l)
-		go l.Run(p.ctx)
 	}
 	p.links = links
 	c.prepareAsker(i, p, links)
@@ -237,6 +239,9 @@
 		RunsElsewhere:   func(ctx context.Context, job string) bool { return c.runsElsewhere(ctx, i, p, job) },
 		LastStall:       func() boot.Time { return c.lastStall(i) },
 	}
+	for _, l := range links {
+		go l.Run(p.ctx)
+	}
 	p.rotation.ResubmitDelay, p.rotation.Now, p.others.Now = resubmitDelay, now, now
 	if c.balanced {
 		p.rotation.Begin()
--- a/internal/disp/rules/crash_test.go
+++ b/internal/disp/rules/crash_test.go
@@ -47,3 +47,31 @@
 		t.Errorf("%d of %d jobs of the other route were done, want %d", served, seconds*perSecond, want)
 	}
 }
+
+// The entry of a task that crashes its targets dies after two crashes. The next one that gets the
+// job must not let it crash a third.
+func TestCrashesAreKnownToTheEntryThatTakesOver(t *testing.T) {
+	var violations []string
+	starts := 0
+	synctest.Test(t, func(*testing.T) {
+		c := newCluster(entryCount, 6, false)
+		time.Sleep(50 * time.Millisecond)
+		c.submit("deadly", jobSpec{Tasks: 1, Work: work{CPU: 100, MS: 400, Deadly: true}, Attempts: 1})
+		for c.checker.starts("deadly") < 2 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(2 * crashDelay)
+		c.entryAt(0).kill()
+		time.Sleep(5 * time.Second)
+		starts = c.checker.starts("deadly")
+		c.finish()
+		time.Sleep(5 * time.Second)
+		violations = c.checker.violations
+	})
+	if len(violations) > 0 {
+		t.Error(violations)
+	}
+	if starts != 2 {
+		t.Errorf("%d starts, want 2", starts)
+	}
+}
--- a/test/mutants_test.go
+++ b/test/mutants_test.go
@@ -146,6 +146,10 @@
 		rule: "BUDGET losses in doubt", file: "internal/disp/blame/blame.go", test: "internal/disp/coord TestTaskThatMayCrashTargetsIsNotPlacedForEver",
 		old: "proven < maxProven && len(r.proofs) < maxLost", new: "proven < maxProven",
 	},
+	{
+		rule: "BUDGET losses of other entries", file: dispGate + "gate.go", test: "internal/disp/rules TestCrashesAreKnownToTheEntryThatTakesOver",
+		old: "l.Crashes = g.crashes.after(m.CrashesSeen, g.now())", new: "",
+	},
 	{
 		rule: "LIMIT start that does not fit any more", file: dispGate + "order.go", test: "internal/disp/gate TestGateDoesNotRepeatStartBeyondCapacity",
 		old: "case !g.used().Within(g.incarnation.Capacity):\n\t\treturn cause.NoCapacity", new: "case false:\n\t\treturn cause.NoCapacity",
