Answer a cancelled job as cancelled, and keep it so

A caller that cancelled its job by a DELETE at one entry got 502 for the request that was open at another.

Cause: a cancelled job was an abandoned one like any other, and nobody remembered the cancellation. The job has a state of its own now, answered with 200 and "cancelled", and entries remember cancellations for a minute (disp/cancel): a request of the job that is read later, or comes again, is answered so too.

--- a/internal/disp/coord/coord.go
+++ b/internal/disp/coord/coord.go
@@ -10,6 +10,7 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/blame"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/bulk"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/cancel"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/estim"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/link"
@@ -79,20 +80,38 @@
 	jobs        map[string]*execution
 	guards      map[string]*bulk.Guard // by service
 	losses      blame.Log
+	cancelled   cancel.Log
 	outageSince boot.Time // since when no gate can start tasks; 0 if one can
 }
 
-// Cancel abandons the job with the given ID. It reports false if this entry runs
-// no unfinished job with that ID.
+// Cancel cancels the job with the given ID, also one that is submitted here later. It reports false
+// if this entry has not known of the job: it neither runs it unfinished nor has cancelled it before.
 func (c *Coordinator) Cancel(id string) bool {
+	c.mu.Lock()
+	now := c.now()
+	known := c.cancelled.Has(id, now)
+	c.cancelled.Add(id, now)
+	c.mu.Unlock()
 	e := c.unfinishedJob(id)
 	if e == nil {
-		return false
+		return known
 	}
-	e.finish(Answer{State: Abandoned, Reason: cause.Cancelled})
+	e.finish(Answer{State: Cancelled, Reason: cause.Cancelled})
 	return true
 }
 
+// finishIfCancelled ends a job that was cancelled before it was submitted here. It reports whether
+// it has ended the job.
+func (c *Coordinator) finishIfCancelled(e *execution) bool {
+	c.mu.Lock()
+	cancelled := c.cancelled.Has(e.ID, c.now())
+	c.mu.Unlock()
+	if cancelled {
+		e.finish(Answer{State: Cancelled, Reason: cause.Cancelled})
+	}
+	return cancelled
+}
+
 // GiveUp abandons the job with the given ID, and the submissions that wait for its end.
 // It waits until none of its tasks can still be running, or ctx ends. It reports false if
 // this entry has no such job, that is, neither an unfinished one nor one that has ended
@@ -131,14 +150,15 @@
 	return n
 }
 
-// State returns the state of the job with the given ID. It reports false if this
-// entry runs no unfinished job with that ID.
+// State returns the state of the job with the given ID. It reports false if this entry neither
+// runs it unfinished nor has cancelled it.
 func (c *Coordinator) State(id string) (State, bool) {
-	e := c.unfinishedJob(id)
-	if e == nil {
-		return 0, false
+	if e := c.unfinishedJob(id); e != nil {
+		return e.state(), true
 	}
-	return e.state(), true
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return Cancelled, c.cancelled.Has(id, c.now())
 }
 
 // MayRun reports whether this entry has the job with the given ID unfinished, or has one that has
@@ -189,7 +209,7 @@
 // report logs how a job ended and updates the counters and the duration metric of
 // its final state.
 func (c *Coordinator) report(e *execution, a Answer) {
-	stateNames := [...]string{"waiting", "working", "done", "failed", "refused", "abandoned"}
+	stateNames := [...]string{"waiting", "working", "done", "failed", "refused", "abandoned", "cancelled"}
 	c.count("jobs." + stateNames[a.State])
 	switch a.State {
 	case Refused:
--- a/internal/disp/coord/job.go
+++ b/internal/disp/coord/job.go
@@ -61,9 +61,11 @@
 	Failed
 	// Refused means that no task has started and none will start.
 	Refused
-	// Abandoned means that the job was cancelled, or that its callers have disconnected
+	// Abandoned means that the job was given up for another entry, or that its callers have disconnected
 	// or have stopped waiting.
 	Abandoned
+	// Cancelled means that the job was cancelled, and that none of its tasks will be placed.
+	Cancelled
 )
 
 // Answer is the outcome of a job.
--- a/internal/disp/coord/submit.go
+++ b/internal/disp/coord/submit.go
@@ -15,6 +15,9 @@
 // Such a job is abandoned when the last of its callers has left or stopped waiting.
 func (c *Coordinator) Submit(ctx context.Context, j Job) Answer {
 	e := newExecution(j)
+	if c.finishIfCancelled(e) {
+		return c.await(ctx, e)
+	}
 	if e.WaitsUntil != 0 {
 		go c.watchWait(e)
 	}
@@ -60,7 +63,7 @@
 // start begins to run a job, or ends it with a refusal. It does nothing if the job has
 // ended.
 func (c *Coordinator) start(e *execution) {
-	if e.hasEnded() || c.finishIfAnyLost(e) {
+	if e.hasEnded() || c.finishIfCancelled(e) || c.finishIfAnyLost(e) {
 		return
 	}
 	if a := c.admit(e); a.State == Refused {
--- a/internal/disp/proc/service.go
+++ b/internal/disp/proc/service.go
@@ -79,7 +79,7 @@
 }
 
 // Lookup replies with the state of a job, after cancelling it if m asks for that.
-// The state is empty if the job is not at this entry. If m asks for the job to be
+// The state is empty if this entry has not known of the job. If m asks for the job to be
 // drained, the state is empty only when none of its tasks can be running any more, and the
 // order must not have waited to be read while the process stood still: the job may have been
 // submitted here again since. If m asks for the drained job without cancelling it, a job that has
@@ -98,14 +98,18 @@
 		reply.OrphansFor = giveup.Orphans(s.entry.Started, boot.Now())
 		return nil
 	}
-	if m.Cancel && s.entry.Coord.Cancel(m.Job) {
-		reply.State = StateCancelled
+	if m.Cancel {
+		if s.entry.Coord.Cancel(m.Job) {
+			reply.State = StateCancelled
+		}
 		return nil
 	}
-	if state, ok := s.entry.Coord.State(m.Job); ok {
-		reply.State = stateName(state)
-	} else if m.Drain && s.entry.Coord.MayRun(m.Job) {
+	state, ok := s.entry.Coord.State(m.Job)
+	switch {
+	case m.Drain && (!ok || state == coord.Cancelled) && s.entry.Coord.MayRun(m.Job):
 		reply.State = StateWorking
+	case ok:
+		reply.State = stateName(state)
 	}
 	return nil
 }
@@ -127,7 +131,7 @@
 		return StateDone
 	case coord.Failed:
 		return StateFailed
-	case coord.Abandoned, coord.Refused:
+	case coord.Abandoned, coord.Cancelled, coord.Refused:
 		return StateCancelled
 	}
 	return StateWorking
