--- a/internal/disp/memb/memb.go
+++ b/internal/disp/memb/memb.go
@@ -82,6 +82,14 @@
 	delete(s.lastContact, m)
 }
 
+// Has reports whether m is in the set.
+func (s *Set) Has(m Member) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.added[m]
+	return ok
+}
+
 // Addrs returns the addresses of the members with this role, in order.
 func (s *Set) Addrs(role Role) []string {
 	s.mu.Lock()
--- a/internal/disp/proc/entry.go
+++ b/internal/disp/proc/entry.go
@@ -58,9 +58,10 @@
 	pool    peer.Pool
 	others  rotate.Others
 
-	giveUp       giveup.Asker // returned by asker, which sets its fields
-	giveUpOnce   sync.Once
-	membersHeard atomic.Int64 // boot.Time when another entry, or the table, first told of a gate; 0 before
+	giveUp        giveup.Asker // returned by asker, which sets its fields
+	giveUpOnce    sync.Once
+	cancelRetries atomic.Int64 // cancellations that entries which have not answered are told again
+	membersHeard  atomic.Int64 // boot.Time when another entry, or the table, first told of a gate; 0 before
 
 	mu          sync.Mutex
 	ctx         context.Context           // of Run; nil before Run
@@ -202,15 +203,6 @@
 	}
 }
 
-// Cancel stops the job with this ID at whichever entry has it, and reports
-// whether one has it.
-func (e *Entry) Cancel(ctx context.Context, job string) bool {
-	if e.Coord.Cancel(job) {
-		return true
-	}
-	return e.askPeers(ctx, msgs.Lookup{Job: job, Cancel: true}) != ""
-}
-
 // State returns the state of the job with this ID at whichever entry has it, or
 // the empty string if none that answers has it.
 func (e *Entry) State(ctx context.Context, job string) string {
