--- a/internal/disp/cause/cause.go
+++ b/internal/disp/cause/cause.go
@@ -27,7 +27,7 @@
 	Foreign          = "stranger"    // the process did not start the run, or the task is for another incarnation of the gate
 	Stuck            = "stuck"       // the run makes no progress
 	Duplicate        = "twin"        // a run of the same task is still unfinished
-	Unanswered       = "unanswered"  // the start had no answer, and the run turned out not to have started
+	Unanswered       = "unanswered"  // the start had no answer, and the run has not started or its target went down
 	Unhealthy        = "unhealthy"   // the target reports that it is unhealthy and refuses the start
 	Unreachable      = "unreachable" // no connection to the target, or to the gate, could be made
 	Missing          = "vanished"    // the target no longer reports the run and never reported its end
--- a/internal/disp/gate/apply.go
+++ b/internal/disp/gate/apply.go
@@ -105,7 +105,7 @@
 	case !mayHaveStarted:
 		g.refuse(r, cause.Unanswered)
 	case r.state.InProgress():
-		g.finish(r, msgs.Lost, r.stopReason)
+		g.lose(r, crash, r.stopReason)
 	default:
 		g.lose(r, crash, cause.TargetRestarted)
 	}
--- a/internal/disp/gate/crash.go
+++ b/internal/disp/gate/crash.go
@@ -20,7 +20,7 @@
 }
 
 // maxCrashes is the number of losses that are kept; older ones are dropped.
-const maxCrashes = 256
+const maxCrashes = 2048
 
 // crashList is the list of the recent losses of runs with the target. The zero value is empty.
 type crashList struct {
@@ -75,10 +75,15 @@
 }
 
 // lose finishes r, which is lost with its target, and records what that proves. Its entry is not
-// told that a target crashed or restarted that need not have begun r.
+// told that a target crashed or restarted that has left, or that need not have begun r.
 func (g *Gate) lose(r *run, c msgs.Crash, reason string) {
-	if !r.state.HasBegun() && (reason == cause.TargetCrashed || reason == cause.TargetRestarted) {
-		reason = cause.Unanswered
+	if reason == cause.TargetCrashed || reason == cause.TargetRestarted {
+		switch {
+		case c == msgs.NoCrash:
+			reason = cause.Departed
+		case !r.state.HasBegun():
+			reason = cause.Unanswered
+		}
 	}
 	r.crash = c
 	if c != msgs.NoCrash {
--- a/internal/disp/gate/crash_test.go
+++ b/internal/disp/gate/crash_test.go
@@ -1,10 +1,12 @@
 package gate
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/blame"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
@@ -177,3 +179,86 @@
 		}
 	})
 }
+
+// A target says that it leaves, ends with a run in progress, and comes back under its ID, as in a
+// planned restart. Nothing has crashed under the task, as at a target that comes back under another.
+func TestPlannedRestartUnderTheSameIDIsNoCrashUnderTheTask(t *testing.T) {
+	f := newFakeTarget(1000)
+	f.stallRuns = true
+	inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
+		replies := o.begin(o.task("a", 10))
+		leaving := f.incarnation
+		leaving.Leaving = true
+		o.HandleHeartbeat(leaving)
+		f.restartInPlace()
+		if got := <-replies; got.Result != msgs.Lost || got.Crash != msgs.NoCrash {
+			t.Errorf("got %v %q, crash %v, want none", got.Result, got.Reason, got.Crash)
+		}
+	})
+}
+
+// The same for a target that deregisters, whose runs its gate stops.
+func TestRestartAfterDeregistrationIsNoCrashUnderTheTask(t *testing.T) {
+	f := newFakeTarget(1000)
+	f.stallRuns = true
+	inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
+		replies := o.begin(o.task("a", 10))
+		f.update(func(f *fakeTarget) { f.dropStops = true })
+		go o.HandleDeregistration(f.incarnation.ID)
+		time.Sleep(10 * time.Millisecond)
+		f.restartInPlace()
+		f.update(func(f *fakeTarget) { f.dropStops = false })
+		if got := <-replies; got.Result != msgs.Lost || got.Crash != msgs.NoCrash {
+			t.Errorf("got %v %q, crash %v, want none", got.Result, got.Reason, got.Crash)
+		}
+	})
+}
+
+// The answer to a repeated start does not show when the run has begun: the first order may have been
+// carried out. So a run may have ended, unread, by the time that a run begun then would go on.
+func TestRepeatedStartDoesNotDateTheRun(t *testing.T) {
+	f := newFakeTarget(1000)
+	f.runTime = 70 * time.Millisecond
+	inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
+		f.update(func(f *fakeTarget) { f.loseStartReplies = 1 })
+		m := o.task("a", 10)
+		m.ExpectedRunTime = 70
+		replies := make(chan msgs.TaskReply, 1)
+		go func() { replies <- o.take(m) }()
+		o.until("the repeated start is answered", func() bool { return o.hasStarted("a") })
+		f.update(func(f *fakeTarget) { f.pollDelay = 90 * time.Millisecond })
+		for f.running() > 0 {
+			time.Sleep(time.Millisecond)
+		}
+		f.update(func(f *fakeTarget) { f.down = true })
+		if got := <-replies; got.Result != msgs.Lost || got.Crash == msgs.CrashProven {
+			t.Errorf("got %v %q, crash %v, though the run had ended", got.Result, got.Reason, got.Crash)
+		}
+	})
+}
+
+// The run time of a run whose first order was carried out, and whose repeated one was answered, is
+// not known: it must not be learnt as that since the answer.
+func TestRunTimeIsNotCountedFromARepeatedStart(t *testing.T) {
+	f := newFakeTarget(1000)
+	f.runTime = 100 * time.Millisecond
+	inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
+		f.update(func(f *fakeTarget) { f.loseStartReplies = 1 })
+		got := o.take(o.task("a", 10))
+		if got.Result != msgs.Done || got.RunTime != 0 && got.RunTime < 95 {
+			t.Errorf("got %v after %d ms, want 100, or 0 for unknown", got.Result, got.RunTime)
+		}
+	})
+}
+
+// A target may go down with more runs than the list keeps. Entries must learn of all of them.
+func TestLossesOfOneCrashAreAllTold(t *testing.T) {
+	var l crashList
+	const now = boot.Time(time.Hour)
+	for i := range 300 {
+		l.add(fmt.Sprint(i), msgs.CrashProven, now)
+	}
+	if got := len(l.after(0, now)); got != 300 {
+		t.Errorf("%d of 300 losses are told", got)
+	}
+}
--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -119,6 +119,7 @@
 	startBy       boot.Time // latest desired start
 	queueDeadline boot.Time // latest time to leave the queue
 	orphanedAt    boot.Time // when its entry cancelled it, lost its lease or started again, or its job was revoked; 0 before
+	orderedAt     boot.Time // when the start was first ordered; 0 before
 	startedAt     boot.Time // when the start was answered or the run first listed
 	nextStop      boot.Time // when the next stop is sent
 	percent       int       // progress that the target last reported
--- a/internal/disp/gate/incarnation.go
+++ b/internal/disp/gate/incarnation.go
@@ -21,12 +21,16 @@
 func (g *Gate) followRestart(inc targ.Incarnation) {
 	g.event("target_gone", "target", g.incarnation.ID, "reason", cause.TargetRestarted, "running", len(g.runs), "sameid", true)
 	g.refuseQueue(cause.TargetRestarted)
-	downAt := g.knownDownAt()
+	downAt, leaving := g.knownDownAt(), g.incarnation.Leaving
 	g.adopt(inc)
 	// Deadlines for the previous clock are no limit for the new one.
 	g.leaseEnd = g.steady().Add(maxGrantedLease * 100 / 98)
 	for _, r := range g.runs {
-		r.followRestart(downAt)
+		crash := r.state.Crash(downAt)
+		if leaving {
+			crash = msgs.NoCrash
+		}
+		r.move(crash)
 		go g.resolve(r)
 	}
 }
@@ -35,10 +39,10 @@
 // down: now, unless it has refused a connection before.
 func (g *Gate) knownDownAt() boot.Time { return cmp.Or(g.downAt, g.now()) }
 
-// followRestart puts in doubt whether r, which was at an incarnation that has ended, is at the one
-// that has replaced it. The former was known to be down at downAt.
-func (r *run) followRestart(downAt boot.Time) {
-	r.state = r.state.Move(downAt)
+// move puts in doubt whether r, which was at an incarnation that has ended, is at the one that has
+// replaced it. The end of the former proves c about the task.
+func (r *run) move(c msgs.Crash) {
+	r.state = r.state.Move(c)
 	r.percent, r.progress = 0, progress{}
 	r.startClock = 0
 	r.startDeadline = math.MaxInt64 // a deadline of the previous clock never passes
@@ -130,7 +134,7 @@
 // finishEnded finishes r, whose target's incarnation has ended, by the answer to the order
 // to start it, which was sent at sentAt.
 func (g *Gate) finishEnded(r *run, sentAt boot.Time, err error) {
-	if err != nil && !errors.Is(err, targ.ErrUnanswered) && !errors.Is(err, targ.ErrStaleRun) {
+	if err != nil && !errors.Is(err, targ.ErrUnanswered) {
 		g.refuse(r, r.endedReason)
 		return
 	}
--- a/internal/disp/gate/order.go
+++ b/internal/disp/gate/order.go
@@ -104,6 +104,9 @@
 
 // startOrder returns the order to start r.
 func (g *Gate) startOrder(r *run) targ.Order {
+	if r.orderedAt == 0 {
+		r.orderedAt = g.now()
+	}
 	r.startDeadline = g.extendTargetLease()
 	return targ.Order{Task: r.msg.Name, Run: r.number, Spec: r.msg.Spec, Deadline: r.startDeadline, Fence: g.fence}
 }
--- a/internal/disp/gate/resolve.go
+++ b/internal/disp/gate/resolve.go
@@ -66,6 +66,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if err == nil && g.targetKnown && p.incarnation.Same(g.incarnation) && g.checkIncarnation(l) {
+		g.recordAnswer()
 		g.applyListing(p, l, g.now())
 		g.startQueued()
 	}
@@ -112,8 +113,9 @@
 	}
 	switch {
 	case err == nil:
-		r.state = r.state.Answer(sentAt, g.remaining(r, 0))
-		g.recordStart(r, clock, g.now())
+		remaining := g.remaining(r, 0) - sentAt.Sub(r.orderedAt) // the first order may have started it
+		r.state = r.state.Answer(sentAt, max(0, remaining))
+		g.recordStart(r, 0, g.now())
 	case errors.Is(err, targ.ErrStaleRun):
 		r.state = r.state.Know()
 		g.recordStart(r, 0, g.now())
--- a/internal/disp/start/start.go
+++ b/internal/disp/start/start.go
@@ -45,7 +45,7 @@
 	stopAt     boot.Time     // when it was decided to stop the run; 0 if it was not
 	seenAt     boot.Time     // when a call was sent whose answer shows the run in progress; 0 if none was
 	remaining  time.Duration // for how long the run was expected to go on at seenAt
-	crash      msgs.Crash    // what restarts of the target under its ID have proved
+	crash      msgs.Crash    // what the latest restart of the target under its ID has proved
 	begunOnce  bool          // the run had begun before the target restarted under its ID
 	excludedAt boot.Time     // from when the run can't start any more and, if it was in progress, is being stopped; 0 if it may
 	byStop     bool          // excludedAt is the acknowledgement of a stop
@@ -135,10 +135,9 @@
 	return s
 }
 
-// Move returns s after the target has restarted under its ID. It was known to be down, or to have
-// restarted, at downAt.
-func (s State) Move(downAt boot.Time) State {
-	return State{phase: Moved, stopAt: s.stopAt, crash: s.Crash(downAt), begunOnce: s.HasBegun()}
+// Move returns s after the target has restarted under its ID, which proves c about the task.
+func (s State) Move(c msgs.Crash) State {
+	return State{phase: Moved, stopAt: s.stopAt, crash: c, begunOnce: s.HasBegun()}
 }
 
 // Detach returns s after the target's incarnation has ended before it has answered the order.
@@ -169,20 +168,15 @@
 // stoppingAt reports whether the run was to be stopped at a time.
 func (s State) stoppingAt(t boot.Time) bool { return s.stopAt > 0 && s.stopAt <= t }
 
-// seenUntil reports whether the run was seen so shortly before a time that it can hardly have
-// ended by then.
+// seenUntil reports whether the run was last seen so shortly before a time that it can hardly have
+// ended by then. What has been seen since shows that the target was not down at that time.
 func (s State) seenUntil(t boot.Time) bool {
-	return t.Sub(s.seenAt) <= min(MaxUnseen, time.Duration(unseenShare*float64(s.remaining)))
+	unseen := t.Sub(s.seenAt)
+	return unseen >= 0 && unseen <= min(MaxUnseen, time.Duration(unseenShare*float64(s.remaining)))
 }
 
 // CrashIfExcluded returns what it proves about the task if its run is excluded and has not been
 // listed since, and whether the run may have started at all.
 func (s State) CrashIfExcluded() (c msgs.Crash, mayHaveStarted bool) {
-	switch s.phase {
-	case Moved:
-		return s.crash, true
-	case Known, Running:
-		return msgs.NoCrash, true
-	}
-	return msgs.NoCrash, false
+	return s.crash, s.phase == Moved || s.InProgress()
 }
