Count losses that a gate has not told, and forget old ones one at a time

Now the task is placed once more when the latest loss is a minute old. - The log of losses was never empty again, and a loss could bring back forgotten ones. - A task whose run time is unknown counted as one that had waited all that time.

--- a/internal/disp/blame/blame.go
+++ b/internal/disp/blame/blame.go
@@ -21,7 +21,8 @@
 	maxProven = 2 // targets that may provably crash under a task before its job fails
 	maxLost   = 3 // losses of a task with its target, proven to be crashes or not, before its job is abandoned
 	// Retention is how long losses are remembered after the latest one, and after the latest
-	// submission that ended for them: a caller that keeps coming must not get its task placed anew.
+	// submission that ended for them. If the caller still comes so long after the latest loss, the
+	// task is placed again, until it is lost once more.
 	Retention     = time.Minute
 	sweepInterval = time.Second // between two removals of what is not remembered any more
 )
@@ -59,7 +60,8 @@
 // record is what is known of the losses of a task.
 type record struct {
 	proofs map[id]msgs.Crash
-	last   boot.Time // when the latest loss was added, or the latest submission ended for them
+	lostAt boot.Time // when the latest loss was added
+	usedAt boot.Time // the same, or when the latest submission ended for the losses
 }
 
 // Log is a log of losses, over all submissions of jobs. The zero value is empty. It is not safe
@@ -76,6 +78,9 @@
 	}
 	l.sweep(now)
 	r := l.tasks[loss.Task]
+	if r.expired(now) {
+		r = record{}
+	}
 	key := id{loss.Gate, loss.Incarnation, loss.Number}
 	if _, known := r.proofs[key]; known {
 		return
@@ -83,15 +88,18 @@
 	if r.proofs == nil {
 		r.proofs = map[id]msgs.Crash{}
 	}
-	r.proofs[key], r.last = loss.Crash, now
+	r.proofs[key], r.lostAt, r.usedAt = loss.Crash, now, now
 	if l.tasks == nil {
 		l.tasks = map[string]record{}
 	}
 	l.tasks[loss.Task] = r
 }
 
-// Empty reports whether there is no loss in the log.
-func (l *Log) Empty() bool { return len(l.tasks) == 0 }
+// Empty reports whether no loss is remembered at now, or soon.
+func (l *Log) Empty(now boot.Time) bool {
+	l.sweep(now)
+	return len(l.tasks) == 0
+}
 
 // Verdict returns what may be done with a task at now. If it may not be placed, its losses are
 // remembered from then on.
@@ -100,21 +108,51 @@
 	if !ok || r.expired(now) {
 		return Place
 	}
-	proven := 0
+	if now.Sub(r.lostAt) > Retention {
+		r.relax()
+	}
+	verdict := r.verdict()
+	if verdict != Place {
+		r.usedAt = now
+		l.tasks[task] = r
+	}
+	return verdict
+}
+
+// verdict returns what may be done with the task of r.
+func (r record) verdict() Verdict {
+	switch {
+	case r.proven() >= maxProven:
+		return Fail
+	case len(r.proofs) >= maxLost:
+		return Abandon
+	}
+	return Place
+}
+
+// proven returns the number of losses that prove a crash.
+func (r record) proven() int {
+	n := 0
 	for _, c := range r.proofs {
 		if c == msgs.CrashProven {
-			proven++
+			n++
 		}
 	}
-	if proven < maxProven && len(r.proofs) < maxLost {
-		return Place
+	return n
+}
+
+// relax forgets losses until the task may be placed: one more then ends that again.
+func (r record) relax() {
+	for key, c := range r.proofs {
+		if c == msgs.CrashProven && r.proven() >= maxProven {
+			delete(r.proofs, key)
+		}
 	}
-	r.last = now
-	l.tasks[task] = r
-	if proven >= maxProven {
-		return Fail
+	for key := range r.proofs {
+		if len(r.proofs) >= maxLost {
+			delete(r.proofs, key)
+		}
 	}
-	return Abandon
 }
 
 // sweep removes what is not remembered any more, at most once in sweepInterval.
@@ -131,4 +169,4 @@
 }
 
 // expired reports whether r is not remembered any more at now.
-func (r record) expired(now boot.Time) bool { return now.Sub(r.last) > Retention }
+func (r record) expired(now boot.Time) bool { return now.Sub(r.usedAt) > Retention }
--- a/internal/disp/coord/job.go
+++ b/internal/disp/coord/job.go
@@ -57,12 +57,13 @@
 	Working
 	// Done means that all tasks have succeeded.
 	Done
-	// Failed means that a task has failed as often as the route allows.
+	// Failed means that a task has failed as often as the route allows, or that targets have
+	// provably crashed under it.
 	Failed
 	// Refused means that no task has started and none will start.
 	Refused
 	// Abandoned means that the job was given up for another entry, or that its callers have disconnected
-	// or have stopped waiting.
+	// or have stopped waiting, or that a task was lost with its target too often. It may have run.
 	Abandoned
 	// Cancelled means that the job was cancelled, and that none of its tasks will be placed.
 	Cancelled
--- a/internal/disp/coord/task.go
+++ b/internal/disp/coord/task.go
@@ -128,7 +128,7 @@
 	sentAt := c.now()
 	reply := c.send(e, l, m)
 	e.release(key)
-	c.recordLoss(l.Addr, ts.name, reply)
+	c.recordLoss(l.Addr, m, reply)
 	c.recordRetry(e, ts, target, reply, c.now().Sub(sentAt))
 	return reply, true
 }
@@ -137,6 +137,9 @@
 // without dependencies, how long it has waited. The run was expected to take runTimeFactor times
 // as long as near its data.
 func (c *Coordinator) recordDone(e *execution, s Step, runTimeFactor float64, reply msgs.TaskReply) {
+	if reply.RunTime == 0 {
+		return // unknown
+	}
 	runTime := time.Duration(reply.RunTime) * time.Millisecond
 	c.runTimes.Observe(e.Route.Name, time.Duration(float64(runTime)/runTimeFactor), reply.Load.Speed)
 	if len(s.DependsOn) > 0 {
--- a/internal/disp/link/crash.go
+++ b/internal/disp/link/crash.go
@@ -1,6 +1,9 @@
 package link
 
-import "github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
+import (
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
+)
 
 // lastCrash returns the highest number of a loss that the gate has told of.
 func (l *Link) lastCrash() int64 {
@@ -27,3 +30,18 @@
 		l.crashesSeen = max(l.crashesSeen, c.Number)
 	}
 }
+
+// CrashNumber returns the number of the loss of m where its gate has given none. Numbers of gates are
+// positive.
+func CrashNumber(m msgs.Task) int64 { return -int64(m.ID) }
+
+// lost returns the reply for m, whose outcome an incarnation of the gate has not told.
+func (l *Link) lost(m msgs.Task, incarnation uint64) msgs.TaskReply {
+	reply := msgs.TaskReply{Result: msgs.Lost, Reason: cause.Silent, Load: msgs.Load{Incarnation: incarnation}}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.load.Incarnation == incarnation && l.load.BlockedReason == cause.TargetCrashed || l.crashedLife == incarnation {
+		reply.Crash, reply.CrashNumber = msgs.CrashSuspected, CrashNumber(m)
+	}
+	return reply
+}
--- /dev/null
+++ b/internal/disp/link/crash_test.go
@@ -0,0 +1,68 @@
+package link
+
+import (
+	"context"
+	"testing"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/gate"
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
+)
+
+// A gate that dies with its target down takes its knowledge of the loss along. Without any, a task that
+// crashes targets would be placed again as if nothing had happened.
+func TestGateThatDiesWithItsTargetDownLeavesASuspicion(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		blocked  string
+		restarts bool
+		want     msgs.Crash
+	}{
+		{"target down, gate silent", cause.TargetCrashed, false, msgs.CrashSuspected},
+		{"target down, gate restarted", cause.TargetCrashed, true, msgs.CrashSuspected},
+		{"gate silent", "", false, msgs.NoCrash},
+		{"gate restarted", "", true, msgs.NoCrash},
+	} {
+		f, l, replies := startTaskOnBrokenConnection()
+		f.mu.Lock()
+		f.blocked = tc.blocked
+		f.mu.Unlock()
+		l.sync(context.Background())
+		f.mu.Lock()
+		f.silent, f.blocked = !tc.restarts, ""
+		if tc.restarts {
+			f.incarnation++
+		}
+		f.mu.Unlock()
+		l.sync(context.Background())
+		f.advance(2 * gate.MaxOrphanTime)
+		if r := <-replies; r.Result != msgs.Lost || r.Crash != tc.want {
+			t.Errorf("%s: got %v, crash %v, want %v", tc.name, r.Result, r.Crash, tc.want)
+		}
+	}
+}
+
+// A link tells each loss once, and all that a new incarnation of the gate knows.
+func TestLinkTellsEachLossOnce(t *testing.T) {
+	f, l := newFakeGate()
+	var told []int64
+	l.Crashes = func(_ uint64, crashes []msgs.TaskCrash) {
+		for _, c := range crashes {
+			told = append(told, c.Number)
+		}
+	}
+	f.crashes = []msgs.TaskCrash{{Number: 1, Task: "a", Crash: msgs.CrashProven}, {Number: 2, Task: "b", Crash: msgs.CrashSuspected}}
+	for range 3 {
+		l.sync(context.Background())
+	}
+	f.incarnation++
+	for range 3 {
+		l.sync(context.Background())
+	}
+	if len(told) != 4 {
+		t.Errorf("told %v, want 1 and 2 of each incarnation", told)
+	}
+	if n := len(l.View(f.clock()).Load.Crashes); n != 0 {
+		t.Errorf("the view keeps %d losses", n)
+	}
+}
--- a/internal/disp/link/link.go
+++ b/internal/disp/link/link.go
@@ -83,6 +83,7 @@
 	retired        bool                // Run ends once no task or cancellation needs it
 	closed         bool                // Run has ended, or ends without another call; final
 	kindsUntil     boot.Time           // until when Sync calls ask for Load.Kinds
+	crashedLife    uint64              // latest incarnation of the gate that restarted while its target was down; 0 if none
 	crashesSeen    int64               // highest TaskCrash.Number of this incarnation of the gate
 	waker          boot.Waker          // makes Run look at the state, and make a Sync call, at once
 }
@@ -152,7 +153,8 @@
 
 // RunTask makes the gate run a task and returns the outcome. The result is Lost
 // if the outcome is still unknown when the task can no longer be running, or when
-// ctx ends; in the latter case the task may still run. On a closed link it is Refused,
+// ctx ends; in the latter case the task may still run. A gate that has said that its target is down
+// may die before it can tell what that proves, which then is a suspicion. On a closed link it is Refused,
 // since nothing would cancel the task or determine its end. It is Refused too if valid, which
 // may be nil, reports false just before the task is sent. If the process stands still after
 // that call, the gate refuses the task for the age of the timestamp that it echoes. If valid
@@ -194,7 +196,7 @@
 		}
 		mayHaveArrived = true
 		if sender, ok = l.awaitReconnect(ctx, incarnation); !ok {
-			return msgs.TaskReply{Result: msgs.Lost, Reason: cause.Silent}
+			return l.lost(m, incarnation)
 		}
 		stalled = stalled || valid != nil && !valid()
 		if stalled {
@@ -313,6 +315,9 @@
 		l.echoedReceived = 0
 		l.confirmed = evac.Order{}
 		l.crashesSeen = 0
+		if l.load.BlockedReason == cause.TargetCrashed {
+			l.crashedLife = l.load.Incarnation
+		}
 	}
 	l.updateRecheck(load, now)
 	l.load, l.loadReceived, l.lastAnswer, l.failures = load, now, now, 0
--- a/internal/disp/link/link_test.go
+++ b/internal/disp/link/link_test.go
@@ -27,6 +27,7 @@
 	tasks       []msgs.Task
 	cancelled   []uint64
 	orders      []msgs.Order // of the Sync calls
+	crashes     []msgs.TaskCrash
 	drops       int
 }
 
@@ -84,6 +85,11 @@
 	f.cancelled = append(f.cancelled, m.Cancel...)
 	f.orders = append(f.orders, m.Order)
 	f.syncs++
+	for _, c := range f.crashes {
+		if m.GateIncarnation != f.incarnation || c.Number > m.CrashesSeen {
+			load.Crashes = append(load.Crashes, c)
+		}
+	}
 	*out = load
 	return nil
 }
