Let a job run that was revoked for an entry which has it no more

A job that had been revoked for one entry was refused by the gates for five seconds, also when its caller had come to a third entry since and nobody ran it: the caller got 502 at each try.

A gate now says for how long a job has been revoked when it refuses a task for that. If it was before the latest submission arrived, the entry makes all others give the job up, once a job, and has it revoked there for itself. A revocation that is newer than the submission ends the job as before.

--- a/cmd/gypsumlanding/process.go
+++ b/cmd/gypsumlanding/process.go
@@ -84,7 +84,7 @@
 	go p.watchSettings(e.SetSeeds)
 	e.Coord = &coord.Coordinator{
 		Links: e.Links, Entries: func() int { return len(e.Entries()) + 1 }, ResubmitDelay: p.cfg.ResubmitDelay, RemoteFactor: p.cfg.RemoteFactor,
-		GiveUpElsewhere: e.GiveUpElsewhere, GiveUpIfKnown: e.GiveUpIfKnown, OthersOut: e.OthersOut, RunsElsewhere: e.RunsElsewhere, LastStall: stalls.LastEnd,
+		GiveUpElsewhere: e.GiveUpElsewhere, GiveUpIfKnown: e.GiveUpIfKnown, OthersOut: e.OthersOut, RunsElsewhere: e.RunsElsewhere, RevokeAt: e.RevokeAt, LastStall: stalls.LastEnd,
 		Trace: p.log.Trace, Count: p.counters.Count, Observe: p.counters.Observe,
 	}
 	p.counters.Declare(append(cause.EntryCounters(), giveup.Counters()...))
--- a/internal/disp/coord/coord.go
+++ b/internal/disp/coord/coord.go
@@ -49,6 +49,10 @@
 	// GiveUpIfKnown makes those other entries give up a job, in the same way, that answer soon
 	// that they have it; nil does nothing.
 	GiveUpIfKnown func(ctx context.Context, job string)
+	// RevokeAt makes the gate at an address take the tasks of a job from this entry, which it has
+	// refused for the sake of another one. It returns when no task of another entry may run there, or
+	// when ctx ends; nil means that this can't be done.
+	RevokeAt func(ctx context.Context, gate, job string)
 	// OthersOut reports whether another entry is out of rotation, so that any of its jobs
 	// may be submitted here without a sign of that; nil means no.
 	OthersOut func() bool
--- /dev/null
+++ b/internal/disp/coord/takeover.go
@@ -0,0 +1,54 @@
+package coord
+
+import (
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
+)
+
+// maxTakeovers is how often a task is placed again after its job was revoked for another entry.
+const maxTakeovers = 3
+
+// takeOver makes the gate that has refused a task in reply, since its job was revoked for another
+// entry, take it. It reports false, and does nothing, unless the job was submitted here after it was
+// revoked: then the entry for which it was has it no more, or gives it up now.
+func (c *Coordinator) takeOver(e *execution, ts *taskState, reply msgs.TaskReply) bool {
+	revokedFor := time.Duration(reply.RevokedFor) * time.Millisecond
+	if c.RevokeAt == nil || c.GiveUpElsewhere == nil || ts.takeovers == maxTakeovers || revokedFor <= e.lastArrivedFor(c.now()) {
+		return false
+	}
+	ts.takeovers++
+	c.giveUpOnce(e)
+	c.RevokeAt(e.ctx, ts.gate, e.ID)
+	c.trace("job_taken_over", "job", e.ID, "task", ts.name, "gate", ts.gate, "revoked", revokedFor)
+	return true
+}
+
+// giveUpOnce makes the other entries give up the job, and waits until they have; once, however many of
+// its tasks are refused.
+func (c *Coordinator) giveUpOnce(e *execution) {
+	e.mu.Lock()
+	first := e.takenOver == nil
+	if first {
+		e.takenOver = make(chan struct{})
+	}
+	done := e.takenOver
+	e.mu.Unlock()
+	if first {
+		c.GiveUpElsewhere(e.ctx, e.ID, true)
+		close(done)
+		return
+	}
+	select {
+	case <-done:
+	case <-e.ctx.Done():
+	}
+}
+
+// lastArrivedFor returns how long ago, at now, the latest submission arrived.
+func (e *execution) lastArrivedFor(now boot.Time) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return now.Sub(e.lastArrived)
+}
--- a/internal/disp/coord/task.go
+++ b/internal/disp/coord/task.go
@@ -62,8 +62,10 @@
 type taskState struct {
 	name      string
 	stepIndex int
-	failures  int // number of failed runs
-	refusals  int // number of refusals by gates
+	failures  int    // number of failed runs
+	refusals  int    // number of refusals by gates
+	takeovers int    // number of refusals for an outdated revocation
+	gate      string // at which the task was last placed
 	// runTimeFactor is that of the gate at which the task was last placed; see pick.Gate.
 	runTimeFactor float64
 	avoid         map[string]bool // by target; true where the last placement ended otherwise than for lack of capacity
@@ -82,7 +84,7 @@
 		if !sent {
 			continue
 		}
-		if reply.Reason == cause.Revoked {
+		if reply.Reason == cause.Revoked && !c.takeOver(e, ts, reply) {
 			e.finish(Answer{State: Abandoned, Reason: cause.RunsElsewhere})
 			return false
 		}
@@ -126,6 +128,7 @@
 		return msgs.TaskReply{}, false
 	}
 	sentAt := c.now()
+	ts.gate = l.Addr
 	reply := c.send(e, l, m)
 	e.release(key)
 	c.recordLoss(l.Addr, m, reply)
--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -132,6 +132,7 @@
 	reason        string        // why the task was refused or its run lost; otherwise empty
 	crash         msgs.Crash    // what the loss of the run proves
 	crashNumber   int64         // of the loss in Gate.crashes; 0 if it is not there
+	revokedFor    time.Duration // for how long the job had been revoked when the task was refused for that; otherwise 0
 	runTime       time.Duration // by the target's clock; 0 if unknown
 	finished      chan struct{} // closed once result is set
 	mark          *interf.Mark  // start of the run, for interference; nil if it is not in progress or not observed
@@ -164,7 +165,7 @@
 	defer g.mu.Unlock()
 	return msgs.TaskReply{
 		Result: r.result, Reason: r.reason, RunTime: r.runTime.Milliseconds(),
-		Crash: r.crash, CrashNumber: r.crashNumber, Load: g.load(),
+		Crash: r.crash, CrashNumber: r.crashNumber, RevokedFor: r.revokedFor.Milliseconds(), Load: g.load(),
 	}
 }
 
@@ -230,6 +231,9 @@
 	}
 	g.addTask(r)
 	if reason := g.admitRefusal(m, r.demand); reason != "" {
+		if reason == cause.Revoked {
+			r.revokedFor = g.revokedFor(m)
+		}
 		g.finish(r, msgs.Refused, reason)
 		return r, msgs.TaskReply{}
 	}
--- a/internal/disp/gate/revoke.go
+++ b/internal/disp/gate/revoke.go
@@ -21,7 +21,7 @@
 type revocation struct {
 	entry       string
 	incarnation uint64
-	expiry      boot.Time
+	at          boot.Time
 }
 
 // allows reports whether the revocation leaves a task to its sender.
@@ -43,7 +43,7 @@
 	}
 	reply.Applied = true
 	for _, job := range m.Jobs {
-		if g.revoke(job, revocation{m.Entry, m.Incarnation, now.Add(revocationRetention)}) {
+		if g.revoke(job, revocation{m.Entry, m.Incarnation, now}) {
 			reply.Running = append(reply.Running, job)
 		}
 	}
@@ -103,13 +103,24 @@
 // isRevoked reports whether a task of the job of m is refused since the job was revoked.
 func (g *Gate) isRevoked(m msgs.Task) bool {
 	v, ok := g.revocations[m.Job]
-	return ok && g.now() < v.expiry && !v.allows(m.Sender)
+	return ok && !v.expired(g.now()) && !v.allows(m.Sender)
 }
 
+// revokedFor returns for how long the job of m has been revoked; 0 if it is not.
+func (g *Gate) revokedFor(m msgs.Task) time.Duration {
+	if !g.isRevoked(m) {
+		return 0
+	}
+	return g.now().Sub(g.revocations[m.Job].at)
+}
+
+// expired reports whether v holds no longer at now.
+func (v revocation) expired(now boot.Time) bool { return now.Sub(v.at) >= revocationRetention }
+
 // forgetRevocations removes the revocations that have expired.
 func (g *Gate) forgetRevocations(now boot.Time) {
 	for job, v := range g.revocations {
-		if now >= v.expiry {
+		if v.expired(now) {
 			delete(g.revocations, job)
 		}
 	}
--- a/internal/disp/giveup/revoke.go
+++ b/internal/disp/giveup/revoke.go
@@ -208,6 +208,21 @@
 	})
 }
 
+// RevokeAt revokes a job at the gate at addr for this entry, in place of an older revocation for another.
+// It returns when no task of another entry may run there, or when ctx ends.
+func (a *Asker) RevokeAt(ctx context.Context, addr, job string) {
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, revokeTimeout)
+		running, err := a.callGate(call, addr, []string{job})
+		cancel()
+		a.recordGate(addr, err)
+		if err == nil && len(running) == 0 {
+			return
+		}
+		boot.Sleep(ctx, revokeInterval)
+	}
+}
+
 // callGate revokes jobs at a gate, and returns those of which a task may still run. If the gate
 // finds that the order may be old, it is repeated with the timestamp of the gate.
 func (a *Asker) callGate(ctx context.Context, addr string, jobs []string) ([]string, error) {
--- a/internal/wire/msgs/task.go
+++ b/internal/wire/msgs/task.go
@@ -65,6 +65,9 @@
 	// Crash is what the loss of the run proves, and CrashNumber its TaskCrash.Number; 0 if there is none.
 	Crash       Crash
 	CrashNumber int64
+	// RevokedFor is for how long the job of a task that was refused on arrival had been revoked, ms; 0
+	// if that is not why.
+	RevokedFor int64
 }
 
 // Sync is the argument of Gate.Sync. It renews the sender's lease on its tasks at a gate.
@@ -203,18 +206,19 @@
 		&m.ExpectedRunTime, &m.MaxQueueTime, &unused, &m.Failures, &m.IgnoreBreaker, &m.StartWithin, &m.Cancel, &m.Order, &m.Kind, &m.WantKinds)
 }
 
-// EncodeMsgpack writes the message. Without a Crash it takes no more room than before there was one.
+// EncodeMsgpack writes the message, without the fields after Load if there is no reason for them.
 func (m *TaskReply) EncodeMsgpack(e *msgpack.Encoder) error {
 	fields := []any{int(m.Result), m.Reason, m.RunTime, &m.Load}
-	if m.Crash != NoCrash {
-		fields = append(fields, int(m.Crash), m.CrashNumber)
+	if m.Crash != NoCrash || m.RevokedFor != 0 {
+		fields = append(fields, int(m.Crash), m.CrashNumber, m.RevokedFor)
 	}
 	return encodeArray(e, fields...)
 }
 
-// DecodeMsgpack reads the message. One from an older process has no Crash, so it proves none.
+// DecodeMsgpack reads the message. One from an older process has no Crash, so it proves none, and
+// no RevokedFor.
 func (m *TaskReply) DecodeMsgpack(d *msgpack.Decoder) error {
-	return decodeArray(d, (*int)(&m.Result), &m.Reason, &m.RunTime, &m.Load, (*int)(&m.Crash), &m.CrashNumber)
+	return decodeArray(d, (*int)(&m.Result), &m.Reason, &m.RunTime, &m.Load, (*int)(&m.Crash), &m.CrashNumber, &m.RevokedFor)
 }
 
 // EncodeMsgpack writes the message, without CrashesSeen if that is 0.
