--- a/internal/disp/gate/poll.go
+++ b/internal/disp/gate/poll.go
@@ -173,6 +173,14 @@
 	}
 }
 
+// downFor returns how long ago the target first refused a connection; 0 if it has not.
+func (g *Gate) downFor() time.Duration {
+	if g.downAt == 0 {
+		return 0
+	}
+	return g.now().Sub(g.downAt)
+}
+
 // giveUpLapsedRuns gives up the runs at a silent target once its lease on them has
 // certainly lapsed. A start without an answer may have reached a target that has restarted
 // under its ID, unless that refuses connections.
--- a/internal/disp/gate/verify.go
+++ b/internal/disp/gate/verify.go
@@ -41,7 +41,8 @@
 	r.proof = p
 	g.count(InferredPrefix + string(p))
 	g.event("end_inferred", "job", r.msg.Job, "task", r.msg.Name, "run", r.number, "target", g.incarnation.ID,
-		"from", p, "was", r.state.Phase(), "stopped", r.state.Stopping(), "clock", clock, "started", r.startClock, "deadline", r.startDeadline)
+		"from", p, "was", r.state.Phase(), "stopped", r.state.Stopping(), "clock", clock, "started", r.startClock, "deadline", r.startDeadline,
+		"unseen", r.state.UnseenFor(g.now()), "down", g.downFor())
 }
 
 // checkUnknownRun reports a run in progress whose end the gate has concluded.
--- a/internal/disp/start/start.go
+++ b/internal/disp/start/start.go
@@ -8,10 +8,10 @@
 )
 
 const (
-	// MaxUnseen is the longest time between the last sign of a run and the crash of its target
+	// maxUnseen is the longest time between the last sign of a run and the crash of its target
 	// for which the run counts as in progress at the crash. A target that is well answers a long
 	// poll within that time.
-	MaxUnseen = 250 * time.Millisecond
+	maxUnseen = 250 * time.Millisecond
 	// unseenShare is the same as a share of the time that the run was expected to go on, since
 	// the estimate may be wrong.
 	unseenShare = 0.5
@@ -67,6 +67,14 @@
 // ListsEnd reports whether the target will list the end of the run.
 func (s State) ListsEnd() bool { return s.begun }
 
+// UnseenFor returns for how long, at now, the run has not been seen in progress; 0 if it never was.
+func (s State) UnseenFor(now boot.Time) time.Duration {
+	if s.seenAt == 0 {
+		return 0
+	}
+	return now.Sub(s.seenAt)
+}
+
 // Stopping reports whether the run is to be stopped.
 func (s State) Stopping() bool { return s.stopAt > 0 }
 
@@ -172,7 +180,7 @@
 // ended by then. What has been seen since shows that the target was not down at that time.
 func (s State) seenUntil(t boot.Time) bool {
 	unseen := t.Sub(s.seenAt)
-	return unseen >= 0 && unseen <= min(MaxUnseen, time.Duration(unseenShare*float64(s.remaining)))
+	return unseen >= 0 && unseen <= min(maxUnseen, time.Duration(unseenShare*float64(s.remaining)))
 }
 
 // CrashIfExcluded returns what it proves about the task if its run is excluded and has not been
