--- /dev/null
+++ b/internal/disp/blame/list.go
@@ -0,0 +1,43 @@
+package blame
+
+import (
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
+)
+
+// maxItems is the number of losses that a List keeps; older ones are dropped.
+const maxItems = 2048
+
+// List is the list of the recent losses at a gate, numbered from 1. The zero value is empty. It is not
+// safe for concurrent use.
+type List struct {
+	last  int64 // number of the newest loss
+	items []item
+}
+
+// item is a loss and its time.
+type item struct {
+	msgs.TaskCrash
+	at boot.Time
+}
+
+// Add adds the loss of a run of a task at now and returns its number.
+func (l *List) Add(task string, c msgs.Crash, now boot.Time) int64 {
+	l.last++
+	l.items = append(l.items, item{msgs.TaskCrash{Number: l.last, Task: task, Crash: c}, now})
+	for len(l.items) > maxItems || now.Sub(l.items[0].at) > Retention {
+		l.items = l.items[1:]
+	}
+	return l.last
+}
+
+// After returns the losses within Retention before now that have a higher number.
+func (l *List) After(number int64, now boot.Time) []msgs.TaskCrash {
+	var crashes []msgs.TaskCrash
+	for _, i := range l.items {
+		if i.Number > number && now.Sub(i.at) <= Retention {
+			crashes = append(crashes, i.TaskCrash)
+		}
+	}
+	return crashes
+}
--- /dev/null
+++ b/internal/disp/blame/list_test.go
@@ -0,0 +1,45 @@
+package blame
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
+)
+
+func ExampleList() {
+	var l List
+	l.Add("a", msgs.CrashProven, now)
+	seen := l.Add("b", msgs.CrashSuspected, now)
+	l.Add("c", msgs.CrashProven, now)
+	for _, c := range l.After(seen, now) {
+		fmt.Println(c.Number, c.Task, c.Crash)
+	}
+	// Output: 3 c proven
+}
+
+// A target may go down with hundreds of runs. Entries must learn of all of them.
+func TestLossesOfOneCrashAreAllTold(t *testing.T) {
+	var l List
+	for i := range 300 {
+		l.Add(fmt.Sprint(i), msgs.CrashProven, now)
+	}
+	if got := len(l.After(0, now)); got != 300 {
+		t.Errorf("%d of 300 losses are told", got)
+	}
+}
+
+func TestListIsBounded(t *testing.T) {
+	var l List
+	for i := range 2 * maxItems {
+		l.Add(fmt.Sprint(i), msgs.CrashProven, now)
+	}
+	if got := l.After(0, now); len(got) != maxItems || got[0].Number != maxItems+1 {
+		t.Errorf("%d losses from number %d on", len(got), got[0].Number)
+	}
+	l.Add("later", msgs.CrashProven, now.Add(Retention+time.Second))
+	if n := len(l.items); n != 1 {
+		t.Errorf("%d losses are kept after Retention", n)
+	}
+}
--- a/internal/disp/gate/crash.go
+++ b/internal/disp/gate/crash.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/gypsumlanding/gypsumlanding/internal/disp/blame"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/start"
@@ -19,42 +18,6 @@
 	return []string{CrashPrefix + msgs.CrashSuspected.String(), CrashPrefix + msgs.CrashProven.String()}
 }
 
-// maxCrashes is the number of losses that are kept; older ones are dropped.
-const maxCrashes = 2048
-
-// crashList is the list of the recent losses of runs with the target. The zero value is empty.
-type crashList struct {
-	last  int64 // number of the newest loss
-	items []crashItem
-}
-
-// crashItem is a loss and its time.
-type crashItem struct {
-	msgs.TaskCrash
-	at boot.Time
-}
-
-// add adds the loss of a run of a task at now and returns its number.
-func (l *crashList) add(task string, c msgs.Crash, now boot.Time) int64 {
-	l.last++
-	l.items = append(l.items, crashItem{msgs.TaskCrash{Number: l.last, Task: task, Crash: c}, now})
-	for len(l.items) > maxCrashes || now.Sub(l.items[0].at) > blame.Retention {
-		l.items = l.items[1:]
-	}
-	return l.last
-}
-
-// after returns the losses within blame.Retention with a higher number.
-func (l *crashList) after(number int64, now boot.Time) []msgs.TaskCrash {
-	var crashes []msgs.TaskCrash
-	for _, item := range l.items {
-		if item.Number > number && now.Sub(item.at) <= blame.Retention {
-			crashes = append(crashes, item.TaskCrash)
-		}
-	}
-	return crashes
-}
-
 // isOver reports whether the task of r has a result.
 func (r *run) isOver() bool { return r.state.Phase() == start.Over }
 
@@ -87,7 +50,7 @@
 	}
 	r.crash = c
 	if c != msgs.NoCrash {
-		r.crashNumber = g.crashes.add(r.msg.Name, c, g.now())
+		r.crashNumber = g.crashes.Add(r.msg.Name, c, g.now())
 		g.count(CrashPrefix + c.String())
 	}
 	g.finish(r, msgs.Lost, reason)
--- a/internal/disp/gate/crash_test.go
+++ b/internal/disp/gate/crash_test.go
@@ -1,12 +1,10 @@
 package gate
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/blame"
-	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
@@ -250,15 +248,3 @@
 		}
 	})
 }
-
-// A target may go down with more runs than the list keeps. Entries must learn of all of them.
-func TestLossesOfOneCrashAreAllTold(t *testing.T) {
-	var l crashList
-	const now = boot.Time(time.Hour)
-	for i := range 300 {
-		l.add(fmt.Sprint(i), msgs.CrashProven, now)
-	}
-	if got := len(l.after(0, now)); got != 300 {
-		t.Errorf("%d of 300 losses are told", got)
-	}
-}
--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/blame"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cbreak"
@@ -12,6 +13,7 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/evac"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/interf"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/lease"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/revoke"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/rsrc"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/start"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/targ"
@@ -65,7 +67,7 @@
 	missedPolls  int                 // consecutive polls without an answer
 	downAt       boot.Time           // when the target first refused a connection since it last answered; 0 if it has not
 	downWithRuns bool                // runs were there when downAt was set
-	crashes      crashList           // losses of runs with the target
+	crashes      blame.List          // losses of runs with the target
 	silent       bool                // missedPolls has reached maxMissedPolls, or the connection was refused
 	hedgeUntil   boot.Time           // end of the time during which a second poll is kept open
 	leaseEnd     boot.Time           // latest time at which the target's lease lapses, by Steady
@@ -73,9 +75,9 @@
 	tasks        map[taskID]*run     // all known tasks, with recent results
 	queue        []*run              // in no order; startQueued sorts it
 	entryLeases  lease.Table
-	revocations  map[string]revocation // by job
-	orders       evac.Set              // evacuations that entries have told of
-	runSince     boot.Time             // when Run began, by steady; 0 before
+	revocations  revoke.Table
+	orders       evac.Set  // evacuations that entries have told of
+	runSince     boot.Time // when Run began, by steady; 0 before
 	breaker      cbreak.Breaker
 	speed        estim.Speed
 	pace         estim.Pace
@@ -183,7 +185,7 @@
 	if m.GateIncarnation != g.IncarnationID {
 		m.CrashesSeen = 0
 	}
-	l.Crashes = g.crashes.after(m.CrashesSeen, g.now())
+	l.Crashes = g.crashes.After(m.CrashesSeen, g.now())
 	return l
 }
 
@@ -232,7 +234,7 @@
 	g.addTask(r)
 	if reason := g.admitRefusal(m, r.demand); reason != "" {
 		if reason == cause.Revoked {
-			r.revokedFor = g.revokedFor(m)
+			r.revokedFor, _ = g.revocations.Refuses(m.Job, m.Sender, now)
 		}
 		g.finish(r, msgs.Refused, reason)
 		return r, msgs.TaskReply{}
--- a/internal/disp/gate/poll.go
+++ b/internal/disp/gate/poll.go
@@ -223,7 +223,7 @@
 		g.expireQueue(now)
 		g.forgetResults(now)
 		g.forgetEnds(now)
-		g.forgetRevocations(now)
+		g.revocations.Forget(now)
 		g.checkRuns(now)
 		g.startQueued()
 		g.logLoad(now)
--- a/internal/disp/gate/revoke.go
+++ b/internal/disp/gate/revoke.go
@@ -2,35 +2,17 @@
 
 import (
 	"strings"
-	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
-// revocationRetention is how long the tasks of a revoked job are refused. An entry that has the
-// job and has lost its gates places its tasks again when it reaches one, after MaxOrphanTime at
-// the earliest.
-const revocationRetention = 5 * time.Second
-
 // RevokedCounter is the name of the counter of jobs that had tasks here when they were revoked.
 const RevokedCounter = "jobs.revoked"
 
-// revocation is an order to run a job for one incarnation of an entry only.
-type revocation struct {
-	entry       string
-	incarnation uint64
-	at          boot.Time
-}
-
-// allows reports whether the revocation leaves a task to its sender.
-func (v revocation) allows(s msgs.Sender) bool {
-	return v.entry == s.Entry && v.incarnation == s.Incarnation
-}
-
 // Revoke stops or refuses the tasks of the jobs that m lists, unless they are of the sender, and
-// refuses them for revocationRetention. A newer revocation of a job replaces an older one. If m
+// refuses them for revoke.Retention. A newer revocation of a job replaces an older one. If m
 // is for another incarnation of the gate, or its timestamp is older than EntryLease, Revoke does
 // nothing: a later submission of the job may run here.
 func (g *Gate) Revoke(m msgs.Revoke) msgs.RevokeReply {
@@ -43,23 +25,20 @@
 	}
 	reply.Applied = true
 	for _, job := range m.Jobs {
-		if g.revoke(job, revocation{m.Entry, m.Incarnation, now}) {
+		if g.revoke(job, m.Sender) {
 			reply.Running = append(reply.Running, job)
 		}
 	}
 	return reply
 }
 
-// revoke applies a revocation of a job, and reports whether a task that it does not allow may
-// still run at the target.
-func (g *Gate) revoke(job string, v revocation) bool {
-	if g.revocations == nil {
-		g.revocations = map[string]revocation{}
-	}
-	g.revocations[job] = v
+// revoke revokes a job for all but the sender, and reports whether a task of another one may still
+// run at the target.
+func (g *Gate) revoke(job string, s msgs.Sender) bool {
+	g.revocations.Add(job, s, g.now())
 	running, stopped := g.mayHaveUnknownRun(job), false
 	for _, r := range g.tasks {
-		if r.isOver() || r.msg.Job != job || v.allows(r.msg.Sender) {
+		if r.isOver() || r.msg.Job != job || !g.isRevoked(r.msg) {
 			continue
 		}
 		stopped = stopped || !r.state.Stopping()
@@ -68,7 +47,7 @@
 	}
 	if stopped {
 		g.count(RevokedCounter)
-		g.trace("job_revoked", "job", job, "for", v.entry, "running", running)
+		g.trace("job_revoked", "job", job, "for", s.Entry, "running", running)
 	}
 	return running
 }
@@ -102,26 +81,6 @@
 
 // isRevoked reports whether a task of the job of m is refused since the job was revoked.
 func (g *Gate) isRevoked(m msgs.Task) bool {
-	v, ok := g.revocations[m.Job]
-	return ok && !v.expired(g.now()) && !v.allows(m.Sender)
-}
-
-// revokedFor returns for how long the job of m has been revoked; 0 if it is not.
-func (g *Gate) revokedFor(m msgs.Task) time.Duration {
-	if !g.isRevoked(m) {
-		return 0
-	}
-	return g.now().Sub(g.revocations[m.Job].at)
-}
-
-// expired reports whether v holds no longer at now.
-func (v revocation) expired(now boot.Time) bool { return now.Sub(v.at) >= revocationRetention }
-
-// forgetRevocations removes the revocations that have expired.
-func (g *Gate) forgetRevocations(now boot.Time) {
-	for job, v := range g.revocations {
-		if v.expired(now) {
-			delete(g.revocations, job)
-		}
-	}
+	_, refuses := g.revocations.Refuses(m.Job, m.Sender, g.now())
+	return refuses
 }
--- a/internal/disp/gate/revoke_test.go
+++ b/internal/disp/gate/revoke_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/revoke"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
@@ -72,7 +73,7 @@
 		if reply := o.take(mine); reply.Result != msgs.Done {
 			t.Errorf("the entry that has the job: got %v %q", reply.Result, reply.Reason)
 		}
-		time.Sleep(revocationRetention)
+		time.Sleep(revoke.Retention)
 		if reply := o.take(o.task("a", 10)); reply.Result != msgs.Done {
 			t.Errorf("later: got %v %q", reply.Result, reply.Reason)
 		}
--- a/test/mutants_test.go
+++ b/test/mutants_test.go
@@ -27,7 +27,7 @@
 
 // refusal is the edit without which a gate refuses the tasks of a revoked job, which hides that an
 // entry places them.
-var refusal = edit{dispGate + "revoke.go", "return ok && !v.expired", "return false && ok && !v.expired"}
+var refusal = edit{"internal/disp/revoke/revoke.go", "if !ok || v.expired(now)", "if !ok || now >= v.at"}
 
 // mutants are the mutants of the path through homes and shards, followed by those of the
 // platform path.
@@ -160,7 +160,7 @@
 	},
 	{
 		rule: "BUDGET losses of other entries", file: dispGate + "gate.go", test: "internal/disp/rules TestCrashesAreKnownToTheEntryThatTakesOver",
-		old: "l.Crashes = g.crashes.after(m.CrashesSeen, g.now())", new: "",
+		old: "l.Crashes = g.crashes.After(m.CrashesSeen, g.now())", new: "",
 	},
 	{
 		rule: "LIMIT start that does not fit any more", file: dispGate + "order.go", test: "internal/disp/gate TestGateDoesNotRepeatStartBeyondCapacity",
@@ -294,9 +294,9 @@
 	{rule: "TWICE gate that does not answer", file: dispGiveUp + "revoke.go", old: "case a.now() >= o.end:", new: "default:", test: "internal/disp/giveup TestSilentGateIsWaitedFor"},
 	{rule: "TWICE slow entry", file: dispGiveUp + "silence.go", old: "s.refused = now\n", new: "s.refused = s.since\n", test: "internal/disp/giveup TestSlowEntryThatDiesHasTasksUntilItsLeasesEnd"},
 	{rule: "TWICE tasks of a silent entry", file: dispGate + "revoke.go", old: "running = running || !r.isOver()", new: "running = false", test: silentEntryTest},
-	{rule: "TWICE later tasks of a revoked job", file: dispGate + "revoke.go", old: "return ok && g.now()", new: "return false && ok && g.now()", test: "internal/disp/gate TestTasksOfRevokedJobAreRefused"},
+	{rule: "TWICE later tasks of a revoked job", file: "internal/disp/revoke/revoke.go", old: "if !ok || v.expired(now)", new: "if !ok || now >= v.at", test: "internal/disp/gate TestTasksOfRevokedJobAreRefused"},
 	{rule: "TWICE tasks of an earlier gate", file: dispGate + "revoke.go", old: "if !g.surveyed {", new: "if false {", test: "internal/disp/gate TestGateThatWasJustStartedMayHaveTasks"},
-	{rule: "LOST late revocation", file: dispGate + "revoke.go", old: " || now >= boot.Time(m.EchoedTimestamp).Add(EntryLease)", new: "", test: "internal/disp/gate TestLateRevocationEndsNothing"},
+	{rule: "LOST late revocation", file: dispGate + "revoke.go", old: " || now >= boot.Time(m.EchoedTimestamp).Add(EntryLease)", new: " || now >= boot.Time(m.EchoedTimestamp).Add(100*EntryLease)", test: "internal/disp/gate TestLateRevocationEndsNothing"},
 	{rule: "TWICE revoked job", file: dispCoord + "task.go", old: "if reply.Reason == cause.Revoked {", new: "if false {", test: "internal/disp/coord TestRevokedJobEndsAsRunElsewhere"},
 	{rule: "LOST old order to give up", file: dispProc + "service.go", old: "if s.entry.mayBeOld(boot.Time(m.EchoedTimestamp)) {", new: "if false {", test: "internal/disp/proc TestOldOrderToGiveUpEndsNoJob"},
 	{rule: "TWICE order to give up after a stall", file: dispProc + "giveup.go", old: "if err == nil && reply.Timestamp != 0 {", new: "if false {", test: "internal/disp/proc TestStalledEntryGivesJobUpWhenAskedNow"},
