Count a crash under a task only where a run of it was in progress

The checker counted crashes as a gate may know them: also under tasks whose start was only ordered, and under runs whose end had not been acknowledged. So it passed over jobs shown as failed for crashes that none of their runs was in progress at, which is LOST.

It counts runs in progress only; a run that is due has ended.

--- a/internal/disp/rules/checker_test.go
+++ b/internal/disp/rules/checker_test.go
@@ -100,8 +100,7 @@
 	}
 }
 
-// targetCrashed records that a target crashed while a task ran there, as far as its gate
-// can know: its start was ordered, and no end of it acknowledged.
+// targetCrashed records that a target crashed while a run of a task was in progress there.
 func (c *checker) targetCrashed(task string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/disp/rules/target_test.go
+++ b/internal/disp/rules/target_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -38,7 +37,6 @@
 	changed      chan struct{}  // closed, and replaced, when a run starts or ends, or the target does
 	faultMode    targetFaults
 	down         bool            // it has crashed and is not back
-	ordered      map[string]bool // tasks whose start was ordered in this incarnation and that have not ended
 	incarnation  targ.Incarnation
 	previous     targ.Incarnation      // the one before
 	shrunkAt     time.Time             // when its capacity fell to shrunkCapacity, or zero
@@ -49,7 +47,6 @@
 	runs         map[string]*targetRun // runs in progress, by task
 	highestRun   map[string]int        // runs up to this number no longer start, by task
 	ended        []targ.Ended
-	seen         int64 // sequence number of the newest end that the gate has acknowledged
 	orderCount   int   // orders received, except those while unresponsive
 }
 
@@ -115,21 +112,14 @@
 	return t.incarnation
 }
 
-// endAll ends all runs with their target. t.mu must be held.
+// endAll ends all runs with their target. Those that are due have ended before. t.mu must be held.
 func (t *target) endAll() {
+	t.endDueRuns()
 	for task := range t.runs {
 		t.checker.runEnded(task, t.name, targ.EndedOther)
-	}
-	for task := range t.ordered {
 		t.checker.targetCrashed(task)
 	}
-	for _, e := range t.ended {
-		if e.Seq > t.seen {
-			t.checker.targetCrashed(e.Task)
-		}
-	}
-	t.runs, t.ordered = map[string]*targetRun{}, map[string]bool{}
-	t.ended, t.seen = nil, 0
+	t.runs, t.ended = map[string]*targetRun{}, nil
 	t.notifyChange()
 }
 
@@ -170,26 +160,17 @@
 
 // Start carries out an order to start a run.
 func (t *target) Start(ctx context.Context, l targ.Incarnation, o targ.Order) (int64, error) {
-	clock, err := answerOf(ctx, func() (int64, error) {
+	return answerOf(ctx, func() (int64, error) {
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		if t.faultMode.unhealthy && !t.down {
 			return 0, targ.ErrUnhealthy
 		}
-		if l.ID == t.incarnation.ID && !t.down {
-			t.ordered[o.Task] = true
-		}
 		if d := t.faultMode.dropStarts; d != nil && d.Add(-1) >= 0 {
 			return 0, t.leaveUnanswered(ctx)
 		}
 		return t.carryOut(ctx, l, t.callName("start", o.Task, o.Run), func() error { return t.startRun(o) })
 	})
-	if errors.Is(err, targ.ErrFenced) || errors.Is(err, targ.ErrStaleRun) || errors.Is(err, targ.ErrDeadlinePassed) {
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		delete(t.ordered, o.Task)
-	}
-	return clock, err
 }
 
 // startRun starts a run and reports it to the checker. An order for the run in progress
@@ -304,7 +285,6 @@
 // endRun ends a run and reports it to the checker. t.mu must be held.
 func (t *target) endRun(task string, r *targetRun, how targ.Outcome) {
 	delete(t.runs, task)
-	delete(t.ordered, task)
 	t.highestRun[task] = max(t.highestRun[task], r.number)
 	t.ended = append(t.ended, targ.Ended{Seq: int64(len(t.ended) + 1), Task: task, Run: r.number, Outcome: how})
 	t.checker.runEnded(task, t.name, how)
