Let targets crash before they answer a start, and answer polls late

No target of the model went down with the order that crashed it, so that a run may have begun or not, and answers to polls arrived within some ms, so that ends were read soon.

Mute work takes its target down before the start is answered, whether the run has started or not. Answers to slow polls take up to 200 ms and are lost if the target goes down meanwhile. Persistent callers submit refused jobs again. A deadly run crashes the incarnation only that has started it.

--- a/internal/disp/rules/caller_test.go
+++ b/internal/disp/rules/caller_test.go
@@ -38,6 +38,8 @@
 	Reset bool
 	// Hasty callers submit the job again at once, on a new connection, whenever an answer is lost.
 	Hasty bool
+	// Persistent callers submit a refused job again when they have been told to.
+	Persistent bool
 
 	newConnection bool // the next submission is the first on its connection
 }
@@ -64,6 +66,12 @@
 			a := c.submitOnce(callerCtx, id, entry, string(spec), s)
 			if a.State != coord.Abandoned {
 				c.checker.answer(id, a)
+			}
+			if s.Persistent && a.State == coord.Refused {
+				boot.Sleep(callerCtx, max(a.RetryAfter, resubmitDelay))
+				continue
+			}
+			if a.State != coord.Abandoned {
 				return
 			}
 			if submission+1 == s.Submissions {
--- a/internal/disp/rules/checker_test.go
+++ b/internal/disp/rules/checker_test.go
@@ -22,12 +22,13 @@
 // checker records what targets and callers observe, and collects the violations of the
 // dispatcher's rules.
 type checker struct {
-	mu         sync.Mutex
-	startedAt  time.Time
-	jobs       map[string]*jobRecord
-	running    map[string]string // target by running task
-	startedRun []string          // tasks in the order of the starts of their runs
-	violations []string
+	mu          sync.Mutex
+	startedAt   time.Time
+	lossesKnown bool // the gates live on, and so know the targets that have crashed
+	jobs        map[string]*jobRecord
+	running     map[string]string // target by running task
+	startedRun  []string          // tasks in the order of the starts of their runs
+	violations  []string
 }
 
 // jobRecord is what the checker has recorded of one job.
@@ -42,7 +43,8 @@
 	submissions      int             // by its caller, to any entry
 	entry            int             // index of the entry of the last submission
 	crashes          map[string]int  // targets that crashed while a run was in progress there, by task
-	felled           map[string]int  // targets that a task has crashed while no run of it was in progress there, by task
+	felled           map[string]int  // targets that a run of a task has crashed after its end, by task
+	fatalStarts      map[string]int  // targets that an order to start a task has crashed before the run started, by task
 	startsAfter      map[string]int  // starts after crashLimit targets had crashed, by task
 	abandonedAt      time.Time       // time at which the caller abandoned the job, or zero
 	answer           coord.State     // valid if answered is set
@@ -71,7 +73,7 @@
 	defer c.mu.Unlock()
 	c.jobs[id] = &jobRecord{
 		tasks: s.Tasks, attempts: s.Attempts, deadly: s.Work.crashes(),
-		done: map[string]bool{}, failedRuns: map[string]int{}, crashes: map[string]int{}, felled: map[string]int{}, startsAfter: map[string]int{},
+		done: map[string]bool{}, failedRuns: map[string]int{}, crashes: map[string]int{}, felled: map[string]int{}, fatalStarts: map[string]int{}, startsAfter: map[string]int{},
 	}
 }
 
@@ -87,6 +89,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.jobs[id].submissions++
+	c.jobs[id].answered = false
 	c.jobs[id].entry = entry
 	c.jobs[id].reportedFailures = map[string]int{}
 }
@@ -115,7 +118,7 @@
 	}
 }
 
-// targetFelled records that a task has crashed its target while no run of it was in progress there.
+// targetFelled records that a run of a task has crashed its target after its end.
 func (c *checker) targetFelled(task string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -125,11 +128,26 @@
 	}
 }
 
+// startFelled records that an order to start a task has crashed its target before a run started.
+func (c *checker) startFelled(task string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	id, _, _ := strings.Cut(task, ".")
+	if job := c.jobs[id]; job != nil {
+		c.countStart(job, task)
+		job.fatalStarts[task]++
+	}
+}
+
 // countStart counts a start of a task after crashLimit targets have crashed under it, or by it.
 // Only the tasks that crash their targets are held to that: another one may have had targets crash
 // under it that nobody could know of, and be started again for its attempts. c.mu must be held.
 func (c *checker) countStart(job *jobRecord, task string) {
-	crashes := job.crashes[task] + job.felled[task]
+	lost := job.crashes[task] + job.fatalStarts[task]
+	if job.deadly && c.lossesKnown && lost >= crashLimit {
+		c.addViolation("BUDGET: %s starts after %d targets have crashed under it, which their gates know", task, lost)
+	}
+	crashes := lost + job.felled[task]
 	if !job.deadly || crashes < crashLimit {
 		return
 	}
@@ -181,6 +199,18 @@
 	return c.jobs[id].starts
 }
 
+// orderedStarts returns the same number, and that of the orders that crashed the target before a
+// run started.
+func (c *checker) orderedStarts(id string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := c.jobs[id].starts
+	for _, fatal := range c.jobs[id].fatalStarts {
+		n += fatal
+	}
+	return n
+}
+
 // runEnded records that a run of a task has ended at a target, and how.
 func (c *checker) runEnded(task, targetName string, how targ.Outcome) {
 	c.mu.Lock()
--- a/internal/disp/rules/delay_test.go
+++ b/internal/disp/rules/delay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"time"
@@ -16,6 +17,7 @@
 	maxCopyTime  = time.Millisecond       // longest time between the copies of the two lists
 	maxClockGap  = 3 * time.Millisecond   // longest time between the copies and the reading of the clock
 	maxStopTime  = 50 * time.Millisecond  // longest time from the order to stop a run until its end
+	maxAnswering = 200 * time.Millisecond // longest time from the listing of a slow poll until it is answered
 	maxLateness  = 4 * time.Second        // longest time from a lost call until it is executed
 	leaseTime    = 600 * time.Millisecond // how long the orders of gates are valid; most late calls come within it
 	maxListedEnd = 500                    // ends in one listing
@@ -32,6 +34,8 @@
 	clockReading             // from the copy of the lists until the clock is read
 	stopping                 // from the order to stop a run until its end
 	lateness                 // from the loss of a call until it is executed
+	crashing                 // from the start of a mute run until its target is down
+	answering                // from the listing of a slow poll until it is answered
 )
 
 // option is what a target may do in either of two ways.
@@ -44,6 +48,7 @@
 	worksOn                    // a run that is being stopped works on, and may end by itself
 	executesLost               // a lost call is executed at once
 	executesLate               // a lost call that is not executed at once is executed later
+	startsMute                 // a mute run starts before it takes the target down
 )
 
 // behavior is what the platform leaves open about a target. A call is named by what it
@@ -84,6 +89,8 @@
 		longest = maxClockGap
 	case s == stopping:
 		longest = maxStopTime
+	case s == answering:
+		longest = maxAnswering
 	case s == lateness && n%2 == 0:
 		longest = leaseTime
 	case s == lateness:
@@ -183,6 +190,9 @@
 	if !t.behavior.chooses(clockFirst, call) {
 		clock = t.clockMS()
 	}
+	if errors.Is(err, targ.ErrUnanswered) {
+		return 0, err
+	}
 	t.pause(transit, call)
 	return clock, err
 }
--- a/internal/disp/rules/event_test.go
+++ b/internal/disp/rules/event_test.go
@@ -38,6 +38,7 @@
 	cutStore
 	evacuateDomain
 	discardHistory
+	slowPolls
 	kindCount
 )
 
@@ -52,6 +53,7 @@
 	"target deregisters", "target shrinks", "heartbeat of before", "heartbeat delayed", "target silent", "orders lost", "stops lost",
 	"orders delayed", "target fails", "target stuck", "target unhealthy", "caller abandons job", "callers cut", "callers silent", "entry stands still",
 	"callers' path cut", "other entries cut", "gates cut", "store cut", "domain evacuated", "store's history discarded",
+	"polls slow",
 }
 
 // event is a failure, restart or departure that begins at a given time and, for most
@@ -77,6 +79,8 @@
 	Jobs     []jobSpec
 	SubmitMS []int // times at which the jobs are submitted, by index in Jobs
 	ActiveMS int   // time in which jobs are submitted and failures begin; 0 for activeMS
+	// LossesKnown is set if no gate dies, so that no task starts after crashLimit crashes.
+	LossesKnown bool
 }
 
 // drawSeed returns a random seed of the behavior of targets.
@@ -165,6 +169,8 @@
 		return withFaults(targetFaults{loseStops: true})
 	case delayOrders:
 		return withFaults(targetFaults{loseEvery: 2, keepLost: true})
+	case slowPolls:
+		return withFaults(targetFaults{slowPolls: true})
 	case failTargetRuns:
 		return withFaults(targetFaults{failRuns: true})
 	case stallTargetRuns:
--- a/internal/disp/rules/fault_test.go
+++ b/internal/disp/rules/fault_test.go
@@ -17,14 +17,15 @@
 	failRuns     bool          // runs end as failed
 	stallRuns    bool          // runs make no progress
 	unhealthy    bool          // starts are refused with targ.ErrUnhealthy
+	slowPolls    bool          // answers to polls take long, and are lost if the target goes down meanwhile
 	dropStarts   *atomic.Int32 // number of orders to start a run that are dropped; nil means none
 }
 
-// crashBy crashes the target for a run of a task, which may have ended.
-func (t *target) crashBy(task string, run int) {
+// crashBy crashes an incarnation of the target for a run of a task, which may have ended.
+func (t *target) crashBy(task string, run int, incarnation targ.Incarnation) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.down {
+	if t.down || !t.incarnation.Same(incarnation) {
 		return
 	}
 	t.endDueRuns()
--- a/internal/disp/rules/poll_test.go
+++ b/internal/disp/rules/poll_test.go
@@ -31,6 +31,9 @@
 		if !ok {
 			return targ.Listing{}, targ.ErrUnanswered
 		}
+		if t.faultMode.slowPolls && !t.pause(answering, call) {
+			return targ.Listing{}, targ.ErrUnanswered
+		}
 		t.pause(transit, call)
 		return listing, nil
 	})
--- a/internal/disp/rules/rules_test.go
+++ b/internal/disp/rules/rules_test.go
@@ -46,6 +46,7 @@
 // the number of jobs of the schedule that were done.
 func simulateCount(sched schedule) ([]string, int) {
 	c := newSeededCluster(sched.Seed, cmp.Or(sched.Entries, entryCount), gateCount, sched.Balanced)
+	c.checker.lossesKnown = sched.LossesKnown
 	time.Sleep(50 * time.Millisecond) // until the entries have learned of the gates
 	for _, e := range sched.Events {
 		go func() {
--- a/internal/disp/rules/target_test.go
+++ b/internal/disp/rules/target_test.go
@@ -36,7 +36,7 @@
 	calls        map[string]int // number of calls by what they order
 	changed      chan struct{}  // closed, and replaced, when a run starts or ends, or the target does
 	faultMode    targetFaults
-	down         bool            // it has crashed and is not back
+	down         bool // it has crashed and is not back
 	incarnation  targ.Incarnation
 	previous     targ.Incarnation      // the one before
 	shrunkAt     time.Time             // when its capacity fell to shrunkCapacity, or zero
@@ -47,7 +47,7 @@
 	runs         map[string]*targetRun // runs in progress, by task
 	highestRun   map[string]int        // runs up to this number no longer start, by task
 	ended        []targ.Ended
-	orderCount   int   // orders received, except those while unresponsive
+	orderCount   int // orders received, except those while unresponsive
 }
 
 // targetRun is a run in progress.
@@ -69,10 +69,13 @@
 	Fail bool // each run fails
 	// Deadly runs crash their target crashDelay after their start.
 	Deadly bool
+	// An order to start Mute work takes its target down, whether the run has started or not, and
+	// is not answered.
+	Mute bool
 }
 
 // crashes reports whether a task crashes the targets that start it.
-func (w work) crashes() bool { return w.Deadly }
+func (w work) crashes() bool { return w.Deadly || w.Mute }
 
 // newTarget returns a target in its first incarnation. Its behavior follows from the seed.
 func newTarget(name string, clockRate float64, c *checker, seed int) *target {
@@ -178,13 +181,17 @@
 
 // startRun starts a run and reports it to the checker. An order for the run in progress
 // is accepted and has no effect. The error is targ.ErrFenced, targ.ErrStaleRun or
-// targ.ErrDeadlinePassed if the platform's rules forbid the start. t.mu must be held.
+// targ.ErrDeadlinePassed if the platform's rules forbid the start, and targ.ErrUnanswered if it
+// takes the target down. t.mu must be held, and is released while that happens.
 func (t *target) startRun(o targ.Order) error {
 	t.endDueRuns()
 	switch {
 	case o.Fence < t.fence:
 		return targ.ErrFenced
 	case t.runs[o.Task] != nil && t.runs[o.Task].number == o.Run:
+		if t.runs[o.Task].work.Mute {
+			return targ.ErrUnanswered
+		}
 		return nil
 	}
 	t.fence = o.Fence
@@ -199,27 +206,45 @@
 	if err := json.Unmarshal([]byte(o.Spec), &w); err != nil {
 		t.checker.reportViolation("UNASKED: %s has the malformed spec %q", o.Task, o.Spec)
 	}
+	if w.Mute && !t.behavior.chooses(startsMute, runName(o.Task, o.Run)) {
+		t.checker.startFelled(o.Task)
+		t.goDown()
+		return targ.ErrUnanswered
+	}
+	t.checkStart(o.Task, w)
+	now := time.Now()
+	t.runs[o.Task] = &targetRun{number: o.Run, work: w, startedAt: now, endsAt: now.Add(time.Duration(w.MS) * time.Millisecond)}
+	t.notifyChange()
+	if w.Deadly {
+		incarnation := t.incarnation
+		time.AfterFunc(crashDelay, func() { t.crashBy(o.Task, o.Run, incarnation) })
+	}
+	if w.Mute {
+		if t.pause(crashing, runName(o.Task, o.Run)) {
+			t.goDown()
+		}
+		return targ.ErrUnanswered
+	}
+	return nil
+}
+
+// checkStart reports what a run that is about to start violates, and the start itself. t.mu must
+// be held.
+func (t *target) checkStart(task string, w work) {
 	used := w.CPU
 	for _, r := range t.runs {
 		used += r.work.CPU
 	}
 	if used > t.limit() {
-		t.checker.reportViolation("LIMIT: %d of the CPU would be used at %s with %s", used, t.name, o.Task)
+		t.checker.reportViolation("LIMIT: %d of the CPU would be used at %s with %s", used, t.name, task)
 	}
 	if !t.leavingSince.IsZero() && time.Since(t.leavingSince) > drainGrace {
-		t.checker.reportViolation("DRAIN: %s starts %v after %s announced to leave", o.Task, time.Since(t.leavingSince), t.name)
+		t.checker.reportViolation("DRAIN: %s starts %v after %s announced to leave", task, time.Since(t.leavingSince), t.name)
 	}
-	t.checker.runStarted(o.Task, t.name)
+	t.checker.runStarted(task, t.name)
 	if why := t.forbidden(); why != "" {
-		t.checker.reportViolation("EVACUATED: %s starts at %s %s", o.Task, t.name, why)
-	}
-	now := time.Now()
-	if w.Deadly {
-		time.AfterFunc(crashDelay, func() { t.crashBy(o.Task, o.Run) })
+		t.checker.reportViolation("EVACUATED: %s starts at %s %s", task, t.name, why)
 	}
-	t.runs[o.Task] = &targetRun{number: o.Run, work: w, startedAt: now, endsAt: now.Add(time.Duration(w.MS) * time.Millisecond)}
-	t.notifyChange()
-	return nil
 }
 
 // Stop carries out an order to stop a run. If the run has not started, it is excluded
@@ -250,9 +275,12 @@
 	return nil
 }
 
+// runName names a run for the behavior.
+func runName(task string, run int) string { return fmt.Sprintf("%s/%d", task, run) }
+
 // beginStop begins to stop a run, which takes a while. t.mu must be held.
 func (t *target) beginStop(task string, r *targetRun) {
-	name := fmt.Sprintf("%s/%d", task, r.number)
+	name := runName(task, r.number)
 	r.stopped, r.stopsAt = true, time.Now().Add(t.behavior.delay(stopping, name))
 	r.hidden, r.worksOn = t.behavior.chooses(hidesStopped, name), t.behavior.chooses(worksOn, name)
 }
