Let the answers to slow polls get lost at the moment of a crash

A slow poll of a target that went down broke only when its answer would have left, so a gate knew late that the target was down. A deadly run of 20 ms, the shortest of the schedules, ended at the very moment of the crash, which is neither before nor after it, and the checker took it for ended in one order of goroutines and for in progress in another.

Slow polls break with the target.

--- a/internal/disp/rules/poll_test.go
+++ b/internal/disp/rules/poll_test.go
@@ -31,7 +31,7 @@
 		if !ok {
 			return targ.Listing{}, targ.ErrUnanswered
 		}
-		if t.faultMode.slowPolls && !t.pause(answering, call) {
+		if t.faultMode.slowPolls && !t.outlast(t.behavior.delay(answering, call)) {
 			return targ.Listing{}, targ.ErrUnanswered
 		}
 		t.pause(transit, call)
@@ -75,6 +75,24 @@
 	}
 }
 
+// outlast waits for d. It reports false as soon as the target goes down or restarts. t.mu must be
+// held, and is released during the wait.
+func (t *target) outlast(d time.Duration) bool {
+	timeUp := time.After(d)
+	for incarnation := t.incarnation; !t.down && t.incarnation.Same(incarnation); {
+		changed := t.changed
+		t.mu.Unlock()
+		select {
+		case <-timeUp:
+			t.mu.Lock()
+			return !t.down && t.incarnation.Same(incarnation)
+		case <-changed:
+		}
+		t.mu.Lock()
+	}
+	return false
+}
+
 // listing returns runs in progress and the oldest ended runs with numbers above seen. The
 // two lists are copied and the clock is read one after the other, in an order that is left
 // open. It reports false if the target does not get to answer. t.mu must be held.
--- a/internal/disp/rules/target_test.go
+++ b/internal/disp/rules/target_test.go
@@ -12,12 +12,12 @@
 )
 
 const (
-	targetCapacity = 1000                  // thousandths of a core; also the memory
-	shrunkCapacity = 400                   // of a target that has shrunk
-	maxLease       = time.Second           // longest extension of the lease, on the target's clock
-	crashDelay     = 20 * time.Millisecond // from the start of a deadly run until its target is down
-	downTime       = 2 * time.Second       // from a crash until the target is back
-	dueInterval    = time.Millisecond      // between checks for due runs
+	targetCapacity = 1000                     // thousandths of a core; also the memory
+	shrunkCapacity = 400                      // of a target that has shrunk
+	maxLease       = time.Second              // longest extension of the lease, on the target's clock
+	crashDelay     = 19500 * time.Microsecond // from the start of a deadly run until its target is down; no run time, in ms
+	downTime       = 2 * time.Second          // from a crash until the target is back
+	dueInterval    = time.Millisecond         // between checks for due runs
 )
 
 // target is a simulated target. It carries out orders by the rules of the platform,
