--- a/internal/disp/rules/crash_test.go
+++ b/internal/disp/rules/crash_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/coord"
+	"pgregory.net/rapid"
 )
 
 // A task that crashes whatever runs it is given up, also if entries and gates die meanwhile.
@@ -75,3 +76,82 @@
 		t.Errorf("%d starts, want 2", starts)
 	}
 }
+
+// mutePatience is how long schedules with mute work take. Their tasks crash the targets, which
+// come back after downTime, in turn.
+const mutePatience = 100 * time.Second
+
+// drawShare returns for each of n jobs whether it is one of a share of .05 to 1.
+func drawShare(t *rapid.T, name string, n int) []bool {
+	const steps = 20
+	share := rapid.IntRange(1, steps).Draw(t, name+" share")
+	chosen := make([]bool, n)
+	for i := range chosen {
+		chosen[i] = rapid.IntRange(1, steps).Draw(t, fmt.Sprint(name, i)) <= share
+	}
+	return chosen
+}
+
+// drawDeadly returns a random schedule with events of the given kinds. A share of the jobs of .05
+// to 1 crashes its targets.
+func drawDeadly(t *rapid.T, kinds []int) schedule {
+	sched := drawSchedule(t, kinds)
+	sched.LossesKnown = true
+	for i, deadly := range drawShare(t, "deadly", len(sched.Jobs)) {
+		sched.Jobs[i].Work.Deadly = deadly
+	}
+	return sched
+}
+
+// Tasks that crash their targets before these answer are given up, beside tasks that do so later
+// and entries that die.
+func TestRulesHoldWhenTasksCrashTargetsUnanswered(t *testing.T) {
+	checkDrawn(t, func(rt *rapid.T) schedule {
+		sched := drawSchedule(rt, []int{killEntry, killEntry, cutConnection, cutCallers})
+		sched.LossesKnown, sched.ActiveMS = true, int(mutePatience.Milliseconds())
+		for i, mute := range drawShare(rt, "mute", len(sched.Jobs)) {
+			sched.Jobs[i].Work.Mute = mute
+			sched.Jobs[i].Work.Deadly = !mute && i%8 == 0
+		}
+		return sched
+	})
+}
+
+// Targets crash and restart while polls are slow, so that nobody has read that short tasks ended
+// there.
+func TestRulesHoldWhenTargetsCrashBesideSlowPolls(t *testing.T) {
+	const shortestMS, longestMS = 5, 80
+	checkDrawn(t, func(rt *rapid.T) schedule {
+		sched := drawDeadly(rt, []int{restartTarget, restartTargetInPlace})
+		for g := range gateCount {
+			sched.Events = append(sched.Events, event{Kind: slowPolls, Index: g, DurationMS: activeMS})
+		}
+		for i := range sched.Jobs {
+			sched.Jobs[i].Work.CPU = cutJobCPU
+			sched.Jobs[i].Work.MS = rapid.IntRange(shortestMS, longestMS).Draw(rt, fmt.Sprint("short", i))
+		}
+		return sched
+	})
+}
+
+// Runs that last for less than others of their route end just before their targets crash, beside
+// entries that die. Nobody has read these ends, and no target has crashed under their tasks.
+func TestRulesHoldWhenRunsEndBeforeCrashes(t *testing.T) {
+	const shortestMS, longestMS = 5, 30
+	checkDrawn(t, func(rt *rapid.T) schedule {
+		sched := drawDeadly(rt, []int{killEntry, cutCallers, cutConnection})
+		for i := range sched.Jobs {
+			if sched.Jobs[i].Work.Deadly {
+				sched.Jobs[i].Work.MS = rapid.IntRange(shortestMS, longestMS).Draw(rt, fmt.Sprint("short", i))
+			}
+		}
+		return sched
+	})
+}
+
+// Tasks crash their targets while orders come late or get lost, and entries die or stand still.
+func TestRulesHoldWhenTasksCrashTargetsBesideLateOrders(t *testing.T) {
+	checkDrawn(t, func(rt *rapid.T) schedule {
+		return drawDeadly(rt, []int{delayOrders, delayOrders, loseOrders, loseOrders, killEntry, stallEntry})
+	})
+}
