Expect a run to last no longer than its caller says when a crash is judged

A run that had ended before the crash of its target, with the end unread, was taken for one in progress if the route's other runs last longer: 15 ms, where 77 were expected. Two such losses failed the job (LOST). What is less counts now, the route's estimate or the caller's.

--- a/internal/disp/coord/task.go
+++ b/internal/disp/coord/task.go
@@ -177,6 +177,7 @@
 		ID: c.nextTaskID.Add(1), Name: ts.name, Job: e.ID, Service: e.Route.Service, Spec: e.Spec,
 		CPU: s.Size.CPU, Memory: s.Size.Memory, GPU: s.Size.GPU,
 		ExpectedRunTime: int64(float64(expectedRunTime.Milliseconds()) * ts.runTimeFactor),
+		LeastRunTime:    leastRunTime(s.DeclaredRunTime, expectedRunTime),
 		MaxQueueTime:    queueTimeLimit(choice).Milliseconds(),
 		StartWithin:     c.timing(e, expectedRunTime).StartBy().Sub(c.now()).Milliseconds(),
 		Failures:        ts.failures,
@@ -186,6 +187,14 @@
 	}, true
 }
 
+// leastRunTime returns the caller's estimate in ms if it is below the expected run time, and otherwise 0.
+func leastRunTime(declared, expected time.Duration) int64 {
+	if declared >= expected {
+		return 0
+	}
+	return declared.Milliseconds()
+}
+
 // choose chooses a gate for a task with the given expected run time. It records nothing.
 func (cands *candidates) choose(e *execution, s Step, ts *taskState, expectedRunTime time.Duration) pick.Choice {
 	for i, target := range cands.targets {
--- a/internal/disp/gate/crash.go
+++ b/internal/disp/gate/crash.go
@@ -21,9 +21,13 @@
 // isOver reports whether the task of r has a result.
 func (r *run) isOver() bool { return r.state.Phase() == start.Over }
 
-// remaining returns for how long r is expected to go on, of which the target has listed percent.
+// remaining returns for how long r is expected to go on at least, of which the target has listed percent.
 func (g *Gate) remaining(r *run, percent int) time.Duration {
-	left := time.Duration(r.msg.ExpectedRunTime) * time.Millisecond * time.Duration(max(0, 100-percent)) / 100
+	least := r.msg.ExpectedRunTime
+	if r.msg.LeastRunTime > 0 {
+		least = min(least, r.msg.LeastRunTime)
+	}
+	left := time.Duration(least) * time.Millisecond * time.Duration(max(0, 100-percent)) / 100
 	return time.Duration(float64(left) / max(1, g.currentSpeed()))
 }
 
