Tell busy entries of losses, and keep them while the job is turned away

Loads name the newest; an entry that lacks it makes a call at once. - A gate forgot a loss after a minute, so an entry started later placed the task. - A job that was turned away for one task's losses forgot those of the others.

--- a/internal/disp/blame/blame.go
+++ b/internal/disp/blame/blame.go
@@ -101,6 +101,15 @@
 	return len(l.tasks) == 0
 }
 
+// Keep makes the losses of a task be remembered from now on, since a submission of its job has ended
+// for losses.
+func (l *Log) Keep(task string, now boot.Time) {
+	if r, ok := l.tasks[task]; ok && !r.expired(now) {
+		r.usedAt = now
+		l.tasks[task] = r
+	}
+}
+
 // Verdict returns what may be done with a task at now. If it may not be placed, its losses are
 // remembered from then on.
 func (l *Log) Verdict(task string, now boot.Time) Verdict {
--- a/internal/disp/coord/crash.go
+++ b/internal/disp/coord/crash.go
@@ -51,7 +51,8 @@
 	return true
 }
 
-// finishIfAnyLost does the same for all tasks of a job that has been submitted before.
+// finishIfAnyLost does the same for all tasks of a job that has been submitted before. The losses of
+// each of them are remembered from then on, also where they are too few.
 func (c *Coordinator) finishIfAnyLost(e *execution) bool {
 	c.mu.Lock()
 	none := c.losses.Empty(c.now())
@@ -59,14 +60,28 @@
 	if none {
 		return false
 	}
+	lost := false
 	for i, s := range e.Steps {
 		for j := range s.Count {
-			if c.finishIfLost(e, taskName(e.ID, i, j)) {
-				return true
-			}
+			lost = lost || c.finishIfLost(e, taskName(e.ID, i, j))
+		}
+	}
+	if lost {
+		c.keepLosses(e)
+	}
+	return lost
+}
+
+// keepLosses makes the losses of all tasks of a job be remembered from now on.
+func (c *Coordinator) keepLosses(e *execution) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	for i, s := range e.Steps {
+		for j := range s.Count {
+			c.losses.Keep(taskName(e.ID, i, j), now)
 		}
 	}
-	return false
 }
 
 // taskName returns the name of a task of a job.
--- a/internal/disp/link/link.go
+++ b/internal/disp/link/link.go
@@ -392,7 +392,7 @@
 	if now < l.recheckUntil {
 		interval = blockedSyncInterval
 	}
-	if l.orderUnconfirmed() {
+	if l.orderUnconfirmed() || l.load.LastCrash > l.crashesSeen {
 		interval = 0
 	}
 	return max(min(l.lastEcho, l.loadReceived).Add(interval), l.lastSync.Add(minSyncInterval)).Sub(now)
--- a/internal/disp/link/link_test.go
+++ b/internal/disp/link/link_test.go
@@ -86,6 +86,7 @@
 	f.orders = append(f.orders, m.Order)
 	f.syncs++
 	for _, c := range f.crashes {
+		load.LastCrash = c.Number
 		if m.GateIncarnation != f.incarnation || c.Number > m.CrashesSeen {
 			load.Crashes = append(load.Crashes, c)
 		}
--- a/internal/wire/msgs/task.go
+++ b/internal/wire/msgs/task.go
@@ -54,6 +54,7 @@
 	Order           Order    // newest order of the gate's failure domain that the sender knows; zero if none
 	Kind            string   // kind of the task; see package interf. Empty for none
 	WantKinds       bool     // the Loads of the next second shall have Kinds
+	LeastRunTime    int64    // the caller's estimate of the run time on a target of speed 1 if it is below ExpectedRunTime, ms; otherwise 0
 }
 
 // TaskReply is the reply to Task.
@@ -103,6 +104,7 @@
 
 	Interference []Interference // pairs of kinds that slow each other down; usually empty
 	Kinds        []KindRuns     // runs at the target by kind; empty unless there is interference
+	LastCrash    int64          // number of the newest loss with the target; 0 if there is none of late
 	Crashes      []TaskCrash    // recent losses with the target above Sync.CrashesSeen; only in replies to Sync
 }
 
@@ -189,12 +191,16 @@
 	OrphansFor int64
 }
 
-// EncodeMsgpack writes the message. Its element 14 was a time since the boot of the
-// sender's machine, which means nothing elsewhere; it is 0 now and is not read.
+// EncodeMsgpack writes the message, without LeastRunTime if that is 0. Its element 14 was a time
+// since the boot of the sender's machine, which means nothing elsewhere; it is 0 now and is not read.
 func (m *Task) EncodeMsgpack(e *msgpack.Encoder) error {
-	return encodeArray(e, m.Entry, m.Incarnation, m.GateIncarnation, m.EchoedTimestamp, m.ID,
+	fields := []any{m.Entry, m.Incarnation, m.GateIncarnation, m.EchoedTimestamp, m.ID,
 		m.Name, m.Job, m.Service, m.Spec, m.CPU, m.Memory, m.GPU,
-		m.ExpectedRunTime, m.MaxQueueTime, int64(0), m.Failures, m.IgnoreBreaker, m.StartWithin, m.Cancel, &m.Order, m.Kind, m.WantKinds)
+		m.ExpectedRunTime, m.MaxQueueTime, int64(0), m.Failures, m.IgnoreBreaker, m.StartWithin, m.Cancel, &m.Order, m.Kind, m.WantKinds}
+	if m.LeastRunTime != 0 {
+		fields = append(fields, m.LeastRunTime)
+	}
+	return encodeArray(e, fields...)
 }
 
 // DecodeMsgpack reads the message. One without StartWithin, from an older process, is
@@ -203,7 +209,7 @@
 	var unused int64
 	return decodeArray(d, &m.Entry, &m.Incarnation, &m.GateIncarnation, &m.EchoedTimestamp, &m.ID,
 		&m.Name, &m.Job, &m.Service, &m.Spec, &m.CPU, &m.Memory, &m.GPU,
-		&m.ExpectedRunTime, &m.MaxQueueTime, &unused, &m.Failures, &m.IgnoreBreaker, &m.StartWithin, &m.Cancel, &m.Order, &m.Kind, &m.WantKinds)
+		&m.ExpectedRunTime, &m.MaxQueueTime, &unused, &m.Failures, &m.IgnoreBreaker, &m.StartWithin, &m.Cancel, &m.Order, &m.Kind, &m.WantKinds, &m.LeastRunTime)
 }
 
 // EncodeMsgpack writes the message, without the fields after Load if there is no reason for them.
@@ -235,23 +241,23 @@
 	return decodeArray(d, &m.Entry, &m.Incarnation, &m.GateIncarnation, &m.EchoedTimestamp, &m.Cancel, &m.Order, &m.WantKinds, &m.CrashesSeen)
 }
 
-// EncodeMsgpack writes the message, without Crashes if there are none.
+// EncodeMsgpack writes the message, without LastCrash and Crashes if there is no loss.
 func (m *Load) EncodeMsgpack(e *msgpack.Encoder) error {
 	fields := []any{m.Incarnation, m.Timestamp, m.Service, m.TargetIncarnation, m.Labels,
 		m.CPU, m.Memory, m.GPU, m.UsedCPU, m.UsedMemory, m.UsedGPU,
 		m.QueuedWork, m.Speed, m.BlockedReason, m.Leaving, m.Domain, m.ColdFor, interferenceCodec(&m.Interference), kindsCodec(&m.Kinds)}
-	if len(m.Crashes) > 0 {
-		fields = append(fields, crashesCodec(&m.Crashes))
+	if m.LastCrash != 0 {
+		fields = append(fields, m.LastCrash, crashesCodec(&m.Crashes))
 	}
 	return encodeArray(e, fields...)
 }
 
 // DecodeMsgpack reads the message. One from an older process has no Interference and no
-// Kinds, or no Crashes.
+// Kinds, or no LastCrash and Crashes.
 func (m *Load) DecodeMsgpack(d *msgpack.Decoder) error {
 	return decodeArray(d, &m.Incarnation, &m.Timestamp, &m.Service, &m.TargetIncarnation, &m.Labels,
 		&m.CPU, &m.Memory, &m.GPU, &m.UsedCPU, &m.UsedMemory, &m.UsedGPU,
-		&m.QueuedWork, &m.Speed, &m.BlockedReason, &m.Leaving, &m.Domain, &m.ColdFor, interferenceCodec(&m.Interference), kindsCodec(&m.Kinds), crashesCodec(&m.Crashes))
+		&m.QueuedWork, &m.Speed, &m.BlockedReason, &m.Leaving, &m.Domain, &m.ColdFor, interferenceCodec(&m.Interference), kindsCodec(&m.Kinds), &m.LastCrash, crashesCodec(&m.Crashes))
 }
 
 // EncodeMsgpack writes the message.
