Take a listed run whose order had no answer for one that has started

A listing may have a run before its order is answered. If the answer then was lost and the run was stopped, its task was told as refused, which means that it never started. Read in the code, not seen in a run; TestListedRunIsNotInDoubt failed before.

--- a/internal/disp/gate/order.go
+++ b/internal/disp/gate/order.go
@@ -144,6 +144,9 @@
 		g.trace("start_unanswered", "job", r.msg.Job, "task", r.msg.Name, "run", r.number, "target", incarnation.ID, "err", err)
 		g.hedgeUntil = now.Add(hedgeDuration)
 		r.state = r.state.Doubt()
+		if r.state.InProgress() {
+			g.recordStart(r, 0, now)
+		}
 	case errors.Is(err, targ.ErrRestarted):
 		g.refuse(r, cause.TargetRestarted)
 		g.endIncarnation(cause.TargetRestarted)
--- a/internal/disp/link/crash.go
+++ b/internal/disp/link/crash.go
@@ -40,7 +40,7 @@
 	reply := msgs.TaskReply{Result: msgs.Lost, Reason: cause.Silent, Load: msgs.Load{Incarnation: incarnation}}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.load.Incarnation == incarnation && l.load.BlockedReason == cause.TargetCrashed || l.crashedLife == incarnation {
+	if l.load.Incarnation == incarnation && l.load.BlockedReason == cause.TargetCrashed || l.downIncarnation == incarnation {
 		reply.Crash, reply.CrashNumber = msgs.CrashSuspected, CrashNumber(m)
 	}
 	return reply
--- a/internal/disp/link/link.go
+++ b/internal/disp/link/link.go
@@ -66,26 +66,26 @@
 	// Event logs a change of state; nil discards it.
 	Event func(event string, pairs ...any)
 
-	mu             sync.Mutex
-	load           msgs.Load
-	loadReceived   boot.Time           // when load was received; 0 if there is none yet
-	echoedReceived boot.Time           // when the newest echoed timestamp was received
-	lastEcho       boot.Time           // when a timestamp was last echoed
-	lastSync       boot.Time           // when the last Sync call ended, answered or not
-	previousEnd    boot.Time           // when all tasks at previous incarnations of the gate have ended
-	lastAnswer     boot.Time           // when the gate last answered
-	recheckUntil   boot.Time           // end of the time during which blockedSyncInterval holds
-	failures       int                 // consecutive Sync calls without an answer
-	cancels        map[uint64]struct{} // IDs of tasks to cancel, until the gate confirms
-	recent         []recentTask        // tasks that load may not include
-	confirmed      evac.Order          // newest order in a Sync call that this incarnation of the gate has answered
-	outstanding    int                 // tasks sent whose outcome is unknown
-	retired        bool                // Run ends once no task or cancellation needs it
-	closed         bool                // Run has ended, or ends without another call; final
-	kindsUntil     boot.Time           // until when Sync calls ask for Load.Kinds
-	crashedLife    uint64              // latest incarnation of the gate that restarted while its target was down; 0 if none
-	crashesSeen    int64               // highest TaskCrash.Number of this incarnation of the gate
-	waker          boot.Waker          // makes Run look at the state, and make a Sync call, at once
+	mu              sync.Mutex
+	load            msgs.Load
+	loadReceived    boot.Time           // when load was received; 0 if there is none yet
+	echoedReceived  boot.Time           // when the newest echoed timestamp was received
+	lastEcho        boot.Time           // when a timestamp was last echoed
+	lastSync        boot.Time           // when the last Sync call ended, answered or not
+	previousEnd     boot.Time           // when all tasks at previous incarnations of the gate have ended
+	lastAnswer      boot.Time           // when the gate last answered
+	recheckUntil    boot.Time           // end of the time during which blockedSyncInterval holds
+	failures        int                 // consecutive Sync calls without an answer
+	cancels         map[uint64]struct{} // IDs of tasks to cancel, until the gate confirms
+	recent          []recentTask        // tasks that load may not include
+	confirmed       evac.Order          // newest order in a Sync call that this incarnation of the gate has answered
+	outstanding     int                 // tasks sent whose outcome is unknown
+	retired         bool                // Run ends once no task or cancellation needs it
+	closed          bool                // Run has ended, or ends without another call; final
+	kindsUntil      boot.Time           // until when Sync calls ask for Load.Kinds
+	downIncarnation uint64              // latest incarnation of the gate that restarted while its target was down; 0 if none
+	crashesSeen     int64               // highest TaskCrash.Number of this incarnation of the gate
+	waker           boot.Waker          // makes Run look at the state, and make a Sync call, at once
 }
 
 // recentTask is a task that was sent so recently that the newest load may not
@@ -316,7 +316,7 @@
 		l.confirmed = evac.Order{}
 		l.crashesSeen = 0
 		if l.load.BlockedReason == cause.TargetCrashed {
-			l.crashedLife = l.load.Incarnation
+			l.downIncarnation = l.load.Incarnation
 		}
 	}
 	l.updateRecheck(load, now)
--- a/internal/disp/start/start.go
+++ b/internal/disp/start/start.go
@@ -90,9 +90,13 @@
 	return s
 }
 
-// Doubt returns s after the order has remained without an answer.
+// Doubt returns s after the order has remained without an answer. A run that has been listed meanwhile
+// is not in doubt.
 func (s State) Doubt() State {
 	s.phase = Doubtful
+	if s.begun {
+		s.phase = Running
+	}
 	return s
 }
 
--- a/internal/disp/start/start_test.go
+++ b/internal/disp/start/start_test.go
@@ -84,6 +84,15 @@
 	}
 }
 
+// A run that was listed before its order remained without an answer has started: its task must not be
+// told as one that never did.
+func TestListedRunIsNotInDoubt(t *testing.T) {
+	s := State{}.Order().See(ms(5), time.Second).Doubt()
+	if _, mayHaveStarted := s.Exclude(ms(20), true).CrashIfExcluded(); s.InDoubt() || !mayHaveStarted {
+		t.Errorf("got %+v", s)
+	}
+}
+
 func TestRestartForgetsWhatTheFormerIncarnationHasAnswered(t *testing.T) {
 	s := State{}.Order().Answer(ms(0), time.Second).Stop(ms(2)).Exclude(ms(5), true).Move(msgs.CrashProven)
 	if s.ListsEnd() || s.Stopped() || s.ExcludedAt() != 0 || !s.InDoubt() {
--- a/test/mutants_test.go
+++ b/test/mutants_test.go
@@ -152,7 +152,7 @@
 	},
 	{
 		rule: "BUDGET losses that a gate has not told", file: "internal/disp/link/crash.go", test: "internal/disp/link TestGateThatDiesWithItsTargetDownLeavesASuspicion",
-		old: " || l.crashedLife == incarnation", new: "",
+		old: " || l.downIncarnation == incarnation", new: "",
 	},
 	{
 		rule: "BUDGET losses in doubt", file: "internal/disp/blame/blame.go", test: "internal/disp/coord TestTaskThatMayCrashTargetsIsNotPlacedForEver",
