Let the fake target's slow polls break as soon as it goes down

TestRepeatedStartDoesNotDateTheRun caught its mutant in some runs only: the delayed answer to a poll broke up to 90 ms after the crash, so the gate knew late that the target was down, and proved nothing with the rule or without. A connection breaks at once.

--- a/internal/disp/gate/fake_test.go
+++ b/internal/disp/gate/fake_test.go
@@ -318,10 +318,7 @@
 			f.mu.Lock()
 			list.Clock = f.clock()
 			f.mu.Unlock()
-			boot.Sleep(ctx, delay)
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			if f.down {
+			if !f.outlast(ctx, delay) {
 				return targ.Listing{}, targ.ErrUnanswered
 			}
 			return list, nil
@@ -332,6 +329,18 @@
 	}
 }
 
+// outlast waits for d, and reports false as soon as the target goes down. The lock must not be held.
+func (f *fakeTarget) outlast(ctx context.Context, d time.Duration) bool {
+	for until := time.Now().Add(d); ; boot.Sleep(ctx, time.Millisecond) {
+		f.mu.Lock()
+		down := f.down
+		f.mu.Unlock()
+		if down || !time.Now().Before(until) || ctx.Err() != nil {
+			return !down
+		}
+	}
+}
+
 // endDueRuns ends the runs that are complete or have been stopped, and begins to stop all
 // of them once the lease has lapsed. The lock must be held.
 func (f *fakeTarget) endDueRuns() {
