--- a/internal/disp/coord/loss_test.go
+++ b/internal/disp/coord/loss_test.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/blame"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
@@ -12,16 +14,46 @@
 // A gate of the version before tells a crash by its reason only. While entries and gates are
 // upgraded one after the other, a task that crashes its targets must still be given up.
 func TestTaskThatCrashesTargetsOfOlderGatesIsGivenUp(t *testing.T) {
-	f := newFakeGates(t, 5)
-	var runs atomic.Int64
-	f.respond = func(int, msgs.Task) msgs.TaskReply {
-		if runs.Add(1) > 8 {
-			return msgs.TaskReply{Result: msgs.Done}
+	for _, reason := range []string{cause.TargetCrashed, cause.TargetRestarted} {
+		f := newFakeGates(t, 5)
+		var runs atomic.Int64
+		f.respond = func(int, msgs.Task) msgs.TaskReply {
+			if runs.Add(1) > 8 {
+				return msgs.TaskReply{Result: msgs.Done}
+			}
+			return msgs.TaskReply{Result: msgs.Lost, Reason: reason}
+		}
+		a := f.coordinator().Submit(context.Background(), newTestJob(1, 100))
+		if n := f.receivedCount(); n != 3 || a.State != Abandoned {
+			t.Errorf("%s: got %+v after %d runs, want 3", reason, a, n)
+		}
+	}
+}
+
+// A job is turned away for the losses of one of its tasks. Those of another one must be remembered
+// all the while.
+func TestLossesOfAllTasksAreKeptWhileTheJobIsTurnedAway(t *testing.T) {
+	f := newFakeGates(t, 1)
+	c := f.coordinator()
+	now := boot.Now()
+	c.Now = func() boot.Time { return now }
+	number := int64(0)
+	lose := func(task string) {
+		number++
+		c.RecordCrashes("g", 1, []msgs.TaskCrash{{Number: number, Task: task, Crash: msgs.CrashSuspected}})
+	}
+	for _, task := range []string{"j.0.0.0", "j.0.0.0", "j.0.0.0", "j.0.0.1", "j.0.0.1"} {
+		lose(task)
+	}
+	for range 6 {
+		now = now.Add(blame.Retention / 2)
+		lose("j.0.0.0")
+		if a := c.Submit(t.Context(), newTestJob(2, 100)); a.Reason != cause.LostTargets {
+			t.Fatalf("got %+v", a)
 		}
-		return msgs.TaskReply{Result: msgs.Lost, Reason: cause.TargetCrashed}
 	}
-	a := f.coordinator().Submit(context.Background(), newTestJob(1, 100))
-	if n := f.receivedCount(); n > 5 {
-		t.Errorf("%d runs, 8 targets have crashed: got %+v", n, a)
+	lose("j.0.0.1")
+	if got := c.losses.Verdict("j.0.0.1", now); got != blame.Abandon {
+		t.Errorf("got %v for the other task after its third loss", got)
 	}
 }
--- a/internal/disp/gate/crash_test.go
+++ b/internal/disp/gate/crash_test.go
@@ -107,9 +107,7 @@
 			o.sync(m.ID)
 		}, msgs.CrashSuspected},
 		{"leaving", func(o *openGate, _ msgs.Task) {
-			leaving := o.target.incarnation
-			leaving.Leaving = true
-			o.HandleHeartbeat(leaving)
+			o.announceLeave()
 		}, msgs.NoCrash},
 	} {
 		f := newFakeTarget(1000)
@@ -184,9 +182,7 @@
 	f.stallRuns = true
 	inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
 		replies := o.begin(o.task("a", 10))
-		leaving := f.incarnation
-		leaving.Leaving = true
-		o.HandleHeartbeat(leaving)
+		o.announceLeave()
 		f.restartInPlace()
 		if got := <-replies; got.Result != msgs.Lost || got.Crash != msgs.NoCrash {
 			t.Errorf("got %v %q, crash %v, want none", got.Result, got.Reason, got.Crash)
--- a/internal/disp/gate/depart_test.go
+++ b/internal/disp/gate/depart_test.go
@@ -63,9 +63,7 @@
 	f.stallRuns = true
 	inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
 		replies := o.begin(o.task("a", 10))
-		leaving := f.incarnation
-		leaving.Leaving = true
-		o.HandleHeartbeat(leaving)
+		o.announceLeave()
 		time.Sleep(2 * time.Second)
 		f.restartAs("i-2", 2) // its address answers as another
 		if reply := <-replies; reply.Result != msgs.Lost || reply.Reason != cause.Departed {
--- a/internal/disp/gate/open_test.go
+++ b/internal/disp/gate/open_test.go
@@ -169,6 +169,13 @@
 	return replies
 }
 
+// announceLeave lets the target say that it leaves.
+func (o *openGate) announceLeave() {
+	leaving := o.target.incarnation
+	leaving.Leaving = true
+	o.HandleHeartbeat(leaving)
+}
+
 // tripBreaker runs a task of each of two jobs at a target that fails them, which
 // opens its circuit breaker.
 func (o *openGate) tripBreaker() {
--- a/internal/disp/link/crash.go
+++ b/internal/disp/link/crash.go
@@ -5,8 +5,8 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
-// lastCrash returns the highest number of a loss that the gate has told of.
-func (l *Link) lastCrash() int64 {
+// knownCrash returns the highest number of a loss that the gate has told of.
+func (l *Link) knownCrash() int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.crashesSeen
--- a/internal/disp/link/crash_test.go
+++ b/internal/disp/link/crash_test.go
@@ -66,3 +66,25 @@
 		t.Errorf("the view keeps %d losses", n)
 	}
 }
+
+// A link that sends tasks all the while makes no Sync call for its lease. It must make one for a loss
+// that a load names.
+func TestBusyLinkAsksForLossesAtOnce(t *testing.T) {
+	f, l := newFakeGate()
+	l.sync(context.Background())
+	f.advance(minSyncInterval)
+	f.mu.Lock()
+	f.crashes = []msgs.TaskCrash{{Number: 7, Task: "a", Crash: msgs.CrashProven}}
+	f.mu.Unlock()
+	if r := l.RunTask(context.Background(), msgs.Task{ID: 1}, nil); r.Result != msgs.Done {
+		t.Fatalf("got %v", r.Result)
+	}
+	if d := l.untilDue(); d > 0 {
+		t.Errorf("a Sync call is due in %v", d)
+	}
+	l.sync(context.Background())
+	f.advance(minSyncInterval)
+	if d := l.untilDue(); d <= 0 {
+		t.Error("a Sync call is due though the loss is known")
+	}
+}
--- a/internal/disp/link/link_test.go
+++ b/internal/disp/link/link_test.go
@@ -101,6 +101,9 @@
 	if !argsOK || !replyOK {
 		return peer.ErrBroken
 	}
+	for _, c := range f.crashes {
+		load.LastCrash = c.Number
+	}
 	f.tasks = append(f.tasks, *m)
 	result, err := f.onTask(len(f.tasks), *m)
 	result.Load = load
--- a/internal/disp/rules/checker_test.go
+++ b/internal/disp/rules/checker_test.go
@@ -144,12 +144,13 @@
 	}
 }
 
-// countStart counts a start of a task after crashLimit targets have crashed under it, or by it.
-// Only the tasks that crash their targets are held to that: another one may have had targets crash
-// under it that nobody could know of, and be started again for its attempts. c.mu must be held.
+// countStart counts a start of a task after crashLimit targets have crashed under it, or by it. Where
+// all losses are known, none may follow soon. Otherwise only the tasks that crash their targets are
+// held to that: another one may have had targets crash under it that nobody could know of, and be
+// started again for its attempts. c.mu must be held.
 func (c *checker) countStart(job *jobRecord, task string) {
 	lost := job.crashes[task] + job.fatalStarts[task]
-	if job.deadly && c.lossesKnown && lost >= crashLimit && time.Since(job.crashedAt[task]) < blame.Retention {
+	if c.lossesKnown && lost >= crashLimit && time.Since(job.crashedAt[task]) < blame.Retention {
 		c.addViolation("BUDGET: %s starts after %d targets have crashed under it, which their gates know", task, lost)
 	}
 	crashes := lost + job.felled[task]
--- a/test/mutants_evac_test.go
+++ b/test/mutants_evac_test.go
@@ -21,7 +21,7 @@
 	{rule: "EVACUATED restarted gate", file: dispGate + "gate.go", old: "g.applyOrder(m.Order, m.Entry)\n\tif m.GateIncarnation != ", new: "if m.GateIncarnation != ", test: "internal/disp/gate TestRestartedGateLearnsOrderBeforeItStarts"},
 	{rule: "EVACUATED start in doubt", file: dispGate + "order.go", old: "case g.evacuated():", new: "case false:", test: "internal/disp/gate TestStartInDoubtIsNotRepeatedInEvacuatedDomain"},
 	{rule: "EVACUATED queue", file: dispGate + "evacuate.go", old: "\tg.refuseQueueIfEvacuated()\n", new: "", test: "internal/disp/gate TestEvacuatedGateStartsNothing"},
-	{rule: "EVACUATED told at once", file: dispLink, old: "if l.orderUnconfirmed() || ", new: "if ", test: "internal/disp/link TestGateIsToldOfOrderAtOnce"},
+	{rule: "EVACUATED told at once", file: dispSync, old: "if l.orderUnconfirmed() || ", new: "if ", test: "internal/disp/link TestGateIsToldOfOrderAtOnce"},
 	{rule: "EVACUATED no candidate", file: dispCoord + "candidates.go", old: "if v.Evacuated {", new: "if false {", test: "internal/disp/coord TestEvacuatedDomainIsNoCandidate"},
 	{rule: "EVACUATED refused at once", file: dispCoord + "admit.go", old: "case !fits && cands.evacuated:", new: "case false:", test: "internal/disp/coord TestJobWithoutOtherDomainIsRefusedAtOnce"},
 	{rule: "EVACUATED orders before configuration", file: dispProc + "gossip.go", old: "e.applyOrders(reply.Orders, addr)", new: "", test: "internal/disp/proc TestEntriesExchangeOrders"},
--- a/test/mutants_test.go
+++ b/test/mutants_test.go
@@ -8,8 +8,10 @@
 	editFile   = "internal/entry/edit/edit.go"
 	dispGate   = "internal/disp/gate/"
 	dispCoord  = "internal/disp/coord/"
+	dispBlame  = "internal/disp/blame/blame.go"
 	dispStart  = "internal/disp/start/start.go"
 	dispLink   = "internal/disp/link/link.go"
+	dispSync   = "internal/disp/link/sync.go"
 	dispRetire = "internal/disp/link/retire.go"
 	dispProc   = "internal/disp/proc/"
 	dispRotate = "internal/disp/rotate/"
@@ -156,7 +158,51 @@
 		old: " || l.downIncarnation == incarnation", new: "",
 	},
 	{
-		rule: "BUDGET losses in doubt", file: "internal/disp/blame/blame.go", test: "internal/disp/coord TestTaskThatMayCrashTargetsIsNotPlacedForEver",
+		rule: "LOST listed run", file: dispStart, test: "internal/disp/start TestListedRunIsNotInDoubt",
+		old: "if s.begun {", new: "if false {",
+	},
+	{
+		rule: "LOST estimate above the caller's", file: dispGate + "crash.go", test: "internal/disp/rules TestRunThatEndedBeforeTheCrashDoesNotFailItsJob",
+		old: "if r.msg.LeastRunTime > 0 {", new: "if false {",
+	},
+	{
+		rule: "LOST job turned away for ever", file: dispBlame, test: "internal/disp/blame TestTaskOfACallerThatKeepsComingIsTriedOnceInRetention",
+		old: "if now.Sub(r.lostAt) > Retention {", new: "if false {",
+	},
+	{
+		rule: "BUDGET losses of the other tasks", file: dispCoord + "crash.go", test: "internal/disp/coord TestLossesOfAllTasksAreKeptWhileTheJobIsTurnedAway",
+		old: "\tif lost {\n\t\tc.keepLosses(e)\n\t}\n", new: "",
+	},
+	{
+		rule: "BUDGET losses at older gates", file: dispCoord + "crash.go", test: "internal/disp/coord TestTaskThatCrashesTargetsOfOlderGatesIsGivenUp",
+		old: "if crash == msgs.NoCrash && (", new: "if false && (",
+	},
+	{
+		rule: "BUDGET losses heard of while busy", file: dispSync, test: "internal/disp/link TestBusyLinkAsksForLossesAtOnce",
+		old: " || l.load.LastCrash > l.crashesSeen", new: "",
+	},
+	{
+		rule: "UNASKED request after its cancel", file: dispCoord + "coord.go", test: "internal/disp/coord TestCancelledJobIsNotRunWhenItsRequestComesLater",
+		old: "cancelled := c.cancelled.Has(e.ID, c.now())", new: "cancelled := false",
+	},
+	{
+		rule: "UNASKED cancel and a silent entry", file: dispProc + "cancel.go", test: "internal/disp/proc TestSilentEntryIsNotTakenForOneWithoutTheJob",
+		old: "return !errors.Is(err, peer.ErrRefused)", new: "return err == nil || errors.Is(err, peer.ErrRefused)",
+	},
+	{
+		rule: "UNASKED cancel told again", file: dispProc + "cancel.go", test: "internal/disp/proc TestSilentEntryIsNotTakenForOneWithoutTheJob",
+		old: "if e.cancelRetries.Add(1) <= maxCancelRetries {", new: "if e.cancelRetries.Add(1) < 0 {",
+	},
+	{
+		rule: "UNASKED cancel at other entries", file: dispProc + "cancel.go", test: "internal/disp/proc TestCancellationIsKnownToAllEntries",
+		old: "found <- e.cancelAt(addr, job)", new: "found <- addr == \"\"",
+	},
+	{
+		rule: "TWICE newer revocation", file: dispCoord + "takeover.go", test: "internal/disp/coord TestJobIsTakenOverOnlyFromAnOlderRevocation",
+		old: " || revokedFor <= e.lastArrivedFor(c.now())", new: "",
+	},
+	{
+		rule: "BUDGET losses in doubt", file: dispBlame, test: "internal/disp/coord TestTaskThatMayCrashTargetsIsNotPlacedForEver",
 		old: "case len(r.proofs) >= maxLost:", new: "case false:",
 	},
 	{
@@ -193,7 +239,7 @@
 	{rule: "CONFIG never back", file: "internal/disp/route/route.go", old: "if current != nil && current.Version >= t.Version {", new: "if false {", test: "internal/disp/route TestCurrentNeverGoesBack"},
 	{rule: "DRAIN leaving target", file: dispGate + "gate.go", old: "case g.incarnation.Leaving:\n\t\treturn cause.Leaving\n", new: "", test: "internal/disp/gate TestGateRefusesTasksOfLeavingTarget", more: []edit{{dispGate + "incarnation.go", "!g.silent && !g.incarnation.Leaving && g.clock.HasReading", "!g.silent && g.clock.HasReading"}}},
 	{rule: "UNASKED cancel", file: dispCoord + "task.go", old: "l.Cancel(m.ID)\n", new: "", test: "internal/disp/coord TestAbandonedJobCancelsItsTasks"},
-	{rule: "UNASKED cancel until answered", file: dispLink, old: "if err != nil {\n\t\tl.recordFailure(err)\n\t\treturn", new: "if err != nil {\n\t\tl.confirmCancels(cancels)\n\t\tl.recordFailure(err)\n\t\treturn", test: "internal/disp/link TestCancelIsSentUntilAnswered"},
+	{rule: "UNASKED cancel until answered", file: dispSync, old: "if err != nil {\n\t\tl.recordFailure(err)\n\t\treturn", new: "if err != nil {\n\t\tl.confirmCancels(cancels)\n\t\tl.recordFailure(err)\n\t\treturn", test: "internal/disp/link TestCancelIsSentUntilAnswered"},
 	{rule: "TWICE heartbeat held up", file: dispGate + "heartbeat.go", old: " && (g.confirmBy == 0 || g.clock.HasReading)", new: " && g.confirmBy == 0", test: "internal/disp/gate TestDelayedHeartbeatDoesNotReplaceRecalledTarget", more: []edit{{dispGate + "heartbeat.go", "case g.targetKnown && len(g.runs) > 0:\n\t\tg.awaitEnd(inc)", "case false:\n\t\tg.awaitEnd(inc)"}}},
 	{
 		rule: "TWICE target restarted under its ID", file: dispGate + "incarnation.go", test: "internal/disp/gate TestGateKeepsRunOfTargetThatRestartedUnderItsID",
@@ -330,6 +376,6 @@
 	{rule: "TWICE message held up", file: dispGate + "gate.go", old: " || g.now() >= boot.Time(m.EchoedTimestamp).Add(EntryLease)", new: "", test: "internal/disp/gate TestGateRefusesDelayedMessage"},
 	{rule: "UNASKED cancelled before", file: dispGate + "gate.go", old: "		g.addTask(r)\n\t}\n\tg.abandon", new: "		return\n\t}\n\tg.abandon", test: "internal/disp/gate TestGateRefusesTaskCancelledBeforeArrival"},
 	{rule: "RECOVER most set aside", file: dispGate + "gate.go", old: "case !m.IgnoreBreaker && g.breaker", new: "case g.breaker", test: "internal/disp/rules TestFailingJobsLeaveTargetsInUse"},
-	{rule: "RECOVER gate that is starting", file: dispLink, old: "if now < l.recheckUntil {", new: "if false {", test: "internal/disp/link TestGateThatCanStartTasksAgainIsKnownSoon"},
+	{rule: "RECOVER gate that is starting", file: dispSync, old: "if now < l.recheckUntil {", new: "if false {", test: "internal/disp/link TestGateThatCanStartTasksAgainIsKnownSoon"},
 	{rule: "LIMIT strangers", file: dispGate + "incarnation.go", old: "g.targetKnown && g.reconciled() && !g.silent", new: "g.targetKnown && !g.silent", test: "internal/disp/gate TestGateStartsNothingBesideUnknownRun"},
 }
