--- a/internal/disp/proc/cancel_test.go
+++ b/internal/disp/proc/cancel_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -47,6 +48,33 @@
 	}
 }
 
+// losingService loses the first order that it gets.
+type losingService struct {
+	inner *EntryService
+	calls atomic.Int64
+	end   <-chan struct{} // closed when the test ends
+}
+
+func (s *losingService) Lookup(m *msgs.Lookup, reply *msgs.LookupReply) error {
+	if s.calls.Add(1) == 1 {
+		<-s.end
+		return nil
+	}
+	return s.inner.Lookup(m, reply)
+}
+
+// An order to cancel that was lost on its way was never told again.
+func TestCancellationIsToldAgainUntilItIsAnswered(t *testing.T) {
+	end := make(chan struct{})
+	other := newPeer()
+	e := newPeer(serve(t, map[string]any{EntryServiceName: &losingService{inner: other.Service(), end: end}}))
+	defer close(end)
+	if !e.Cancel(t.Context(), "j") {
+		t.Error("the job counts as unknown though an entry has not answered")
+	}
+	waitUntilCancelled(t, other)
+}
+
 // Each entry remembers what was cancelled at any: the request may come again at another one.
 func TestCancellationIsKnownToAllEntries(t *testing.T) {
 	started, released := make(chan struct{}, 1), make(chan struct{})
--- a/test/mutants_test.go
+++ b/test/mutants_test.go
@@ -190,7 +190,7 @@
 		old: "return !errors.Is(err, peer.ErrRefused)", new: "return err == nil || errors.Is(err, peer.ErrRefused)",
 	},
 	{
-		rule: "UNASKED cancel told again", file: dispProc + "cancel.go", test: "internal/disp/proc TestSilentEntryIsNotTakenForOneWithoutTheJob",
+		rule: "UNASKED cancel told again", file: dispProc + "cancel.go", test: "internal/disp/proc TestCancellationIsToldAgainUntilItIsAnswered",
 		old: "if e.cancelRetries.Add(1) <= maxCancelRetries {", new: "if e.cancelRetries.Add(1) < 0 {",
 	},
 	{
