Handle the signal to read the settings from the first moment on

It got SIGHUP two milliseconds after its start, which ends a process that does not handle it. The program asked for the signal only after it had read its settings and begun to serve; now that is the first thing that it does. What comes before a program runs none can handle, so the soak holds its signal back for startupTime, as it excuses the signal to stop.

--- a/cmd/gypsumlanding/main.go
+++ b/cmd/gypsumlanding/main.go
@@ -11,7 +11,9 @@
 	"io"
 	"math/rand/v2"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -48,6 +50,8 @@
 
 // run executes the command with the given arguments and returns its exit code.
 func run(args []string, stdout, stderr io.Writer) int {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP) // before anything else, since the signal would end the process
 	merry.SetStackCaptureEnabled(false)
 	if len(args) == 0 || args[0] != roleEntry && args[0] != roleNode {
 		_, _ = fmt.Fprint(stderr, usage)
@@ -78,7 +82,7 @@
 	}
 	p := process{
 		cfg: cfg, settingsPath: *settingsPath, role: role, advertisedAddr: *advertisedAddr, metricsPort: *metricsPort, incarnation: rand.Uint64(), startTime: boot.Now(),
-		log: logs.New(stdout, "gypsumlanding", cfg.Name), counters: &stats.Set{},
+		log: logs.New(stdout, "gypsumlanding", cfg.Name), counters: &stats.Set{}, hangups: hangups,
 	}
 	p.ingress = life.NewIngress(cfg.MemoryMB, cfg.MaxFDs, p.log, p.counters)
 	err = p.serve(context.Background())
--- a/cmd/gypsumlanding/observe.go
+++ b/cmd/gypsumlanding/observe.go
@@ -3,10 +3,8 @@
 import (
 	"net"
 	"os"
-	"os/signal"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/go-kratos/kratos/v2/transport"
@@ -50,14 +48,12 @@
 // changed. It applies the seeds, and logs all changes and errors. Other settings take
 // effect when the process restarts. It never returns.
 func (p process) watchSettings(setSeeds func([]string)) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
 	ticker := time.NewTicker(settingsPollInterval)
 	lastModTime, current := modTime(p.settingsPath), p.cfg
 	for {
 		trigger := "signal"
 		select {
-		case <-signals:
+		case <-p.hangups:
 		case <-ticker.C:
 			if modTime(p.settingsPath).Equal(lastModTime) {
 				continue
--- a/cmd/gypsumlanding/process.go
+++ b/cmd/gypsumlanding/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"slices"
 	"time"
 
@@ -56,6 +57,7 @@
 	metricsPort    int    // 0 for no metrics server
 	incarnation    uint64 // random ID of this execution of the process
 	startTime      boot.Time
+	hangups        <-chan os.Signal
 	log            logs.Logger
 	counters       *stats.Set
 	ingress        *life.Ingress
--- a/internal/stand/soak/failures.go
+++ b/internal/stand/soak/failures.go
@@ -13,7 +13,7 @@
 type failure struct {
 	kind string
 	// prefix begins the names of the components: e entries, n nodes, t targets, s the
-	// store, c the configuration, z failure domains, f the connections of callers to an entry, i those of other
+	// store, c the configuration, d the tasks of jobs, x callers, z failure domains, f the connections of callers to an entry, i those of other
 	// processes to an entry, j those to a node.
 	prefix string
 	// inject causes the failure in the component with that name and number, counted
@@ -96,13 +96,19 @@
 
 // startupTime is how long a process may take until it handles signals. A process
 // that gets the signal to stop earlier is ended by the signal itself. That is no
-// violation, because no job is lost with it.
+// violation, because no job is lost with it. The signal to read the settings again is held back
+// that long: no program can handle one that comes before it runs.
 const startupTime = 100 * time.Millisecond
 
-func stopAndRelaunch(r *runner, name string, _ int, _ time.Duration) {
+// startingFor returns for how long a process may still not handle signals; not positive if it does.
+func (r *runner) startingFor(name string) time.Duration {
 	r.mu.Lock()
-	starting := time.Since(r.launchedAt[name]) < startupTime
-	r.mu.Unlock()
+	defer r.mu.Unlock()
+	return time.Until(r.launchedAt[name].Add(startupTime))
+}
+
+func stopAndRelaunch(r *runner, name string, _ int, _ time.Duration) {
+	starting := r.startingFor(name) > 0
 	if err := r.platform.Stop(name); err != nil && !starting {
 		r.addViolation("%s did not stop cleanly: %v", name, err)
 	}
@@ -139,7 +145,10 @@
 	}
 }
 
-func reload(r *runner, name string, _ int, _ time.Duration) { r.signal(name, syscall.SIGHUP) }
+func reload(r *runner, name string, _ int, _ time.Duration) {
+	time.Sleep(r.startingFor(name))
+	r.signal(name, syscall.SIGHUP)
+}
 
 func (r *runner) signal(name string, sig syscall.Signal) {
 	if err := r.platform.Signal(name, sig); err != nil {
