--- a/internal/stand/psim/caller.go
+++ b/internal/stand/psim/caller.go
@@ -34,7 +34,12 @@
 // four attempts in all. The result is recorded for Verdict. Each of the tasks takes
 // runTimeMS and milliCPU thousandths of a core.
 func (p *Platform) SubmitJob(id string, tasks, runTimeMS, milliCPU int) string {
-	specText, err := json.Marshal(jobSpec{RunTimeMS: runTimeMS, MilliCPU: milliCPU})
+	return p.SubmitCrashingJob(id, tasks, runTimeMS, milliCPU, NoCrash)
+}
+
+// SubmitCrashingJob does the same with tasks that crash their targets.
+func (p *Platform) SubmitCrashingJob(id string, tasks, runTimeMS, milliCPU int, c Crash) string {
+	specText, err := json.Marshal(jobSpec{RunTimeMS: runTimeMS, MilliCPU: milliCPU, Crash: c})
 	if err != nil {
 		panic(err)
 	}
@@ -66,6 +71,16 @@
 	return state
 }
 
+// CancelJob cancels a job at an entry, past the balancer. It reports whether that was acknowledged.
+func (p *Platform) CancelJob(entry int, id string) bool {
+	code, _ := p.send(p.ctx, &p.direct, p.balancer.frontAddr(entry-1), http.MethodDelete, routePrefix+id, nil)
+	acknowledged := code == http.StatusOK || code == http.StatusGone
+	if acknowledged {
+		p.checker.jobCancelled(id)
+	}
+	return acknowledged
+}
+
 func hashOf(text string) uint32 {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(text))
--- a/internal/stand/psim/psim.go
+++ b/internal/stand/psim/psim.go
@@ -336,7 +336,7 @@
 func route(name, prefix string) map[string]any {
 	return map[string]any{
 		"name": name, "host": routeHost, "prefix": prefix, "service": serviceName,
-		"attempts": 2, "stretch": 1.6, "slo-ms": 60,
+		"attempts": routeAttempts, "stretch": 1.6, "slo-ms": 60,
 	}
 }
 
--- a/internal/stand/psim/run.go
+++ b/internal/stand/psim/run.go
@@ -20,12 +20,14 @@
 	dueAt     time.Time // when the run ends by itself
 	stopsAt   time.Time // when the run ends because it was stopped; zero if it wasn't
 	unlisted  bool      // the run is not listed while it is being stopped
+	crash     Crash     // how the run crashes the target
 }
 
 // jobSpec is the part of a job that only targets read: what each task does.
 type jobSpec struct {
-	RunTimeMS int `json:"ms"`
-	MilliCPU  int `json:"cpu"` // thousandths of a core
+	RunTimeMS int   `json:"ms"`
+	MilliCPU  int   `json:"cpu"` // thousandths of a core
+	Crash     Crash `json:"crash,omitempty"`
 }
 
 // startRun starts a run of a task and returns the empty string, or the reason for
@@ -58,9 +60,12 @@
 	if overdue := t.evacuations.overdue(t.domain); overdue > 0 {
 		t.checker.addViolation("task %s starts at %s %v after %s was evacuated", o.Task, t.addr, overdue, t.domain)
 	}
-	t.checker.taskStarted(o.Task, t.addr)
+	t.checker.taskStarted(o.Task, t.addr, spec.Crash != NoCrash)
 	now := time.Now()
-	t.runs[key] = &run{milliCPU: spec.MilliCPU, startedAt: now, dueAt: now.Add(time.Duration(spec.RunTimeMS) * time.Millisecond)}
+	t.runs[key] = &run{milliCPU: spec.MilliCPU, startedAt: now, dueAt: now.Add(time.Duration(spec.RunTimeMS) * time.Millisecond), crash: spec.Crash}
+	if spec.Crash != NoCrash {
+		go t.crashAfter(spec.Crash, t.startedAt)
+	}
 	return ""
 }
 
@@ -109,5 +114,8 @@
 	delete(t.runs, key)
 	t.highestRun[key.task] = max(t.highestRun[key.task], key.number)
 	t.ends = append(t.ends, []any{len(t.ends) + 1, key.task, key.number, outcome, ""})
+	if outcome == "failed" {
+		t.checker.taskFailed(key.task)
+	}
 	t.checker.taskEnded(key.task, t.addr)
 }
--- a/internal/stand/psim/target.go
+++ b/internal/stand/psim/target.go
@@ -48,6 +48,7 @@
 	unansweredShare float64         // share of orders without an answer
 	unhealthyShare  float64         // share of starts that are refused with status 429 or 503
 	failTasks       bool            // all tasks fail
+	down            bool            // it has crashed and is not back
 }
 
 // restart begins a new incarnation, which keeps nothing of the previous one but, if keepID is
@@ -55,7 +56,9 @@
 func (t *target) restart(keepID bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.endDueRuns()
 	for key := range t.runs {
+		t.checker.taskCrashed(key.task)
 		t.checker.taskEnded(key.task, t.addr)
 	}
 	t.startedAt = time.Now()
@@ -68,6 +71,9 @@
 
 // sendHeartbeat reports the target's state and capacity to its node.
 func (t *target) sendHeartbeat(client *http.Client) {
+	if t.isDown() {
+		return
+	}
 	t.mu.Lock()
 	t.heartbeatSeq++
 	state := "ready"
@@ -120,6 +126,9 @@
 
 // ServeHTTP executes an order of the node, or answers its long poll.
 func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if t.isDown() {
+		panic(http.ErrAbortHandler)
+	}
 	o := order{path: r.URL.Path, incarnationID: r.Header.Get("Gypsumlanding-Expect-Instance"), receivedAt: time.Now(), receiver: t.startTime()}
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -234,6 +243,9 @@
 		if reason := t.startRun(o); reason != "" {
 			return conflict(reason), t.clockOfIncarnation()
 		}
+		if t.runs[runKey{o.Task, o.Run}].crash == BeforeAnswer {
+			return answer{}, nil
+		}
 	case stopPath:
 		t.stopRun(o.Task, o.Run)
 	case pollPath:
--- a/internal/stand/soak/failures.go
+++ b/internal/stand/soak/failures.go
@@ -35,6 +35,9 @@
 	{"store down", "s", takeStoreDown},
 	{"store history discarded", "s", func(r *runner, _ string, _ int, _ time.Duration) { r.platform.DiscardHistory() }},
 	{"domain evacuated", "z", evacuate},
+	{"tasks crash targets", "d", crashByTasks(psim.AfterAnswer)},
+	{"tasks crash targets unanswered", "d", crashByTasks(psim.BeforeAnswer)},
+	{"callers cancel", "x", cancelJobs},
 	{"store cut", "e", func(r *runner, name string, _ int, duration time.Duration) {
 		setProxyMode(r, "store "+name, netem.Blackhole, duration)
 	}},
@@ -85,6 +88,29 @@
 	return 1
 }
 
+// crashingEvery is the number of jobs of which one crashes its targets while some do.
+const crashingEvery = 8
+
+// crashByTasks returns a failure that lets tasks crash their targets for a while.
+func crashByTasks(c psim.Crash) func(*runner, string, int, time.Duration) {
+	return func(r *runner, _ string, _ int, duration time.Duration) {
+		r.crash.Store(c)
+		time.Sleep(duration)
+		r.crash.Store(psim.NoCrash)
+	}
+}
+
+// cancelDelay is the time from the submission of a job to its cancel, which may overtake it.
+const cancelDelay = 30 * time.Millisecond
+
+// cancelJobs lets callers cancel some of their jobs, at another entry than the one that has them, for
+// a while.
+func cancelJobs(r *runner, _ string, _ int, duration time.Duration) {
+	r.cancelling.Store(true)
+	time.Sleep(duration)
+	r.cancelling.Store(false)
+}
+
 // frontProxy returns the name of the proxy between callers and an entry.
 func frontProxy(i int) string { return fmt.Sprintf("front e%d", i) }
 
--- a/internal/stand/soak/soak.go
+++ b/internal/stand/soak/soak.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/stand/psim"
@@ -63,6 +64,9 @@
 	platform *psim.Platform
 	rng      *rand.Rand
 
+	crash      atomic.Value // psim.Crash of some of the jobs that are submitted
+	cancelling atomic.Bool  // some of the jobs that are submitted are cancelled
+
 	mu            sync.Mutex
 	busy          map[string]bool      // components with a failure in progress
 	failureCounts map[string]int       // by kind; not guarded by mu
@@ -111,9 +115,18 @@
 	rng := rand.New(rand.NewPCG(r.Seed, 1))
 	for i := 0; ctx.Err() == nil; i++ {
 		runMS := runTimesMS[rng.IntN(len(runTimesMS))]
-		jobs.Go(func() {
-			r.platform.SubmitJob(fmt.Sprintf("%012x%04x", r.Seed&0xffffffff, i), tasksPerJob, runMS, taskMilliCPU)
-		})
+		id, crash := fmt.Sprintf("%012x%04x", r.Seed&0xffffffff, i), psim.NoCrash
+		if c, ok := r.crash.Load().(psim.Crash); ok && i%crashingEvery == 0 {
+			crash = c
+		}
+		jobs.Go(func() { r.platform.SubmitCrashingJob(id, tasksPerJob, runMS, taskMilliCPU, crash) })
+		if r.cancelling.Load() && i%crashingEvery == 1 {
+			entry := rng.IntN(r.Entries) + 1
+			jobs.Go(func() {
+				time.Sleep(cancelDelay)
+				r.platform.CancelJob(entry, id)
+			})
+		}
 		time.Sleep(r.perNodes(jobInterval))
 	}
 }
