Decide in link what the reply of an older gate proves about a loss

What a gate of an earlier version means by its reason belongs to the protocol between the processes, which link speaks; the coordinator asked for it by reason and made up the number of the loss.

Change: withCrash completes the reply in link, the coordinator records a loss only if the reply tells of one, and no longer imports link. The mutant follows the line.

--- a/internal/disp/coord/crash.go
+++ b/internal/disp/coord/crash.go
@@ -5,7 +5,6 @@
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/blame"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
-	"github.com/gypsumlanding/gypsumlanding/internal/disp/link"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
@@ -20,17 +19,11 @@
 	}
 }
 
-// recordLoss records what the reply of the gate at addr to m proves about the loss of the task. An
-// older gate gives only a reason, which it also gives for runs that may never have begun.
-func (c *Coordinator) recordLoss(addr string, m msgs.Task, reply msgs.TaskReply) {
-	if reply.Result != msgs.Lost {
-		return
+// recordLoss records what the reply of the gate at addr proves about the loss of a task.
+func (c *Coordinator) recordLoss(addr, task string, reply msgs.TaskReply) {
+	if reply.Crash != msgs.NoCrash {
+		c.RecordCrashes(addr, reply.Load.Incarnation, []msgs.TaskCrash{{Number: reply.CrashNumber, Task: task, Crash: reply.Crash}})
 	}
-	crash, number := reply.Crash, reply.CrashNumber
-	if crash == msgs.NoCrash && (reply.Reason == cause.TargetCrashed || reply.Reason == cause.TargetRestarted) {
-		crash, number = msgs.CrashSuspected, link.CrashNumber(m)
-	}
-	c.RecordCrashes(addr, reply.Load.Incarnation, []msgs.TaskCrash{{Number: number, Task: m.Name, Crash: crash}})
 }
 
 // finishIfLost ends the job if a task has been lost too often with its target. It reports
--- a/internal/disp/coord/task.go
+++ b/internal/disp/coord/task.go
@@ -131,7 +131,7 @@
 	ts.gate = l.Addr
 	reply := c.send(e, l, m)
 	e.release(key)
-	c.recordLoss(l.Addr, m, reply)
+	c.recordLoss(l.Addr, ts.name, reply)
 	c.recordRetry(e, ts, target, reply, c.now().Sub(sentAt))
 	return reply, true
 }
--- a/internal/disp/link/crash.go
+++ b/internal/disp/link/crash.go
@@ -31,9 +31,19 @@
 	}
 }
 
-// CrashNumber returns the number of the loss of m where its gate has given none. Numbers of gates are
+// crashNumber returns the number of the loss of m where its gate has given none. Numbers of gates are
 // positive.
-func CrashNumber(m msgs.Task) int64 { return -int64(m.ID) }
+func crashNumber(m msgs.Task) int64 { return -int64(m.ID) }
+
+// withCrash returns the reply of a gate to m with what the loss proves. An older gate gives only a
+// reason, which it also gives for runs that may never have begun.
+func withCrash(reply msgs.TaskReply, m msgs.Task) msgs.TaskReply {
+	blamed := reply.Reason == cause.TargetCrashed || reply.Reason == cause.TargetRestarted
+	if reply.Result == msgs.Lost && reply.Crash == msgs.NoCrash && blamed {
+		reply.Crash, reply.CrashNumber = msgs.CrashSuspected, crashNumber(m)
+	}
+	return reply
+}
 
 // lost returns the reply for m, whose outcome an incarnation of the gate has not told.
 func (l *Link) lost(m msgs.Task, incarnation uint64) msgs.TaskReply {
@@ -41,7 +51,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.load.Incarnation == incarnation && l.load.BlockedReason == cause.TargetCrashed || l.downIncarnation == incarnation {
-		reply.Crash, reply.CrashNumber = msgs.CrashSuspected, CrashNumber(m)
+		reply.Crash, reply.CrashNumber = msgs.CrashSuspected, crashNumber(m)
 	}
 	return reply
 }
--- a/internal/disp/link/link.go
+++ b/internal/disp/link/link.go
@@ -178,7 +178,7 @@
 			if stalled && reply.Result == msgs.Refused {
 				reply.Result = msgs.Lost // the gate may have forgotten a run
 			}
-			return reply
+			return withCrash(reply, m)
 		case err == nil && !mayHaveArrived:
 			return msgs.TaskReply{Result: msgs.Refused, Reason: cause.Foreign}
 		case err != nil && !mayHaveArrived && errors.Is(err, peer.ErrNotSent):
--- a/test/mutants_test.go
+++ b/test/mutants_test.go
@@ -174,8 +174,8 @@
 		old: "\tif lost {\n\t\tc.keepLosses(e)\n\t}\n", new: "",
 	},
 	{
-		rule: "BUDGET losses at older gates", file: dispCoord + "crash.go", test: "internal/disp/coord TestTaskThatCrashesTargetsOfOlderGatesIsGivenUp",
-		old: "if crash == msgs.NoCrash && (", new: "if false && (",
+		rule: "BUDGET losses at older gates", file: "internal/disp/link/crash.go", test: "internal/disp/coord TestTaskThatCrashesTargetsOfOlderGatesIsGivenUp",
+		old: "msgs.NoCrash && blamed {", new: "msgs.NoCrash && blamed && false {",
 	},
 	{
 		rule: "BUDGET losses heard of while busy", file: dispSync, test: "internal/disp/link TestBusyLinkAsksForLossesAtOnce",
