Count a loss that is told after its job has ended

Cause: a loss in the reply to a task was recorded by the loop that places the task. When the job had ended (its caller had left, another task had failed) that loop no longer read the reply, so the suspicion under a task whose gate had died with its target down was dropped, and the next submission of the same job could bring down one more target.

Change: the goroutine that waits for the reply records the loss, before the job counts as gone from the gate.

Result: TestLossCountsAfterTheJobHasEnded timed out before and passes; the mutant that records no loss of an ended job is caught by it.

--- a/internal/disp/coord/loss_test.go
+++ b/internal/disp/coord/loss_test.go
@@ -57,3 +57,24 @@
 		t.Errorf("got %v for the other task after its third loss", got)
 	}
 }
+
+// The last word of a gate on a task may come when its job has ended. The caller comes again elsewhere,
+// so the loss must count all the same.
+func TestLossCountsAfterTheJobHasEnded(t *testing.T) {
+	f := newFakeGates(t, 1)
+	c := f.coordinator()
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	f.respond = func(int, msgs.Task) msgs.TaskReply {
+		cancel()
+		<-ended
+		return msgs.TaskReply{Result: msgs.Lost, Crash: msgs.CrashSuspected, CrashNumber: 1}
+	}
+	c.Submit(ctx, newTestJob(1, 100))
+	close(ended)
+	waitUntil(t, "the loss is known", func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return !c.losses.Empty(boot.Now())
+	})
+}
--- a/internal/disp/coord/task.go
+++ b/internal/disp/coord/task.go
@@ -131,7 +131,6 @@
 	ts.gate = l.Addr
 	reply := c.send(e, l, m)
 	e.release(key)
-	c.recordLoss(l.Addr, ts.name, reply)
 	c.recordRetry(e, ts, target, reply, c.now().Sub(sentAt))
 	return reply, true
 }
@@ -225,7 +224,9 @@
 	replies := make(chan msgs.TaskReply, 1)
 	go func() {
 		defer e.outstanding.Done()
-		replies <- l.RunTask(context.Background(), m, func() bool { return c.confirmed(e) })
+		reply := l.RunTask(context.Background(), m, func() bool { return c.confirmed(e) })
+		c.recordLoss(l.Addr, m.Name, reply)
+		replies <- reply
 	}()
 	select {
 	case reply := <-replies:
--- a/test/mutants_test.go
+++ b/test/mutants_test.go
@@ -173,6 +173,10 @@
 		rule: "BUDGET losses of the other tasks", file: dispCoord + "crash.go", test: "internal/disp/coord TestLossesOfAllTasksAreKeptWhileTheJobIsTurnedAway",
 		old: "\tif lost {\n\t\tc.keepLosses(e)\n\t}\n", new: "",
 	},
+	{
+		rule: "BUDGET losses told after the job", file: dispCoord + "task.go", test: "internal/disp/coord TestLossCountsAfterTheJobHasEnded",
+		old: "c.recordLoss(l.Addr, m.Name, reply)", new: "if e.ctx.Err() == nil {\n\t\t\tc.recordLoss(l.Addr, m.Name, reply)\n\t\t}",
+	},
 	{
 		rule: "BUDGET losses at older gates", file: "internal/disp/link/crash.go", test: "internal/disp/coord TestTaskThatCrashesTargetsOfOlderGatesIsGivenUp",
 		old: "msgs.NoCrash && blamed {", new: "msgs.NoCrash && blamed && false {",
