Identify a loss by the order to run the task

Cause: a loss was known by gate, incarnation and number. An entry that assumes a loss, while the gate is silent whose last word was that its target is down, has no such number and made one up. When the gate came back, it told the same loss under its own: two losses counted as four, and a job was given up that had lost two runs.

Change: a loss carries the order that was lost (entry, incarnation, ID), as it is the same whoever tells of it; told again, it counts by what proves more. A link passes on all losses in one way, those in replies too, so the number in the reply and the coordinator's part are gone.

Result: TestLossToldByAGateThatWasSilentCountsOnce failed before (abandoned after two losses) and passes; the mutant that counts by number is caught by it, and those of BUDGET by their tests.

--- a/internal/disp/blame/blame.go
+++ b/internal/disp/blame/blame.go
@@ -43,18 +43,11 @@
 // String returns the name of v as it is written to logs.
 func (v Verdict) String() string { return [...]string{"place", "fail", "abandon"}[v] }
 
-// Loss is a run that was lost with its target.
-type Loss struct {
-	Gate        string // address of the gate
-	Incarnation uint64 // of the gate
-	msgs.TaskCrash
-}
-
-// id identifies a loss, of which more than one message may tell.
+// id identifies a loss, of which more than one message may tell, by the order to run the task.
 type id struct {
-	gate        string
+	entry       string
 	incarnation uint64
-	number      int64
+	order       uint64
 }
 
 // record is what is known of the losses of a task.
@@ -71,8 +64,9 @@
 	sweptAt boot.Time
 }
 
-// Add adds a loss at now, unless it proves nothing or has been added before.
-func (l *Log) Add(loss Loss, now boot.Time) {
+// Add adds a loss at now, unless it proves nothing. One that has been added before counts by what
+// proves more.
+func (l *Log) Add(loss msgs.TaskCrash, now boot.Time) {
 	if loss.Crash == msgs.NoCrash {
 		return
 	}
@@ -81,8 +75,9 @@
 	if r.expired(now) {
 		r = record{}
 	}
-	key := id{loss.Gate, loss.Incarnation, loss.Number}
-	if _, known := r.proofs[key]; known {
+	key := id{loss.Entry, loss.Incarnation, loss.ID}
+	if known, ok := r.proofs[key]; ok {
+		r.proofs[key] = max(known, loss.Crash)
 		return
 	}
 	if r.proofs == nil {
--- a/internal/disp/blame/blame_test.go
+++ b/internal/disp/blame/blame_test.go
@@ -11,16 +11,16 @@
 
 const now = boot.Time(time.Hour)
 
-// loss returns the loss of a task with a number at a gate.
-func loss(number int64, c msgs.Crash) Loss {
-	return Loss{Gate: "g", Incarnation: 1, TaskCrash: msgs.TaskCrash{Number: number, Task: "j.0.0.0", Crash: c}}
+// loss returns the loss of a task with the given order of an entry.
+func loss(order uint64, c msgs.Crash) msgs.TaskCrash {
+	return msgs.TaskCrash{Number: 1, Task: "j.0.0.0", Crash: c, Entry: "e", Incarnation: 1, ID: order}
 }
 
 // Two proven crashes fail a job. Losses that prove less never do, but a task with three is not
 // placed again.
 func ExampleLog_Verdict() {
 	var crashed, lost Log
-	for n := range int64(3) {
+	for n := range uint64(3) {
 		crashed.Add(loss(n, msgs.CrashProven), now)
 		lost.Add(loss(n, msgs.CrashSuspected), now)
 		fmt.Println(crashed.Verdict("j.0.0.0", now), lost.Verdict("j.0.0.0", now))
@@ -44,7 +44,26 @@
 	other.Incarnation = 2
 	l.Add(other, now)
 	if got := l.Verdict("j.0.0.0", now); got != Fail {
-		t.Errorf("got %v after losses at two incarnations of a gate", got)
+		t.Errorf("got %v after losses of orders of two incarnations of an entry", got)
+	}
+}
+
+// An entry counts a suspicion by itself while a gate is silent. When the gate is back and tells of that
+// loss, it must not count a second time, but for what it proves.
+func TestLossToldByAGateThatWasSilentCountsOnce(t *testing.T) {
+	var l Log
+	for order, told := range []msgs.Crash{msgs.CrashSuspected, msgs.CrashProven} {
+		assumed := loss(uint64(order), msgs.CrashSuspected)
+		assumed.Number = 0
+		l.Add(assumed, now)
+		l.Add(loss(uint64(order), told), now)
+	}
+	if got := l.Verdict("j.0.0.0", now); got != Place {
+		t.Errorf("got %v after two losses, one of them proven", got)
+	}
+	l.Add(loss(2, msgs.CrashProven), now)
+	if got := l.Verdict("j.0.0.0", now); got != Fail {
+		t.Errorf("got %v after two proven crashes", got)
 	}
 }
 
@@ -52,16 +71,16 @@
 // not be turned away for ever for what was lost long ago.
 func TestTaskOfACallerThatKeepsComingIsTriedOnceInRetention(t *testing.T) {
 	var l Log
-	for n := range int64(3) {
+	for n := range uint64(3) {
 		l.Add(loss(n, msgs.CrashSuspected), now)
 	}
 	placed := 0
-	number := int64(3)
+	order := uint64(3)
 	for at := now; at < now.Add(10*Retention); at = at.Add(time.Second) {
 		if l.Verdict("j.0.0.0", at) == Place {
 			placed++
-			l.Add(loss(number, msgs.CrashSuspected), at)
-			number++
+			l.Add(loss(order, msgs.CrashSuspected), at)
+			order++
 		}
 	}
 	if placed < 8 || placed > 10 {
@@ -73,7 +92,7 @@
 func TestProvenCrashIsForgottenOneAtATime(t *testing.T) {
 	var l Log
 	for n, c := range []msgs.Crash{msgs.CrashProven, msgs.CrashSuspected, msgs.CrashProven, msgs.CrashSuspected} {
-		l.Add(loss(int64(n), c), now)
+		l.Add(loss(uint64(n), c), now)
 	}
 	if got := l.Verdict("j.0.0.0", now.Add(Retention)); got != Fail {
 		t.Fatalf("got %v", got)
--- a/internal/disp/blame/list.go
+++ b/internal/disp/blame/list.go
@@ -27,14 +27,14 @@
 	at boot.Time
 }
 
-// Add adds the loss of a run of a task at now and returns its number.
-func (l *List) Add(task string, c msgs.Crash, now boot.Time) int64 {
+// Add adds a loss at now, and numbers it.
+func (l *List) Add(c msgs.TaskCrash, now boot.Time) {
 	l.last++
-	l.items = append(l.items, item{msgs.TaskCrash{Number: l.last, Task: task, Crash: c}, now})
+	c.Number = l.last
+	l.items = append(l.items, item{c, now})
 	for len(l.items) > maxItems || now.Sub(l.items[0].at) > listRetention {
 		l.items = l.items[1:]
 	}
-	return l.last
 }
 
 // Last returns the number of the newest loss that After returns at now; 0 if there is none.
--- a/internal/disp/coord/crash.go
+++ b/internal/disp/coord/crash.go
@@ -8,21 +8,14 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
-// RecordCrashes records losses of runs with a target of which an incarnation of the gate at addr
-// tells. They may be of tasks of any entry, which may come here next.
-func (c *Coordinator) RecordCrashes(addr string, incarnation uint64, crashes []msgs.TaskCrash) {
+// RecordCrashes records losses of runs with a target. They may be of tasks of any entry, which may come
+// here next.
+func (c *Coordinator) RecordCrashes(crashes []msgs.TaskCrash) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.now()
 	for _, t := range crashes {
-		c.losses.Add(blame.Loss{Gate: addr, Incarnation: incarnation, TaskCrash: t}, now)
-	}
-}
-
-// recordLoss records what the reply of the gate at addr proves about the loss of a task.
-func (c *Coordinator) recordLoss(addr, task string, reply msgs.TaskReply) {
-	if reply.Crash != msgs.NoCrash {
-		c.RecordCrashes(addr, reply.Load.Incarnation, []msgs.TaskCrash{{Number: reply.CrashNumber, Task: task, Crash: reply.Crash}})
+		c.losses.Add(t, now)
 	}
 }
 
--- a/internal/disp/coord/fake_test.go
+++ b/internal/disp/coord/fake_test.go
@@ -24,6 +24,7 @@
 	respond     func(gate int, m msgs.Task) msgs.TaskReply
 	received    []msgs.Task
 	cancelCount int
+	coord       *Coordinator // the newest one
 }
 
 // newFakeGates returns n gates whose targets have one core each. They answer each task
@@ -46,7 +47,7 @@
 	f.loads = append(f.loads, msgs.Load{Incarnation: 1, Service: "s", TargetIncarnation: string(rune('a' + i)), CPU: 1000, Memory: 1000, Speed: 1})
 	change(&f.loads[i])
 	f.mu.Unlock()
-	l := &link.Link{Addr: fmt.Sprint("g", i), Entry: "e", Incarnation: 1, Drop: func(string) {}, Orders: orders}
+	l := &link.Link{Addr: fmt.Sprint("g", i), Entry: "e", Incarnation: 1, Drop: func(string) {}, Orders: orders, Crashes: f.tellCrashes}
 	l.Call = func(_ context.Context, _, method string, args, reply any) error {
 		return f.handleCall(i, method, args, reply)
 	}
@@ -95,8 +96,22 @@
 	return nil
 }
 
+// coordinator returns a coordinator that uses the gates, and hears of the losses there from now on.
 func (f *fakeGates) coordinator() *Coordinator {
-	return &Coordinator{Links: func() []*link.Link { return f.links }}
+	c := &Coordinator{Links: func() []*link.Link { return f.links }}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.coord = c
+	return c
+}
+
+func (f *fakeGates) tellCrashes(crashes []msgs.TaskCrash) {
+	f.mu.Lock()
+	c := f.coord
+	f.mu.Unlock()
+	if c != nil {
+		c.RecordCrashes(crashes)
+	}
 }
 
 func (f *fakeGates) receivedCount() int {
--- a/internal/disp/coord/loss_test.go
+++ b/internal/disp/coord/loss_test.go
@@ -37,10 +37,10 @@
 	c := f.coordinator()
 	now := boot.Now()
 	c.Now = func() boot.Time { return now }
-	number := int64(0)
+	order := uint64(0)
 	lose := func(task string) {
-		number++
-		c.RecordCrashes("g", 1, []msgs.TaskCrash{{Number: number, Task: task, Crash: msgs.CrashSuspected}})
+		order++
+		c.RecordCrashes([]msgs.TaskCrash{{Task: task, Crash: msgs.CrashSuspected, Entry: "e", Incarnation: 1, ID: order}})
 	}
 	for _, task := range []string{"j.0.0.0", "j.0.0.0", "j.0.0.0", "j.0.0.1", "j.0.0.1"} {
 		lose(task)
@@ -68,7 +68,7 @@
 	f.respond = func(int, msgs.Task) msgs.TaskReply {
 		cancel()
 		<-ended
-		return msgs.TaskReply{Result: msgs.Lost, Crash: msgs.CrashSuspected, CrashNumber: 1}
+		return msgs.TaskReply{Result: msgs.Lost, Crash: msgs.CrashSuspected}
 	}
 	c.Submit(ctx, newTestJob(1, 100))
 	close(ended)
--- a/internal/disp/coord/task.go
+++ b/internal/disp/coord/task.go
@@ -224,9 +224,7 @@
 	replies := make(chan msgs.TaskReply, 1)
 	go func() {
 		defer e.outstanding.Done()
-		reply := l.RunTask(context.Background(), m, func() bool { return c.confirmed(e) })
-		c.recordLoss(l.Addr, m.Name, reply)
-		replies <- reply
+		replies <- l.RunTask(context.Background(), m, func() bool { return c.confirmed(e) })
 	}()
 	select {
 	case reply := <-replies:
--- a/internal/disp/gate/crash.go
+++ b/internal/disp/gate/crash.go
@@ -54,7 +54,7 @@
 	}
 	r.crash = c
 	if c != msgs.NoCrash {
-		r.crashNumber = g.crashes.Add(r.msg.Name, c, g.now())
+		g.crashes.Add(msgs.TaskCrash{Task: r.msg.Name, Crash: c, Entry: r.id.entry, Incarnation: r.id.incarnation, ID: r.id.id}, g.now())
 		g.count(CrashPrefix + c.String())
 	}
 	g.finish(r, msgs.Lost, reason)
--- a/internal/disp/gate/crash_test.go
+++ b/internal/disp/gate/crash_test.go
@@ -156,7 +156,7 @@
 		lost := <-replies
 		other := msgs.Sync{Sender: msgs.Sender{Entry: "other", Incarnation: 5, GateIncarnation: 7}}
 		got := o.Sync(other).Crashes
-		want := msgs.TaskCrash{Number: lost.CrashNumber, Task: "a", Crash: msgs.CrashProven}
+		want := msgs.TaskCrash{Number: 1, Task: "a", Crash: lost.Crash, Entry: "e", Incarnation: 1, ID: 1}
 		if len(got) != 1 || got[0] != want {
 			t.Fatalf("got %+v, want %+v", got, want)
 		}
--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -133,7 +133,6 @@
 	result        msgs.Result
 	reason        string        // why the task was refused or its run lost; otherwise empty
 	crash         msgs.Crash    // what the loss of the run proves
-	crashNumber   int64         // of the loss in Gate.crashes; 0 if it is not there
 	revokedFor    time.Duration // for how long the job had been revoked when the task was refused for that; otherwise 0
 	runTime       time.Duration // by the target's clock; 0 if unknown
 	finished      chan struct{} // closed once result is set
@@ -167,7 +166,7 @@
 	defer g.mu.Unlock()
 	return msgs.TaskReply{
 		Result: r.result, Reason: r.reason, RunTime: r.runTime.Milliseconds(),
-		Crash: r.crash, CrashNumber: r.crashNumber, RevokedFor: r.revokedFor.Milliseconds(), Load: g.load(),
+		Crash: r.crash, RevokedFor: r.revokedFor.Milliseconds(), Load: g.load(),
 	}
 }
 
--- a/internal/disp/link/crash.go
+++ b/internal/disp/link/crash.go
@@ -12,15 +12,16 @@
 	return l.crashesSeen
 }
 
-// tellCrashes passes on the losses in the reply of an incarnation of the gate to a Sync call, whose
-// load has been applied.
-func (l *Link) tellCrashes(incarnation uint64, crashes []msgs.TaskCrash) {
-	if len(crashes) == 0 {
-		return
-	}
-	if l.Crashes != nil {
-		l.Crashes(incarnation, crashes)
+// tellCrashes passes on losses.
+func (l *Link) tellCrashes(crashes []msgs.TaskCrash) {
+	if len(crashes) > 0 && l.Crashes != nil {
+		l.Crashes(crashes)
 	}
+}
+
+// confirmCrashes records that the losses in the reply of an incarnation of the gate to a Sync call, whose
+// load has been applied, have been passed on.
+func (l *Link) confirmCrashes(incarnation uint64, crashes []msgs.TaskCrash) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if incarnation != l.load.Incarnation {
@@ -31,27 +32,23 @@
 	}
 }
 
-// crashNumber returns the number of the loss of m where its gate has given none. Numbers of gates are
-// positive.
-func crashNumber(m msgs.Task) int64 { return -int64(m.ID) }
-
-// withCrash returns the reply of a gate to m with what the loss proves. An older gate gives only a
-// reason, which it also gives for runs that may never have begun.
-func withCrash(reply msgs.TaskReply, m msgs.Task) msgs.TaskReply {
+// withCrash returns the reply of a gate with what the loss proves. An older gate gives only a reason,
+// which it also gives for runs that may never have begun.
+func withCrash(reply msgs.TaskReply) msgs.TaskReply {
 	blamed := reply.Reason == cause.TargetCrashed || reply.Reason == cause.TargetRestarted
 	if reply.Result == msgs.Lost && reply.Crash == msgs.NoCrash && blamed {
-		reply.Crash, reply.CrashNumber = msgs.CrashSuspected, crashNumber(m)
+		reply.Crash = msgs.CrashSuspected
 	}
 	return reply
 }
 
-// lost returns the reply for m, whose outcome an incarnation of the gate has not told.
-func (l *Link) lost(m msgs.Task, incarnation uint64) msgs.TaskReply {
+// lost returns the reply to a task whose outcome an incarnation of the gate has not told.
+func (l *Link) lost(incarnation uint64) msgs.TaskReply {
 	reply := msgs.TaskReply{Result: msgs.Lost, Reason: cause.Silent, Load: msgs.Load{Incarnation: incarnation}}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.load.Incarnation == incarnation && l.load.BlockedReason == cause.TargetCrashed || l.downIncarnation == incarnation {
-		reply.Crash, reply.CrashNumber = msgs.CrashSuspected, crashNumber(m)
+		reply.Crash = msgs.CrashSuspected
 	}
 	return reply
 }
--- a/internal/disp/link/crash_test.go
+++ b/internal/disp/link/crash_test.go
@@ -39,18 +39,16 @@
 		if r := <-replies; r.Result != msgs.Lost || r.Crash != tc.want {
 			t.Errorf("%s: got %v, crash %v, want %v", tc.name, r.Result, r.Crash, tc.want)
 		}
+		assumed := msgs.TaskCrash{Task: "a", Crash: tc.want, Entry: "e", Incarnation: 1, ID: 3}
+		if told := len(f.told) == 1 && f.told[0] == assumed; told != (tc.want != msgs.NoCrash) {
+			t.Errorf("%s: told %+v", tc.name, f.told)
+		}
 	}
 }
 
 // A link tells each loss once, and all that a new incarnation of the gate knows.
 func TestLinkTellsEachLossOnce(t *testing.T) {
 	f, l := newFakeGate()
-	var told []int64
-	l.Crashes = func(_ uint64, crashes []msgs.TaskCrash) {
-		for _, c := range crashes {
-			told = append(told, c.Number)
-		}
-	}
 	f.crashes = []msgs.TaskCrash{{Number: 1, Task: "a", Crash: msgs.CrashProven}, {Number: 2, Task: "b", Crash: msgs.CrashSuspected}}
 	for range 3 {
 		l.sync(context.Background())
@@ -59,8 +57,8 @@
 	for range 3 {
 		l.sync(context.Background())
 	}
-	if len(told) != 4 {
-		t.Errorf("told %v, want 1 and 2 of each incarnation", told)
+	if len(f.told) != 4 {
+		t.Errorf("told %v, want 1 and 2 of each incarnation", f.told)
 	}
 	if n := len(l.View(f.clock()).Load.Crashes); n != 0 {
 		t.Errorf("the view keeps %d losses", n)
--- a/internal/disp/link/link.go
+++ b/internal/disp/link/link.go
@@ -58,9 +58,9 @@
 	// Orders has the evacuations that this entry knows; nil means none. Each message carries
 	// the order of the gate's failure domain.
 	Orders *evac.Set
-	// Crashes is told the losses of runs with the target of which an incarnation of the gate
-	// tells, each once; nil discards them.
-	Crashes func(incarnation uint64, crashes []msgs.TaskCrash)
+	// Crashes is told the losses of runs with the target, those of tasks of this entry maybe more
+	// than once; nil discards them.
+	Crashes func(crashes []msgs.TaskCrash)
 	// Now reads the clock; nil means boot.Now.
 	Now func() boot.Time
 	// Event logs a change of state; nil discards it.
@@ -151,6 +151,15 @@
 // reports false before the task is sent again, RunTask cancels it, and it is Lost unless the
 // gate still has a result.
 func (l *Link) RunTask(ctx context.Context, m msgs.Task, valid func() bool) msgs.TaskReply {
+	reply := l.runTask(ctx, m, valid)
+	if reply.Crash != msgs.NoCrash {
+		l.tellCrashes([]msgs.TaskCrash{{Task: m.Name, Crash: reply.Crash, Entry: l.Entry, Incarnation: l.Incarnation, ID: m.ID}})
+	}
+	return reply
+}
+
+// runTask does the work of RunTask, but for telling the loss.
+func (l *Link) runTask(ctx context.Context, m msgs.Task, valid func() bool) msgs.TaskReply {
 	if !l.beginTask() {
 		return msgs.TaskReply{Result: msgs.Refused, Reason: cause.Unreachable}
 	}
@@ -178,7 +187,7 @@
 			if stalled && reply.Result == msgs.Refused {
 				reply.Result = msgs.Lost // the gate may have forgotten a run
 			}
-			return withCrash(reply, m)
+			return withCrash(reply)
 		case err == nil && !mayHaveArrived:
 			return msgs.TaskReply{Result: msgs.Refused, Reason: cause.Foreign}
 		case err != nil && !mayHaveArrived && errors.Is(err, peer.ErrNotSent):
@@ -186,7 +195,7 @@
 		}
 		mayHaveArrived = true
 		if sender, ok = l.awaitReconnect(ctx, incarnation); !ok {
-			return l.lost(m, incarnation)
+			return l.lost(incarnation)
 		}
 		stalled = stalled || valid != nil && !valid()
 		if stalled {
--- a/internal/disp/link/link_test.go
+++ b/internal/disp/link/link_test.go
@@ -26,15 +26,25 @@
 	onTask      func(call int, m msgs.Task) (msgs.TaskReply, error)
 	tasks       []msgs.Task
 	cancelled   []uint64
-	orders      []msgs.Order // of the Sync calls
-	crashes     []msgs.TaskCrash
+	orders      []msgs.Order     // of the Sync calls
+	crashes     []msgs.TaskCrash // that it tells of
+	told        []msgs.TaskCrash // that the link has passed on
 	drops       int
 }
 
 func newFakeGate() (*fakeGate, *Link) {
 	f := &fakeGate{now: boot.Time(time.Hour), incarnation: 5}
 	f.onTask = func(int, msgs.Task) (msgs.TaskReply, error) { return msgs.TaskReply{Result: msgs.Done}, nil }
-	return f, &Link{Addr: "g", Entry: "e", Incarnation: 1, Call: f.call, Drop: func(string) { f.drops++ }, Now: f.clock, Orders: &evac.Set{}}
+	return f, &Link{
+		Addr: "g", Entry: "e", Incarnation: 1, Call: f.call, Drop: func(string) { f.drops++ },
+		Now: f.clock, Orders: &evac.Set{}, Crashes: f.recordTold,
+	}
+}
+
+func (f *fakeGate) recordTold(crashes []msgs.TaskCrash) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.told = append(f.told, crashes...)
 }
 
 func (f *fakeGate) clock() boot.Time {
@@ -211,7 +221,7 @@
 	f, l := newFakeGate()
 	l.sync(context.Background())
 	f.onTask = func(int, msgs.Task) (msgs.TaskReply, error) { return msgs.TaskReply{}, peer.ErrBroken }
-	replies := startTask(l, msgs.Task{})
+	replies := startTask(l, msgs.Task{ID: 3, Name: "a"})
 	f.awaitTask()
 	return f, l, replies
 }
--- a/internal/disp/link/sync.go
+++ b/internal/disp/link/sync.go
@@ -44,7 +44,8 @@
 	crashes := reply.Crashes
 	reply.Crashes = nil
 	l.applyLoad(*reply, true)
-	l.tellCrashes(reply.Incarnation, crashes)
+	l.tellCrashes(crashes)
+	l.confirmCrashes(reply.Incarnation, crashes)
 	l.confirmOrder(evac.Order(order))
 }
 
--- a/internal/disp/proc/links.go
+++ b/internal/disp/proc/links.go
@@ -7,7 +7,6 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/link"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/memb"
-	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
 // maxLinks is the maximum number of nodes that an entry uses. It bounds the
@@ -99,7 +98,7 @@
 	l := &link.Link{
 		Addr: addr, Entry: e.Name, Incarnation: e.Incarnation,
 		Call: e.pool.Call, Drop: e.pool.Drop, Event: e.Event, Orders: &e.Orders,
-		Crashes: func(incarnation uint64, crashes []msgs.TaskCrash) { e.Coord.RecordCrashes(addr, incarnation, crashes) },
+		Crashes: e.Coord.RecordCrashes,
 	}
 	e.links[addr] = l
 	go e.runLink(e.ctx, l)
--- a/internal/wire/msgs/crash.go
+++ b/internal/wire/msgs/crash.go
@@ -28,20 +28,26 @@
 	return "unknown"
 }
 
-// TaskCrash is the loss of a run with its target.
+// TaskCrash is the loss of a run with its target. Entry, Incarnation and ID identify the order to run
+// the task, which is lost once at most, whoever tells of it.
 type TaskCrash struct {
-	Number int64  // of the loss, from 1 in each incarnation of the gate
-	Task   string // name of the task
-	Crash  Crash
+	Number      int64  // of the loss, from 1 in each incarnation of the gate; 0 if the gate has not told of it
+	Task        string // name of the task
+	Crash       Crash
+	Entry       string // that has placed the task
+	Incarnation uint64 // of the entry
+	ID          uint64 // Task.ID
 }
 
 // crashesCodec returns a codec for a list of losses, each encoded as an array.
 func crashesCodec(items *[]TaskCrash) *sliceCodec[TaskCrash] {
 	return &sliceCodec[TaskCrash]{
-		items:  items,
-		encode: func(e *msgpack.Encoder, c TaskCrash) error { return encodeArray(e, c.Number, c.Task, int(c.Crash)) },
+		items: items,
+		encode: func(e *msgpack.Encoder, c TaskCrash) error {
+			return encodeArray(e, c.Number, c.Task, int(c.Crash), c.Entry, c.Incarnation, c.ID)
+		},
 		decode: func(d *msgpack.Decoder) (c TaskCrash, err error) {
-			return c, decodeArray(d, &c.Number, &c.Task, (*int)(&c.Crash))
+			return c, decodeArray(d, &c.Number, &c.Task, (*int)(&c.Crash), &c.Entry, &c.Incarnation, &c.ID)
 		},
 	}
 }
--- a/internal/wire/msgs/task.go
+++ b/internal/wire/msgs/task.go
@@ -63,9 +63,7 @@
 	Reason  string // why the task was refused or its run lost; otherwise empty
 	RunTime int64  // run time by the target's clock, ms; 0 if unknown
 	Load    Load
-	// Crash is what the loss of the run proves, and CrashNumber its TaskCrash.Number; 0 if there is none.
-	Crash       Crash
-	CrashNumber int64
+	Crash   Crash // what the loss of the run proves
 	// RevokedFor is for how long the job of a task that was refused on arrival had been revoked, ms; 0
 	// if that is not why.
 	RevokedFor int64
@@ -216,7 +214,7 @@
 func (m *TaskReply) EncodeMsgpack(e *msgpack.Encoder) error {
 	fields := []any{int(m.Result), m.Reason, m.RunTime, &m.Load}
 	if m.Crash != NoCrash || m.RevokedFor != 0 {
-		fields = append(fields, int(m.Crash), m.CrashNumber, m.RevokedFor)
+		fields = append(fields, int(m.Crash), m.RevokedFor)
 	}
 	return encodeArray(e, fields...)
 }
@@ -224,7 +222,7 @@
 // DecodeMsgpack reads the message. One from an older process has no Crash, so it proves none, and
 // no RevokedFor.
 func (m *TaskReply) DecodeMsgpack(d *msgpack.Decoder) error {
-	return decodeArray(d, (*int)(&m.Result), &m.Reason, &m.RunTime, &m.Load, (*int)(&m.Crash), &m.CrashNumber, &m.RevokedFor)
+	return decodeArray(d, (*int)(&m.Result), &m.Reason, &m.RunTime, &m.Load, (*int)(&m.Crash), &m.RevokedFor)
 }
 
 // EncodeMsgpack writes the message, without CrashesSeen if that is 0.
--- a/test/mutants_test.go
+++ b/test/mutants_test.go
@@ -174,8 +174,12 @@
 		old: "\tif lost {\n\t\tc.keepLosses(e)\n\t}\n", new: "",
 	},
 	{
-		rule: "BUDGET losses told after the job", file: dispCoord + "task.go", test: "internal/disp/coord TestLossCountsAfterTheJobHasEnded",
-		old: "c.recordLoss(l.Addr, m.Name, reply)", new: "if e.ctx.Err() == nil {\n\t\t\tc.recordLoss(l.Addr, m.Name, reply)\n\t\t}",
+		rule: "BUDGET losses told after the job", file: dispLink, test: "internal/disp/coord TestLossCountsAfterTheJobHasEnded",
+		old: "if reply.Crash != msgs.NoCrash {", new: "if false {",
+	},
+	{
+		rule: "LOST losses that are told twice", file: "internal/disp/blame/blame.go", test: "internal/disp/blame TestLossToldByAGateThatWasSilentCountsOnce",
+		old: "key := id{loss.Entry, loss.Incarnation, loss.ID}", new: "key := id{loss.Entry, uint64(loss.Number), loss.ID}",
 	},
 	{
 		rule: "BUDGET losses at older gates", file: "internal/disp/link/crash.go", test: "internal/disp/coord TestTaskThatCrashesTargetsOfOlderGatesIsGivenUp",
