Prove no crash by a listing of an earlier run of the task

Callers could see a job as failed, or nearer to that, for a crash under a task of theirs that may never have begun: the loss of its run was told as proven.

Cause: a listing that was asked for before the start was ordered, and is read after it, may have an earlier run of the task with the same number. It counted as a sign of the run that was being ordered. If the order then had no answer, or was refused for its number and repeated under the next, the run counted as begun and seen, so that the target's crash was proven to be one under it.

Change: a start knows when it was ordered under its number (State.Order). Until it has begun, polls that were sent before that show nothing (State.IsShownBy). A new number (State.Renumber) drops what was known of the former one, and the progress listed for it.

--- a/internal/disp/gate/apply.go
+++ b/internal/disp/gate/apply.go
@@ -80,12 +80,15 @@
 }
 
 // applyProgress processes a run in progress in the answer to p and reports whether this gate
-// knows the run. A start in doubt is thereby resolved.
+// knows the run. A start in doubt is thereby resolved, unless it may be an earlier run of the task.
 func (g *Gate) applyProgress(p poll, row targ.Running, now boot.Time) bool {
 	r := g.runs[row.Task]
 	if r == nil || r.number != row.Run {
 		return false
 	}
+	if !r.state.IsShownBy(p.sentAt) {
+		return true
+	}
 	if r.state.InDoubt() {
 		g.recordStart(r, 0, now)
 	}
--- a/internal/disp/gate/crash_test.go
+++ b/internal/disp/gate/crash_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/targ"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
@@ -243,3 +244,60 @@
 		}
 	})
 }
+
+// A listing that was asked for before the order may be read after it, and has an earlier run of the
+// task with the same number: it does not show that the run which is ordered has begun. Nor does what
+// was listed under a number that the target then refuses.
+func TestListingOfAnEarlierRunIsNoCrashUnderTheTask(t *testing.T) {
+	for _, tc := range []struct {
+		name       string
+		lose       func(f *fakeTarget)
+		askedSince bool
+	}{
+		{"the order is lost", func(f *fakeTarget) { f.dropStarts = 1 }, false},
+		{"its number is refused", func(f *fakeTarget) { f.startDelay = 10 * time.Millisecond }, false},
+		{"its number is refused after a listing", func(f *fakeTarget) { f.startDelay = 10 * time.Millisecond }, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFakeTarget(1000)
+			f.runTime = 60 * time.Millisecond
+			inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
+				p := o.runWithPoll(o.task("a", 10))
+				f.update(tc.lose)
+				replies := make(chan msgs.TaskReply, 1)
+				go func() { replies <- o.take(o.task("a", 10)) }()
+				time.Sleep(5 * time.Millisecond)
+				if tc.askedSince {
+					p.sentAt = o.now()
+				}
+				o.list(p, targ.Running{Task: "a", Run: 1, Percent: 50})
+				f.update(func(f *fakeTarget) { f.startDelay, f.dropStarts = 0, 1 }) // the next order is lost
+				time.Sleep(10 * time.Millisecond)
+				f.update(func(f *fakeTarget) { f.down = true })
+				if got := <-replies; got.Result != msgs.Lost || got.Reason != cause.Unanswered || got.Crash != msgs.CrashSuspected {
+					t.Errorf("got %v %q, crash %v, want a suspicion", got.Result, got.Reason, got.Crash)
+				}
+			})
+		})
+	}
+}
+
+// runWithPoll runs a task that takes longer than begin waits, and returns a poll that is sent meanwhile.
+func (o *openGate) runWithPoll(m msgs.Task) poll {
+	o.t.Helper()
+	replies := o.begin(m)
+	o.mu.Lock()
+	p := o.newPoll(targ.Renewal{})
+	o.mu.Unlock()
+	if got := <-replies; got.Result != msgs.Done {
+		o.t.Fatalf("got %v %q", got.Result, got.Reason)
+	}
+	return p
+}
+
+// list lets the gate read an answer to p that has these runs in progress, and no ends.
+func (o *openGate) list(p poll, running ...targ.Running) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.applyListing(p, targ.Listing{Clock: o.target.clock(), Running: running}, o.now())
+}
--- a/internal/disp/gate/order.go
+++ b/internal/disp/gate/order.go
@@ -132,7 +132,7 @@
 		r.state = r.state.Answer(sentAt, g.remaining(r, 0))
 		g.recordStart(r, clock, now)
 	case errors.Is(err, targ.ErrStaleRun):
-		r.number += runNumberStep
+		r.renumber(now)
 		return false
 	case errors.Is(err, targ.ErrFenced):
 		g.raiseFence()
@@ -163,6 +163,13 @@
 	return true
 }
 
+// renumber gives r, whose number the target has refused as stale, a higher one.
+func (r *run) renumber(now boot.Time) {
+	r.number += runNumberStep
+	r.state = r.state.Renumber(now)
+	r.percent, r.progress = 0, progress{}
+}
+
 // recordStart records that r, whose state says so, is in progress since the target's time clock; 0
 // if that is unknown.
 func (g *Gate) recordStart(r *run, clock int64, now boot.Time) {
--- a/internal/disp/gate/queue.go
+++ b/internal/disp/gate/queue.go
@@ -31,7 +31,7 @@
 		g.queue = g.queue[1:]
 		g.breaker.RecordStart(now)
 		g.observeWait(r, now)
-		r.state = r.state.Order()
+		r.state = r.state.Order(now)
 		g.runs[r.msg.Name] = r
 		g.waker.Wake()
 		go g.orderStart(r)
--- a/internal/disp/start/start.go
+++ b/internal/disp/start/start.go
@@ -41,6 +41,7 @@
 // zero value has not been ordered.
 type State struct {
 	phase      Phase
+	orderedAt  boot.Time     // when the start was ordered under its present number; 0 if that was at an incarnation before
 	begun      bool          // the target has answered the start, or listed the run, and so will list its end
 	stopAt     boot.Time     // when it was decided to stop the run; 0 if it was not
 	seenAt     boot.Time     // when a call was sent whose answer shows the run in progress; 0 if none was
@@ -84,12 +85,24 @@
 // Stopped reports whether the target has acknowledged a stop of the run.
 func (s State) Stopped() bool { return s.byStop }
 
-// Order returns s after the start has been ordered.
-func (s State) Order() State {
-	s.phase = Ordered
+// Order returns s after the start has been ordered at the given time, at which no earlier run of the
+// task was in progress.
+func (s State) Order(at boot.Time) State {
+	s.phase, s.orderedAt = Ordered, at
 	return s
 }
 
+// Renumber returns s after the run has got another number at the given time, and its start is
+// ordered again. What was known of the former number says nothing of the new one.
+func (s State) Renumber(at boot.Time) State {
+	return State{phase: Ordered, orderedAt: at, stopAt: s.stopAt, crash: s.crash, begunOnce: s.begunOnce}
+}
+
+// IsShownBy reports whether the answer to a poll that was sent at the given time shows the run if
+// it lists its number. If the poll was sent before the order, that may be an earlier run of the
+// task, unless this one has begun.
+func (s State) IsShownBy(at boot.Time) bool { return s.begun || at > s.orderedAt }
+
 // Doubt returns s after the order has remained without an answer. A run that has been listed meanwhile
 // is not in doubt.
 func (s State) Doubt() State {
@@ -113,7 +126,7 @@
 	return s.seen(at, remaining)
 }
 
-// See returns s after the answer to a poll that was sent at the given time has listed the run. It
+// See returns s after the answer to a poll that was sent at the given time has shown the run. It
 // was expected to go on for the remaining time then. An order that may still be answered stays so.
 func (s State) See(at boot.Time, remaining time.Duration) State {
 	if s.phase != Ordered && s.phase != Detached {
--- a/internal/disp/start/start_test.go
+++ b/internal/disp/start/start_test.go
@@ -15,7 +15,7 @@
 // A start without an answer may have begun or not when its target goes down, so that proves no
 // crash under the task. One that was answered shortly before had begun.
 func ExampleState_Crash() {
-	ordered := State{}.Order()
+	ordered := State{}.Order(ms(0))
 	down := ms(20)
 	fmt.Println(ordered.Doubt().Crash(down))
 	fmt.Println(ordered.Answer(ms(0), 100*time.Millisecond).Crash(down))
@@ -25,7 +25,7 @@
 }
 
 func TestCrash(t *testing.T) {
-	ordered := State{}.Order()
+	ordered := State{}.Order(ms(0))
 	running := ordered.Answer(ms(0), time.Second)
 	for _, tc := range []struct {
 		name   string
@@ -64,7 +64,7 @@
 // An exclusion proves that a start without an answer never took effect, unless its target has
 // restarted since.
 func TestCrashIfExcluded(t *testing.T) {
-	ordered := State{}.Order()
+	ordered := State{}.Order(ms(0))
 	for _, tc := range []struct {
 		name        string
 		state       State
@@ -84,17 +84,39 @@
 	}
 }
 
+// A run that has another number may not have begun, whatever showed the one with the former number,
+// and stays as it is until a poll lists it that was sent since.
+func TestRunWithANewNumberIsNotSeenUnderTheFormerOne(t *testing.T) {
+	s := State{}.Order(ms(0)).See(ms(5), time.Second).Renumber(ms(10)).Doubt()
+	if got := s.Crash(ms(20)); got != msgs.CrashSuspected || !s.InDoubt() || s.HasBegun() || s.ListsEnd() {
+		t.Errorf("got %v of %+v", got, s)
+	}
+	if s.IsShownBy(ms(8)) || s.IsShownBy(ms(10)) || !s.IsShownBy(ms(11)) {
+		t.Errorf("got %+v, which a poll shows that was sent since", s)
+	}
+	if stopping := s.Stop(ms(12)).Renumber(ms(14)); !stopping.Stopping() {
+		t.Errorf("got %+v, which is to be stopped", stopping)
+	}
+}
+
+// An answer to the order shows the run, so what is listed under its number is that run.
+func TestRunThatHasBegunIsShownByEarlierPolls(t *testing.T) {
+	if s := (State{}.Order(ms(0)).Answer(ms(0), time.Second)); !s.IsShownBy(ms(-5)) {
+		t.Errorf("got %+v", s)
+	}
+}
+
 // A run that was listed before its order remained without an answer has started: its task must not be
 // told as one that never did.
 func TestListedRunIsNotInDoubt(t *testing.T) {
-	s := State{}.Order().See(ms(5), time.Second).Doubt()
+	s := State{}.Order(ms(0)).See(ms(5), time.Second).Doubt()
 	if _, mayHaveStarted := s.Exclude(ms(20), true).CrashIfExcluded(); s.InDoubt() || !mayHaveStarted {
 		t.Errorf("got %+v", s)
 	}
 }
 
 func TestRestartForgetsWhatTheFormerIncarnationHasAnswered(t *testing.T) {
-	s := State{}.Order().Answer(ms(0), time.Second).Stop(ms(2)).Exclude(ms(5), true).Move(msgs.CrashProven)
+	s := State{}.Order(ms(0)).Answer(ms(0), time.Second).Stop(ms(2)).Exclude(ms(5), true).Move(msgs.CrashProven)
 	if s.ListsEnd() || s.Stopped() || s.ExcludedAt() != 0 || !s.InDoubt() {
 		t.Errorf("got %+v", s)
 	}
@@ -106,7 +128,7 @@
 // A target that has refused a connection and has listed the run since is not down: what it refused
 // proves nothing about a later silence.
 func TestRunSeenAfterARefusedConnectionIsNoProvenCrash(t *testing.T) {
-	s := State{}.Order().Answer(ms(0), time.Second).See(ms(20), time.Second)
+	s := State{}.Order(ms(0)).Answer(ms(0), time.Second).See(ms(20), time.Second)
 	if got := s.Crash(ms(10)); got == msgs.CrashProven {
 		t.Errorf("got %v", got)
 	}
@@ -115,7 +137,7 @@
 // A run that was in progress when its target crashed, and is carried out once more by the
 // incarnation that has replaced it, must not lose the proof when it is stopped there.
 func TestProofOfARestartOutlivesTheStopOfTheSecondRun(t *testing.T) {
-	s := State{}.Order().Answer(ms(0), time.Second).Move(msgs.CrashProven).See(ms(20), time.Second).Stop(ms(30)).Exclude(ms(31), true)
+	s := State{}.Order(ms(0)).Answer(ms(0), time.Second).Move(msgs.CrashProven).See(ms(20), time.Second).Stop(ms(30)).Exclude(ms(31), true)
 	if got, _ := s.CrashIfExcluded(); got != msgs.CrashProven {
 		t.Errorf("got %v", got)
 	}
@@ -124,7 +146,7 @@
 // Silence of the second incarnation adds nothing to what the restart has proved, but a run that was
 // in progress at both has crashed both.
 func TestSilenceAfterARestartIsNoSecondProof(t *testing.T) {
-	s := State{}.Order().Doubt().Move(msgs.CrashSuspected).See(ms(20), time.Second)
+	s := State{}.Order(ms(0)).Doubt().Move(msgs.CrashSuspected).See(ms(20), time.Second)
 	if got := s.Crash(0); got != msgs.CrashSuspected {
 		t.Errorf("got %v", got)
 	}
--- a/test/mutants_test.go
+++ b/test/mutants_test.go
@@ -145,6 +145,18 @@
 		old: " && downAt > 0 && ", new: " && ",
 		more: []edit{{dispStart, "unseen >= 0 && ", ""}},
 	},
+	{
+		rule: "LOST listing asked for before the order", file: dispGate + "apply.go", test: "internal/disp/gate TestListingOfAnEarlierRunIsNoCrashUnderTheTask",
+		old: "if !r.state.IsShownBy(p.sentAt) {", new: "if false {",
+	},
+	{
+		rule: "LOST run under a refused number", file: dispGate + "order.go", test: "internal/disp/gate TestListingOfAnEarlierRunIsNoCrashUnderTheTask",
+		old: "\tr.state = r.state.Renumber(now)\n", new: "\t_ = now\n",
+	},
+	{
+		rule: "LOST run with a new number", file: dispStart, test: "internal/disp/start TestRunWithANewNumberIsNotSeenUnderTheFormerOne",
+		old: "return State{phase: Ordered, orderedAt: at, stopAt: s.stopAt, crash: s.crash, begunOnce: s.begunOnce}", new: "return s.Order(at)",
+	},
 	{
 		rule: "LOST planned restart", file: dispGate + "incarnation.go", test: "internal/disp/gate TestPlannedRestartUnderTheSameIDIsNoCrashUnderTheTask",
 		old: "if leaving {", new: "if leaving && false {",
