Date a restart by the poll that the target refused before

The loss of a run with a target that crashed, refused a poll at once and was back under its ID 400 ms later was told as suspected, though it is proven: a caller whose task crashes targets waits for a third loss and gets an answer that leaves open what happened.

Cause: the answer that shows the restart was first counted as one of the incarnation before, which forgets when that refused a connection. So the crash was dated by the answer. The polls that resolve a start without an answer had the two steps in the right order.

Change: what an answer to a poll proves stands once, in handleListing, and the incarnation is checked first. The polls that resolve a start acknowledge ends and drop an announced successor now, too, as the others did.

Result: TestRestartIsDatedByTheRefusedPollBeforeIt got suspected before and gets proven now.

--- a/internal/disp/gate/crash_test.go
+++ b/internal/disp/gate/crash_test.go
@@ -147,6 +147,23 @@
 	}
 }
 
+// A target that crashes, refuses a poll and then comes back under its ID was down when it refused the
+// poll, not when an answer shows the restart.
+func TestRestartIsDatedByTheRefusedPollBeforeIt(t *testing.T) {
+	f := newFakeTarget(1000)
+	f.stallRuns = true
+	inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
+		replies := o.begin(o.task("a", 10))
+		f.update(func(f *fakeTarget) { f.down = true })
+		time.Sleep(400 * time.Millisecond)
+		f.restartInPlace()
+		f.update(func(f *fakeTarget) { f.down = false })
+		if got := <-replies; got.Result != msgs.Lost || got.Crash != msgs.CrashProven {
+			t.Errorf("got %v %q, crash %v, want a proof", got.Result, got.Reason, got.Crash)
+		}
+	})
+}
+
 // An entry learns of the losses of all entries' tasks, and of each once.
 func TestSyncTellsLossesOfAllEntries(t *testing.T) {
 	f := newFakeTarget(1000)
--- a/internal/disp/gate/poll.go
+++ b/internal/disp/gate/poll.go
@@ -125,17 +125,7 @@
 	now := g.now()
 	switch {
 	case err == nil:
-		if g.silent {
-			g.event("target_answers", "target", p.incarnation.ID)
-		}
-		g.recordAnswer()
-		g.successor = targ.Incarnation{}
-		if !g.checkIncarnation(l) {
-			return true
-		}
-		g.ackedEndSeq = max(g.ackedEndSeq, p.renewal.Seen)
-		g.applyListing(p, l, now)
-		g.startQueued()
+		g.handleListing(p, l)
 		return true
 	case errors.Is(err, targ.ErrFenced):
 		g.raiseFence()
@@ -160,6 +150,23 @@
 	return false
 }
 
+// handleListing processes the answer l to p, which was sent to the current incarnation. If another
+// one has answered, the end of the current one is dated by the first connection that it refused:
+// recordAnswer, which forgets that time, comes after the check.
+func (g *Gate) handleListing(p poll, l targ.Listing) {
+	if g.silent {
+		g.event("target_answers", "target", p.incarnation.ID)
+	}
+	if !g.checkIncarnation(l) {
+		return
+	}
+	g.recordAnswer()
+	g.successor = targ.Incarnation{}
+	g.ackedEndSeq = max(g.ackedEndSeq, p.renewal.Seen)
+	g.applyListing(p, l, g.now())
+	g.startQueued()
+}
+
 // recordAnswer records that the target answers, or is given another chance to.
 func (g *Gate) recordAnswer() {
 	g.missedPolls, g.silent = 0, false
--- a/internal/disp/gate/resolve.go
+++ b/internal/disp/gate/resolve.go
@@ -65,10 +65,8 @@
 	l, err := g.Poll(ctx, p.incarnation, p.renewal)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if err == nil && g.targetKnown && p.incarnation.Same(g.incarnation) && g.checkIncarnation(l) {
-		g.recordAnswer()
-		g.applyListing(p, l, g.now())
-		g.startQueued()
+	if err == nil && g.targetKnown && p.incarnation.Same(g.incarnation) {
+		g.handleListing(p, l)
 	}
 	return !r.state.InDoubt()
 }
--- a/test/mutants_test.go
+++ b/test/mutants_test.go
@@ -161,6 +161,10 @@
 		rule: "LOST planned restart", file: dispGate + "incarnation.go", test: "internal/disp/gate TestPlannedRestartUnderTheSameIDIsNoCrashUnderTheTask",
 		old: "if leaving {", new: "if leaving && false {",
 	},
+	{
+		rule: "LOST time of a restart", file: dispGate + "poll.go", test: "internal/disp/gate TestRestartIsDatedByTheRefusedPollBeforeIt",
+		old: "if !g.checkIncarnation(l) {\n\t\treturn\n\t}\n\tg.recordAnswer()", new: "g.recordAnswer()\n\tif !g.checkIncarnation(l) {\n\t\treturn\n\t}",
+	},
 	{
 		rule: "LOST repeated start", file: dispGate + "resolve.go", test: "internal/disp/gate TestRepeatedStartDoesNotDateTheRun",
 		old: "max(0, remaining)", new: "max(remaining, g.remaining(r, 0))",
