Check what the loss of a start in doubt proves, not only its reason

TestStartInDoubtIsNoCrashUnderTheTask and TestRepeatedStartOfAnOlderNumberIsNoCrashUnderTheTask checked the reason of the loss, by which no entry counts crashes any more. Without the rule of State.Crash that a run must have begun and have been seen, both passed. The two mutants for them were the same edit, and changed the reason only.

Change: both tests check what the loss proves, beside the reason; the second one also that the run was lost. "LOST crash in doubt" takes a refused number, and "LOST crash under a start without an answer" takes silence, for an answer that the run was started. "LOST crash without a sign of the run" removes the rule of State.Crash, which covers both cases. The former edit stays, once, as "LOST reason of a start in doubt".

--- a/internal/disp/gate/crash_test.go
+++ b/internal/disp/gate/crash_test.go
@@ -43,8 +43,8 @@
 		f.update(func(f *fakeTarget) { f.dropStarts = 1 })
 		replies := o.begin(o.task("a", 10))
 		f.update(func(f *fakeTarget) { f.down = true })
-		if got := <-replies; got.Reason == cause.TargetCrashed {
-			t.Errorf("got %v %q", got.Result, got.Reason)
+		if got := <-replies; got.Result != msgs.Lost || got.Reason == cause.TargetCrashed || got.Crash != msgs.CrashSuspected {
+			t.Errorf("got %v %q, crash %v, want a suspicion", got.Result, got.Reason, got.Crash)
 		}
 	})
 }
@@ -61,12 +61,12 @@
 			}
 			replies := o.begin(o.task("a", 10))
 			f.update(func(f *fakeTarget) { f.down = true })
-			want := cause.Unanswered
+			want, crash := cause.Unanswered, msgs.CrashSuspected
 			if answered {
-				want = cause.TargetCrashed
+				want, crash = cause.TargetCrashed, msgs.CrashProven
 			}
-			if got := <-replies; got.Result != msgs.Lost || got.Reason != want {
-				t.Errorf("answered %v: got %v %q, want lost %q", answered, got.Result, got.Reason, want)
+			if got := <-replies; got.Result != msgs.Lost || got.Reason != want || got.Crash != crash {
+				t.Errorf("answered %v: got %v %q, crash %v, want lost %q, %v", answered, got.Result, got.Reason, got.Crash, want, crash)
 			}
 		})
 	}
--- a/test/mutants_test.go
+++ b/test/mutants_test.go
@@ -125,11 +125,19 @@
 		old: "if g.successor.ID != \"\" && len(g.runs) == 0 {", new: "if g.successor.ID != \"\" {",
 	},
 	{
-		rule: "LOST crash in doubt", file: dispStart, test: "internal/disp/gate TestRepeatedStartOfAnOlderNumberIsNoCrashUnderTheTask",
-		old: "return s.begun || s.begunOnce", new: "return true",
+		rule: "LOST crash in doubt", file: dispGate + "resolve.go", test: "internal/disp/gate TestRepeatedStartOfAnOlderNumberIsNoCrashUnderTheTask",
+		old: "r.state = r.state.Know()", new: "r.state = r.state.Answer(sentAt, g.remaining(r, 0))",
+	},
+	{
+		rule: "LOST crash under a start without an answer", file: dispGate + "order.go", test: "internal/disp/gate TestStartInDoubtIsNoCrashUnderTheTask",
+		old: "r.state = r.state.Doubt()", new: "r.state = r.state.Answer(sentAt, g.remaining(r, 0))",
+	},
+	{
+		rule: "LOST crash without a sign of the run", file: dispStart, test: "internal/disp/gate TestRepeatedStartOfAnOlderNumberIsNoCrashUnderTheTask",
+		old: "s.begun && downAt > 0 && s.seenUntil(downAt) && ", new: "downAt > 0 && ",
 	},
 	{
-		rule: "LOST crash under a start without an answer", file: dispStart, test: "internal/disp/gate TestStartInDoubtIsNoCrashUnderTheTask",
+		rule: "LOST reason of a start in doubt", file: dispStart, test: "internal/disp/gate TestStartInDoubtIsNoCrashUnderTheTask",
 		old: "return s.begun || s.begunOnce", new: "return true",
 	},
 	{
