Guard that a crash is proven for as long as a poll takes at most

The limit of 250 ms in package start was the sum of two constants of package gate, and nothing said or checked so: a change of either would have moved what counts as proven, or not, unseen.

Change: the comment names the relation, and a test in gate compares the two. Comments on constants and on the pause between polls say what they are, without reasons for their tuning.

--- a/internal/disp/gate/crash_test.go
+++ b/internal/disp/gate/crash_test.go
@@ -4,7 +4,9 @@
 	"testing"
 	"time"
 
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/start"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/targ"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
@@ -91,6 +93,20 @@
 	})
 }
 
+// The longest time without a sign of a run for which its crash is proven stands in package start, and
+// is that of a poll here. A change of either must not part them.
+func TestRunIsUnseenForAPollAtMostBeforeAProvenCrash(t *testing.T) {
+	const limit = pollWait + pollTimeout
+	seenAt := boot.Time(time.Hour)
+	s := start.State{}.Order(seenAt).Answer(seenAt, time.Hour)
+	if got := s.Crash(seenAt.Add(limit)); got != msgs.CrashProven {
+		t.Errorf("unseen for %v: got %v", limit, got)
+	}
+	if got := s.Crash(seenAt.Add(limit + 1)); got != msgs.CrashSuspected {
+		t.Errorf("unseen for more than %v: got %v", limit, got)
+	}
+}
+
 // What the loss of a run with its target proves depends on what shows that it was in progress.
 func TestCrashIsProvenOnlyUnderARunInProgress(t *testing.T) {
 	for _, tc := range []struct {
--- a/internal/disp/gate/poll.go
+++ b/internal/disp/gate/poll.go
@@ -58,7 +58,7 @@
 	cancel()
 	answered := g.handlePollReply(p, l, err)
 	if !answered && g.missedOnce() {
-		return // the sooner a target is known to be down, the more that proves of its runs
+		return // the next poll follows without a pause
 	}
 	if !answered || p.renewal.Wait == 0 {
 		boot.Sleep(ctx, pollPause)
--- a/internal/disp/start/start.go
+++ b/internal/disp/start/start.go
@@ -9,11 +9,10 @@
 
 const (
 	// maxUnseen is the longest time between the last sign of a run and the crash of its target
-	// for which the run counts as in progress at the crash. A target that is well answers a long
-	// poll within that time.
+	// for which the run counts as in progress at the crash. It is the longest time that a poll of
+	// package gate takes: its pollWait and its pollTimeout.
 	maxUnseen = 250 * time.Millisecond
-	// unseenShare is the same as a share of the time that the run was expected to go on, since
-	// the estimate may be wrong.
+	// unseenShare is the same as a share of the time that the run was expected to go on.
 	unseenShare = 0.5
 )
 
--- a/test/mutants_test.go
+++ b/test/mutants_test.go
@@ -144,6 +144,10 @@
 		rule: "LOST crash after an end that nobody has read", file: dispStart, test: "internal/disp/gate TestEndThatNobodyHasReadIsNoProvenCrash",
 		old: " && s.seenUntil(downAt) && ", new: " && ",
 	},
+	{
+		rule: "LOST crash of a run unseen for longer than a poll", file: dispStart, test: "internal/disp/gate TestRunIsUnseenForAPollAtMostBeforeAProvenCrash",
+		old: "maxUnseen = 250 * time.Millisecond", new: "maxUnseen = 251 * time.Millisecond",
+	},
 	{
 		rule: "LOST crash of a run being stopped", file: dispStart, test: "internal/disp/gate TestCrashIsProvenOnlyUnderARunInProgress",
 		old: " && !s.stoppingAt(downAt):", new: ":",
