--- a/internal/disp/gate/crash_test.go
+++ b/internal/disp/gate/crash_test.go
@@ -4,7 +4,10 @@
 	"testing"
 	"time"
 
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/start"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/targ"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
@@ -42,8 +45,8 @@
 		f.update(func(f *fakeTarget) { f.dropStarts = 1 })
 		replies := o.begin(o.task("a", 10))
 		f.update(func(f *fakeTarget) { f.down = true })
-		if got := <-replies; got.Reason == cause.TargetCrashed {
-			t.Errorf("got %v %q", got.Result, got.Reason)
+		if got := <-replies; got.Result != msgs.Lost || got.Reason == cause.TargetCrashed || got.Crash != msgs.CrashSuspected {
+			t.Errorf("got %v %q, crash %v, want a suspicion", got.Result, got.Reason, got.Crash)
 		}
 	})
 }
@@ -60,12 +63,12 @@
 			}
 			replies := o.begin(o.task("a", 10))
 			f.update(func(f *fakeTarget) { f.down = true })
-			want := cause.Unanswered
+			want, crash := cause.Unanswered, msgs.CrashSuspected
 			if answered {
-				want = cause.TargetCrashed
+				want, crash = cause.TargetCrashed, msgs.CrashProven
 			}
-			if got := <-replies; got.Result != msgs.Lost || got.Reason != want {
-				t.Errorf("answered %v: got %v %q, want lost %q", answered, got.Result, got.Reason, want)
+			if got := <-replies; got.Result != msgs.Lost || got.Reason != want || got.Crash != crash {
+				t.Errorf("answered %v: got %v %q, crash %v, want lost %q, %v", answered, got.Result, got.Reason, got.Crash, want, crash)
 			}
 		})
 	}
@@ -90,6 +93,20 @@
 	})
 }
 
+// The longest time without a sign of a run for which its crash is proven stands in package start, and
+// is that of a poll here. A change of either must not part them.
+func TestRunIsUnseenForAPollAtMostBeforeAProvenCrash(t *testing.T) {
+	const limit = pollWait + pollTimeout
+	seenAt := boot.Time(time.Hour)
+	s := start.State{}.Order(seenAt).Answer(seenAt, time.Hour)
+	if got := s.Crash(seenAt.Add(limit)); got != msgs.CrashProven {
+		t.Errorf("unseen for %v: got %v", limit, got)
+	}
+	if got := s.Crash(seenAt.Add(limit + 1)); got != msgs.CrashSuspected {
+		t.Errorf("unseen for more than %v: got %v", limit, got)
+	}
+}
+
 // What the loss of a run with its target proves depends on what shows that it was in progress.
 func TestCrashIsProvenOnlyUnderARunInProgress(t *testing.T) {
 	for _, tc := range []struct {
@@ -146,6 +163,23 @@
 	}
 }
 
+// A target that crashes, refuses a poll and then comes back under its ID was down when it refused the
+// poll, not when an answer shows the restart.
+func TestRestartIsDatedByTheRefusedPollBeforeIt(t *testing.T) {
+	f := newFakeTarget(1000)
+	f.stallRuns = true
+	inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
+		replies := o.begin(o.task("a", 10))
+		f.update(func(f *fakeTarget) { f.down = true })
+		time.Sleep(400 * time.Millisecond)
+		f.restartInPlace()
+		f.update(func(f *fakeTarget) { f.down = false })
+		if got := <-replies; got.Result != msgs.Lost || got.Crash != msgs.CrashProven {
+			t.Errorf("got %v %q, crash %v, want a proof", got.Result, got.Reason, got.Crash)
+		}
+	})
+}
+
 // An entry learns of the losses of all entries' tasks, and of each once.
 func TestSyncTellsLossesOfAllEntries(t *testing.T) {
 	f := newFakeTarget(1000)
@@ -243,3 +277,60 @@
 		}
 	})
 }
+
+// A listing that was asked for before the order may be read after it, and has an earlier run of the
+// task with the same number: it does not show that the run which is ordered has begun. Nor does what
+// was listed under a number that the target then refuses.
+func TestListingOfAnEarlierRunIsNoCrashUnderTheTask(t *testing.T) {
+	for _, tc := range []struct {
+		name       string
+		lose       func(f *fakeTarget)
+		askedSince bool
+	}{
+		{"the order is lost", func(f *fakeTarget) { f.dropStarts = 1 }, false},
+		{"its number is refused", func(f *fakeTarget) { f.startDelay = 10 * time.Millisecond }, false},
+		{"its number is refused after a listing", func(f *fakeTarget) { f.startDelay = 10 * time.Millisecond }, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFakeTarget(1000)
+			f.runTime = 60 * time.Millisecond
+			inVirtualTime(t, f, &Gate{}, func(t *testing.T, o *openGate) {
+				p := o.runWithPoll(o.task("a", 10))
+				f.update(tc.lose)
+				replies := make(chan msgs.TaskReply, 1)
+				go func() { replies <- o.take(o.task("a", 10)) }()
+				time.Sleep(5 * time.Millisecond)
+				if tc.askedSince {
+					p.sentAt = o.now()
+				}
+				o.list(p, targ.Running{Task: "a", Run: 1, Percent: 50})
+				f.update(func(f *fakeTarget) { f.startDelay, f.dropStarts = 0, 1 }) // the next order is lost
+				time.Sleep(10 * time.Millisecond)
+				f.update(func(f *fakeTarget) { f.down = true })
+				if got := <-replies; got.Result != msgs.Lost || got.Reason != cause.Unanswered || got.Crash != msgs.CrashSuspected {
+					t.Errorf("got %v %q, crash %v, want a suspicion", got.Result, got.Reason, got.Crash)
+				}
+			})
+		})
+	}
+}
+
+// runWithPoll runs a task that takes longer than begin waits, and returns a poll that is sent meanwhile.
+func (o *openGate) runWithPoll(m msgs.Task) poll {
+	o.t.Helper()
+	replies := o.begin(m)
+	o.mu.Lock()
+	p := o.newPoll(targ.Renewal{})
+	o.mu.Unlock()
+	if got := <-replies; got.Result != msgs.Done {
+		o.t.Fatalf("got %v %q", got.Result, got.Reason)
+	}
+	return p
+}
+
+// list lets the gate read an answer to p that has these runs in progress, and no ends.
+func (o *openGate) list(p poll, running ...targ.Running) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.applyListing(p, targ.Listing{Clock: o.target.clock(), Running: running}, o.now())
+}
--- a/test/mutants_test.go
+++ b/test/mutants_test.go
@@ -125,17 +125,29 @@
 		old: "if g.successor.ID != \"\" && len(g.runs) == 0 {", new: "if g.successor.ID != \"\" {",
 	},
 	{
-		rule: "LOST crash in doubt", file: dispStart, test: "internal/disp/gate TestRepeatedStartOfAnOlderNumberIsNoCrashUnderTheTask",
-		old: "return s.begun || s.begunOnce", new: "return true",
+		rule: "LOST crash in doubt", file: dispGate + "resolve.go", test: "internal/disp/gate TestRepeatedStartOfAnOlderNumberIsNoCrashUnderTheTask",
+		old: "r.state = r.state.Know()", new: "r.state = r.state.Answer(sentAt, g.remaining(r, 0))",
+	},
+	{
+		rule: "LOST crash under a start without an answer", file: dispGate + "order.go", test: "internal/disp/gate TestStartInDoubtIsNoCrashUnderTheTask",
+		old: "r.state = r.state.Doubt()", new: "r.state = r.state.Answer(sentAt, g.remaining(r, 0))",
+	},
+	{
+		rule: "LOST crash without a sign of the run", file: dispStart, test: "internal/disp/gate TestRepeatedStartOfAnOlderNumberIsNoCrashUnderTheTask",
+		old: "s.begun && downAt > 0 && s.seenUntil(downAt) && ", new: "downAt > 0 && ",
 	},
 	{
-		rule: "LOST crash under a start without an answer", file: dispStart, test: "internal/disp/gate TestStartInDoubtIsNoCrashUnderTheTask",
+		rule: "LOST reason of a start in doubt", file: dispStart, test: "internal/disp/gate TestStartInDoubtIsNoCrashUnderTheTask",
 		old: "return s.begun || s.begunOnce", new: "return true",
 	},
 	{
 		rule: "LOST crash after an end that nobody has read", file: dispStart, test: "internal/disp/gate TestEndThatNobodyHasReadIsNoProvenCrash",
 		old: " && s.seenUntil(downAt) && ", new: " && ",
 	},
+	{
+		rule: "LOST crash of a run unseen for longer than a poll", file: dispStart, test: "internal/disp/gate TestRunIsUnseenForAPollAtMostBeforeAProvenCrash",
+		old: "maxUnseen = 250 * time.Millisecond", new: "maxUnseen = 251 * time.Millisecond",
+	},
 	{
 		rule: "LOST crash of a run being stopped", file: dispStart, test: "internal/disp/gate TestCrashIsProvenOnlyUnderARunInProgress",
 		old: " && !s.stoppingAt(downAt):", new: ":",
@@ -145,10 +157,26 @@
 		old: " && downAt > 0 && ", new: " && ",
 		more: []edit{{dispStart, "unseen >= 0 && ", ""}},
 	},
+	{
+		rule: "LOST listing asked for before the order", file: dispGate + "apply.go", test: "internal/disp/gate TestListingOfAnEarlierRunIsNoCrashUnderTheTask",
+		old: "if !r.state.IsShownBy(p.sentAt) {", new: "if false {",
+	},
+	{
+		rule: "LOST run under a refused number", file: dispGate + "order.go", test: "internal/disp/gate TestListingOfAnEarlierRunIsNoCrashUnderTheTask",
+		old: "\tr.state = r.state.Renumber(now)\n", new: "\t_ = now\n",
+	},
+	{
+		rule: "LOST run with a new number", file: dispStart, test: "internal/disp/start TestRunWithANewNumberIsNotSeenUnderTheFormerOne",
+		old: "return State{phase: Ordered, orderedAt: at, stopAt: s.stopAt, crash: s.crash, begunOnce: s.begunOnce}", new: "return s.Order(at)",
+	},
 	{
 		rule: "LOST planned restart", file: dispGate + "incarnation.go", test: "internal/disp/gate TestPlannedRestartUnderTheSameIDIsNoCrashUnderTheTask",
 		old: "if leaving {", new: "if leaving && false {",
 	},
+	{
+		rule: "LOST time of a restart", file: dispGate + "poll.go", test: "internal/disp/gate TestRestartIsDatedByTheRefusedPollBeforeIt",
+		old: "if !g.checkIncarnation(l) {\n\t\treturn\n\t}\n\tg.recordAnswer()", new: "g.recordAnswer()\n\tif !g.checkIncarnation(l) {\n\t\treturn\n\t}",
+	},
 	{
 		rule: "LOST repeated start", file: dispGate + "resolve.go", test: "internal/disp/gate TestRepeatedStartDoesNotDateTheRun",
 		old: "max(0, remaining)", new: "max(remaining, g.remaining(r, 0))",
