Wait for the last crash under a task before jobs must be served again

Cause, by a trace of the same schedule: the check began 10 s after the last injected failure, while tasks of the schedule still crashed targets: 20 of its 40 jobs do, each crash takes one of three targets away for 2 s, and at most three crashes a task are allowed. No target was there, and the jobs were refused, which is true.

Change: quietTime counts from the last crash under a task too.

--- a/internal/disp/rules/fault_test.go
+++ b/internal/disp/rules/fault_test.go
@@ -45,13 +45,20 @@
 // goDown ends all runs. The target refuses connections until it is back. t.mu must be held.
 func (t *target) goDown() {
 	t.endAll()
-	t.down = true
+	t.down, t.crashedAt = true, time.Now()
 	time.AfterFunc(downTime, func() {
 		t.restart()
 		t.onReturn()
 	})
 }
 
+// lastCrash returns when the target last crashed under a task; zero if it has not.
+func (t *target) lastCrash() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.crashedAt
+}
+
 // shrink reduces the capacity of the current incarnation, which its next heartbeat shows.
 func (t *target) shrink() {
 	t.mu.Lock()
--- a/internal/disp/rules/rules_test.go
+++ b/internal/disp/rules/rules_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,7 +21,7 @@
 
 	// quietTime is how long nothing fails before the recovery jobs are submitted,
 	// all of which must be done. The effects of earlier failures must be over by
-	// then.
+	// then. A crash of a target under a task is a failure too.
 	quietTime        = 10 * time.Second
 	recoveryJobs     = 6
 	recoveryInterval = 100 * time.Millisecond // between submissions of recovery jobs
@@ -63,6 +64,7 @@
 		}()
 	}
 	time.Sleep(time.Duration(cmp.Or(sched.ActiveMS, activeMS))*time.Millisecond + 1500*time.Millisecond + quietTime)
+	c.awaitLastCrash()
 	doneBefore := c.checker.count(coord.Done)
 	for i := range recoveryJobs {
 		c.submit(fmt.Sprint("recovery", i), jobSpec{Tasks: 2, Work: work{CPU: 100, MS: 50}, Attempts: 1, Entry: i % entryCount})
@@ -84,6 +86,19 @@
 	return c.checker.violations, doneBefore
 }
 
+// awaitLastCrash waits until no target has crashed under a task for quietTime. Tasks that crash targets
+// are given up, so that time has to come.
+func (c *cluster) awaitLastCrash() {
+	giveUpAt := time.Now().Add(mutePatience)
+	for slices.ContainsFunc(c.targets, func(t *target) bool { return time.Since(t.lastCrash()) < quietTime }) {
+		if time.Now().After(giveUpAt) {
+			c.checker.reportViolation("RECOVER: targets still crash under tasks %v after all other failures had ended", mutePatience)
+			return
+		}
+		time.Sleep(recoveryInterval)
+	}
+}
+
 // breakerOpen reports whether the circuit breaker of any target is open.
 func (c *cluster) breakerOpen() bool {
 	for i := range c.gates {
--- a/internal/disp/rules/target_test.go
+++ b/internal/disp/rules/target_test.go
@@ -36,7 +36,8 @@
 	calls        map[string]int // number of calls by what they order
 	changed      chan struct{}  // closed, and replaced, when a run starts or ends, or the target does
 	faultMode    targetFaults
-	down         bool // it has crashed and is not back
+	down         bool      // it has crashed and is not back
+	crashedAt    time.Time // when it last crashed under a task, or zero
 	incarnation  targ.Incarnation
 	previous     targ.Incarnation      // the one before
 	shrunkAt     time.Time             // when its capacity fell to shrunkCapacity, or zero
