End a task that was placed once more with any further loss

Cause: a minute after the latest loss, a task that was lost too often is placed once more, and losses were forgotten for that until the verdict allowed it: one of two proofs, or one of three losses, in the order of a map. After two proofs one suspicion more then left two losses, so the task was placed again; and after one proof and two suspicions the outcome was left to chance.

Change: losses are kept, with how many of them do not count against the next placement. One more of any kind counts them all.

Result: TestOneMoreLossOfATaskThatWasLostTooOftenIsEnough failed before for {proven, proven} (placed, want failed) and in some runs for {proven, suspected, suspected}, and passes; a mutant that allows one loss more is caught.

--- a/internal/disp/blame/blame.go
+++ b/internal/disp/blame/blame.go
@@ -54,7 +54,10 @@
 type record struct {
 	proofs map[id]msgs.Crash
 	lostAt boot.Time // when the latest loss was added
-	usedAt boot.Time // the same, or when the latest submission ended for the losses
+	usedAt boot.Time // the same, or when the latest submission ended for the losses, or was let through
+	// allowed is how many losses do not keep the task from being placed. It rises to all of them when
+	// the latest is Retention old, so that one more does.
+	allowed int
 }
 
 // Log is a log of losses, over all submissions of jobs. The zero value is empty. It is not safe
@@ -112,20 +115,23 @@
 	if !ok || r.expired(now) {
 		return Place
 	}
-	if now.Sub(r.lostAt) > Retention {
-		r.relax()
-	}
 	verdict := r.verdict()
-	if verdict != Place {
-		r.usedAt = now
-		l.tasks[task] = r
+	if verdict == Place {
+		return Place
+	}
+	r.usedAt = now
+	if now.Sub(r.lostAt) > Retention {
+		r.allowed, verdict = len(r.proofs), Place
 	}
+	l.tasks[task] = r
 	return verdict
 }
 
 // verdict returns what may be done with the task of r.
 func (r record) verdict() Verdict {
 	switch {
+	case len(r.proofs) <= r.allowed:
+		return Place
 	case r.proven() >= maxProven:
 		return Fail
 	case len(r.proofs) >= maxLost:
@@ -145,20 +151,6 @@
 	return n
 }
 
-// relax forgets losses until the task may be placed: one more then ends that again.
-func (r record) relax() {
-	for key, c := range r.proofs {
-		if c == msgs.CrashProven && r.proven() >= maxProven {
-			delete(r.proofs, key)
-		}
-	}
-	for key := range r.proofs {
-		if len(r.proofs) >= maxLost {
-			delete(r.proofs, key)
-		}
-	}
-}
-
 // sweep removes what is not remembered any more, at most once in sweepInterval.
 func (l *Log) sweep(now boot.Time) {
 	if now.Sub(l.sweptAt) < sweepInterval {
--- a/internal/disp/blame/blame_test.go
+++ b/internal/disp/blame/blame_test.go
@@ -107,6 +107,36 @@
 	}
 }
 
+// When a task has been placed once more, one loss of any kind ends that, whatever was lost before.
+func TestOneMoreLossOfATaskThatWasLostTooOftenIsEnough(t *testing.T) {
+	const s, p = msgs.CrashSuspected, msgs.CrashProven
+	for _, tc := range []struct {
+		before []msgs.Crash
+		after  msgs.Crash
+		want   Verdict
+	}{
+		{[]msgs.Crash{p, p}, s, Fail},
+		{[]msgs.Crash{p, s, s}, s, Abandon},
+		{[]msgs.Crash{p, s, s}, p, Fail},
+		{[]msgs.Crash{s, s, s}, p, Abandon},
+	} {
+		var l Log
+		for order, c := range tc.before {
+			l.Add(loss(uint64(order), c), now)
+		}
+		later := now.Add(Retention)
+		l.Verdict("j.0.0.0", later)
+		later = later.Add(time.Second)
+		if got := l.Verdict("j.0.0.0", later); got != Place {
+			t.Errorf("%v: got %v after Retention", tc.before, got)
+		}
+		l.Add(loss(9, tc.after), later)
+		if got := l.Verdict("j.0.0.0", later); got != tc.want {
+			t.Errorf("%v, then %v: got %v, want %v", tc.before, tc.after, got, tc.want)
+		}
+	}
+}
+
 func TestLogForgetsOldLosses(t *testing.T) {
 	var l Log
 	l.Add(loss(1, msgs.CrashProven), now)
--- a/test/mutants_test.go
+++ b/test/mutants_test.go
@@ -206,9 +206,13 @@
 		old: "if reply.Crash != msgs.NoCrash {", new: "if false {",
 	},
 	{
-		rule: "LOST losses that are told twice", file: "internal/disp/blame/blame.go", test: "internal/disp/blame TestLossToldByAGateThatWasSilentCountsOnce",
+		rule: "LOST losses that are told twice", file: dispBlame, test: "internal/disp/blame TestLossToldByAGateThatWasSilentCountsOnce",
 		old: "key := id{loss.Entry, loss.Incarnation, loss.ID}", new: "key := id{loss.Entry, uint64(loss.Number), loss.ID}",
 	},
+	{
+		rule: "BUDGET one more loss", file: dispBlame, test: "internal/disp/blame TestOneMoreLossOfATaskThatWasLostTooOftenIsEnough",
+		old: "r.allowed, verdict = len(r.proofs), Place", new: "r.allowed, verdict = len(r.proofs)+1, Place",
+	},
 	{
 		rule: "BUDGET losses at older gates", file: "internal/disp/link/crash.go", test: "internal/disp/coord TestTaskThatCrashesTargetsOfOlderGatesIsGivenUp",
 		old: "msgs.NoCrash && blamed {", new: "msgs.NoCrash && blamed && false {",
