Let all entries count a loss from the same time, for ten minutes

Cause: an entry dropped a loss after a minute unless the caller came to it, and was not told again; one started later heard of those of ten minutes as if they had just been. So a caller that had come to one entry for over a minute, and then to another, got its task placed at three more targets; and a job was turned away for a minute by an entry that had just been started, for losses of nine minutes ago.

Change: a gate tells how long ago a loss was, and entries keep losses as long as gates do. How long a task is not placed (RetryInterval, a minute) and how long losses are remembered (Retention, ten) are two values now.

Result: TestLossIsToldWithItsAge passes; each of the two mutants that take one half of the change back fails it. The test of a caller that keeps coming wants exactly nine placements in ten intervals, in place of eight to ten.

--- a/internal/disp/blame/blame.go
+++ b/internal/disp/blame/blame.go
@@ -20,10 +20,13 @@
 const (
 	maxProven = 2 // targets that may provably crash under a task before its job fails
 	maxLost   = 3 // losses of a task with its target, proven to be crashes or not, before its job is abandoned
-	// Retention is how long losses are remembered after the latest one, and after the latest
-	// submission that ended for them. If the caller still comes so long after the latest loss, the
-	// task is placed again, until it is lost once more.
-	Retention     = time.Minute
+	// RetryInterval is how long after its latest loss a task that has been lost too often is not
+	// placed. If the caller still comes then, it is placed again, until it is lost once more.
+	RetryInterval = time.Minute
+	// Retention is how long gates and entries remember losses. It goes on when a submission ends for
+	// them, or is let through. An entry may be started anew, or be the first to hear of the job since,
+	// while the caller still comes.
+	Retention     = 10 * time.Minute
 	sweepInterval = time.Second // between two removals of what is not remembered any more
 )
 
@@ -53,10 +56,10 @@
 // record is what is known of the losses of a task.
 type record struct {
 	proofs map[id]msgs.Crash
-	lostAt boot.Time // when the latest loss was added
+	lostAt boot.Time // when the latest loss was
 	usedAt boot.Time // the same, or when the latest submission ended for the losses, or was let through
 	// allowed is how many losses do not keep the task from being placed. It rises to all of them when
-	// the latest is Retention old, so that one more does.
+	// the latest is RetryInterval old, so that one more does.
 	allowed int
 }
 
@@ -86,7 +89,8 @@
 	if r.proofs == nil {
 		r.proofs = map[id]msgs.Crash{}
 	}
-	r.proofs[key], r.lostAt, r.usedAt = loss.Crash, now, now
+	lostAt := now.Add(-time.Duration(loss.LostFor) * time.Millisecond)
+	r.proofs[key], r.lostAt, r.usedAt = loss.Crash, max(r.lostAt, lostAt), max(r.usedAt, lostAt)
 	if l.tasks == nil {
 		l.tasks = map[string]record{}
 	}
@@ -120,7 +124,7 @@
 		return Place
 	}
 	r.usedAt = now
-	if now.Sub(r.lostAt) > Retention {
+	if now.Sub(r.lostAt) > RetryInterval {
 		r.allowed, verdict = len(r.proofs), Place
 	}
 	l.tasks[task] = r
--- a/internal/disp/blame/blame_test.go
+++ b/internal/disp/blame/blame_test.go
@@ -67,24 +67,24 @@
 	}
 }
 
-// A caller that comes again and again must get its task placed once in each Retention at most, but
+// A caller that comes again and again must get its task placed once in each RetryInterval at most, but
 // not be turned away for ever for what was lost long ago.
-func TestTaskOfACallerThatKeepsComingIsTriedOnceInRetention(t *testing.T) {
+func TestTaskOfACallerThatKeepsComingIsTriedOnceInRetryInterval(t *testing.T) {
 	var l Log
 	for n := range uint64(3) {
 		l.Add(loss(n, msgs.CrashSuspected), now)
 	}
 	placed := 0
 	order := uint64(3)
-	for at := now; at < now.Add(10*Retention); at = at.Add(time.Second) {
+	for at := now; at < now.Add(10*RetryInterval); at = at.Add(time.Second) {
 		if l.Verdict("j.0.0.0", at) == Place {
 			placed++
 			l.Add(loss(order, msgs.CrashSuspected), at)
 			order++
 		}
 	}
-	if placed < 8 || placed > 10 {
-		t.Errorf("placed %d times in 10 Retentions", placed)
+	if placed != 9 {
+		t.Errorf("placed %d times in 10 RetryIntervals, want 9", placed)
 	}
 }
 
@@ -94,12 +94,12 @@
 	for n, c := range []msgs.Crash{msgs.CrashProven, msgs.CrashSuspected, msgs.CrashProven, msgs.CrashSuspected} {
 		l.Add(loss(uint64(n), c), now)
 	}
-	if got := l.Verdict("j.0.0.0", now.Add(Retention)); got != Fail {
+	if got := l.Verdict("j.0.0.0", now.Add(RetryInterval)); got != Fail {
 		t.Fatalf("got %v", got)
 	}
-	later := now.Add(Retention + time.Second)
+	later := now.Add(RetryInterval + time.Second)
 	if got := l.Verdict("j.0.0.0", later); got != Place {
-		t.Fatalf("got %v after Retention", got)
+		t.Fatalf("got %v after RetryInterval", got)
 	}
 	l.Add(loss(9, msgs.CrashProven), later)
 	if got := l.Verdict("j.0.0.0", later); got == Place {
@@ -124,11 +124,11 @@
 		for order, c := range tc.before {
 			l.Add(loss(uint64(order), c), now)
 		}
-		later := now.Add(Retention)
+		later := now.Add(RetryInterval)
 		l.Verdict("j.0.0.0", later)
 		later = later.Add(time.Second)
 		if got := l.Verdict("j.0.0.0", later); got != Place {
-			t.Errorf("%v: got %v after Retention", tc.before, got)
+			t.Errorf("%v: got %v after RetryInterval", tc.before, got)
 		}
 		l.Add(loss(9, tc.after), later)
 		if got := l.Verdict("j.0.0.0", later); got != tc.want {
--- a/internal/disp/blame/list.go
+++ b/internal/disp/blame/list.go
@@ -1,18 +1,12 @@
 package blame
 
 import (
-	"time"
-
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
-const (
-	// listRetention is how long a gate tells of a loss. It is longer than an entry remembers it by
-	// itself, since an entry may be started anew while the caller still comes.
-	listRetention = 10 * time.Minute
-	maxItems      = 2048 // losses that a List keeps; older ones are dropped
-)
+// maxItems is the number of losses that a List keeps; older ones are dropped.
+const maxItems = 2048
 
 // List is the list of the recent losses at a gate, numbered from 1. The zero value is empty. It is not
 // safe for concurrent use.
@@ -32,24 +26,25 @@
 	l.last++
 	c.Number = l.last
 	l.items = append(l.items, item{c, now})
-	for len(l.items) > maxItems || now.Sub(l.items[0].at) > listRetention {
+	for len(l.items) > maxItems || now.Sub(l.items[0].at) > Retention {
 		l.items = l.items[1:]
 	}
 }
 
 // Last returns the number of the newest loss that After returns at now; 0 if there is none.
 func (l *List) Last(now boot.Time) int64 {
-	if n := len(l.items); n > 0 && now.Sub(l.items[n-1].at) <= listRetention {
+	if n := len(l.items); n > 0 && now.Sub(l.items[n-1].at) <= Retention {
 		return l.last
 	}
 	return 0
 }
 
-// After returns the losses within listRetention before now that have a higher number.
+// After returns the losses within Retention before now that have a higher number.
 func (l *List) After(number int64, now boot.Time) []msgs.TaskCrash {
 	var crashes []msgs.TaskCrash
 	for _, i := range l.items {
-		if i.Number > number && now.Sub(i.at) <= listRetention {
+		if i.Number > number && now.Sub(i.at) <= Retention {
+			i.LostFor = now.Sub(i.at).Milliseconds()
 			crashes = append(crashes, i.TaskCrash)
 		}
 	}
--- a/internal/disp/blame/list_test.go
+++ b/internal/disp/blame/list_test.go
@@ -31,6 +31,26 @@
 	}
 }
 
+// An entry that has just been started counts a loss from when it was, as others do.
+func TestLossIsToldWithItsAge(t *testing.T) {
+	var list List
+	for range 3 {
+		list.Add(loss(uint64(list.last), msgs.CrashSuspected), now)
+	}
+	later := now.Add(RetryInterval + time.Second)
+	var l Log
+	for _, c := range list.After(0, later) {
+		l.Add(c, later)
+	}
+	if got := l.Verdict("j.0.0.0", later); got != Place {
+		t.Errorf("got %v at an entry that has been started since", got)
+	}
+	l.Add(loss(9, msgs.CrashSuspected), later)
+	if got := l.Verdict("j.0.0.0", later); got != Abandon {
+		t.Errorf("got %v after one more loss", got)
+	}
+}
+
 func TestListIsBounded(t *testing.T) {
 	var l List
 	for i := range 2 * maxItems {
@@ -39,8 +59,8 @@
 	if got := l.After(0, now); len(got) != maxItems || got[0].Number != maxItems+1 {
 		t.Errorf("%d losses from number %d on", len(got), got[0].Number)
 	}
-	l.Add(msgs.TaskCrash{Task: "later", Crash: msgs.CrashProven}, now.Add(listRetention+time.Second))
+	l.Add(msgs.TaskCrash{Task: "later", Crash: msgs.CrashProven}, now.Add(Retention+time.Second))
 	if n := len(l.items); n != 1 {
-		t.Errorf("%d losses are kept after listRetention", n)
+		t.Errorf("%d losses are kept after Retention", n)
 	}
 }
--- a/internal/disp/coord/loss_test.go
+++ b/internal/disp/coord/loss_test.go
@@ -46,7 +46,7 @@
 		lose(task)
 	}
 	for range 6 {
-		now = now.Add(blame.Retention / 2)
+		now = now.Add(blame.RetryInterval / 2)
 		lose("j.0.0.0")
 		if a := c.Submit(t.Context(), newTestJob(2, 100)); a.Reason != cause.LostTargets {
 			t.Fatalf("got %+v", a)
--- a/internal/disp/rules/stubborn_test.go
+++ b/internal/disp/rules/stubborn_test.go
@@ -64,7 +64,7 @@
 }
 
 // checkStubborn lets callers submit jobs again and again whose tasks take their targets down, while
-// kill kills processes. No task must go on to a fourth target, but for one in each blame.Retention.
+// kill kills processes. No task must go on to a fourth target, but for one in each blame.RetryInterval.
 func checkStubborn(t *testing.T, kill func(c *cluster, i int)) {
 	t.Helper()
 	for _, s := range stubbornWorks {
@@ -73,7 +73,7 @@
 			if len(violations) > 0 {
 				t.Error(violations)
 			}
-			if most := crashLimit + int(stubbornTime/blame.Retention); starts < crashesToFail || starts > most {
+			if most := crashLimit + int(stubbornTime/blame.RetryInterval); starts < crashesToFail || starts > most {
 				t.Errorf("%d starts, want %d to %d", starts, crashesToFail, most)
 			}
 		})
--- a/internal/wire/msgs/crash.go
+++ b/internal/wire/msgs/crash.go
@@ -37,6 +37,7 @@
 	Entry       string // that has placed the task
 	Incarnation uint64 // of the entry
 	ID          uint64 // Task.ID
+	LostFor     int64  // for how long the run had been lost when the gate told of it, ms
 }
 
 // crashesCodec returns a codec for a list of losses, each encoded as an array.
@@ -44,10 +45,10 @@
 	return &sliceCodec[TaskCrash]{
 		items: items,
 		encode: func(e *msgpack.Encoder, c TaskCrash) error {
-			return encodeArray(e, c.Number, c.Task, int(c.Crash), c.Entry, c.Incarnation, c.ID)
+			return encodeArray(e, c.Number, c.Task, int(c.Crash), c.Entry, c.Incarnation, c.ID, c.LostFor)
 		},
 		decode: func(d *msgpack.Decoder) (c TaskCrash, err error) {
-			return c, decodeArray(d, &c.Number, &c.Task, (*int)(&c.Crash), &c.Entry, &c.Incarnation, &c.ID)
+			return c, decodeArray(d, &c.Number, &c.Task, (*int)(&c.Crash), &c.Entry, &c.Incarnation, &c.ID, &c.LostFor)
 		},
 	}
 }
--- a/internal/wire/msgs/msgs_test.go
+++ b/internal/wire/msgs/msgs_test.go
@@ -29,7 +29,7 @@
 		Incarnation: 1, Timestamp: 2, Service: "s", TargetIncarnation: "t", Labels: []string{"l"}, CPU: 3, Memory: 4, GPU: 5,
 		UsedCPU: 6, UsedMemory: 7, UsedGPU: 8, QueuedWork: 9, Speed: 1.5, BlockedReason: "a", Leaving: true, Domain: "z", ColdFor: 10,
 		Interference: []Interference{{Slowed: "a", By: "b", Factor: 150, Evidence: 60}, {Slowed: "b", By: "a", Factor: 120, Evidence: 70}}, Kinds: []KindRuns{{Kind: "a", Runs: 1}},
-		LastCrash: 11, Crashes: []TaskCrash{{Number: 11, Task: "t", Crash: CrashProven, Entry: "e", Incarnation: 14, ID: 15}},
+		LastCrash: 11, Crashes: []TaskCrash{{Number: 11, Task: "t", Crash: CrashProven, Entry: "e", Incarnation: 14, ID: 15, LostFor: 16}},
 	}
 	order := Order{Domain: "z", Version: 14, Evacuated: true}
 	return []any{
--- a/test/mutants_test.go
+++ b/test/mutants_test.go
@@ -194,8 +194,8 @@
 		old: "if r.msg.LeastRunTime > 0 {", new: "if false {",
 	},
 	{
-		rule: "LOST job turned away for ever", file: dispBlame, test: "internal/disp/blame TestTaskOfACallerThatKeepsComingIsTriedOnceInRetention",
-		old: "if now.Sub(r.lostAt) > Retention {", new: "if false {",
+		rule: "LOST job turned away for ever", file: dispBlame, test: "internal/disp/blame TestTaskOfACallerThatKeepsComingIsTriedOnceInRetryInterval",
+		old: "if now.Sub(r.lostAt) > RetryInterval {", new: "if false {",
 	},
 	{
 		rule: "BUDGET losses of the other tasks", file: dispCoord + "crash.go", test: "internal/disp/coord TestLossesOfAllTasksAreKeptWhileTheJobIsTurnedAway",
@@ -213,6 +213,14 @@
 		rule: "BUDGET one more loss", file: dispBlame, test: "internal/disp/blame TestOneMoreLossOfATaskThatWasLostTooOftenIsEnough",
 		old: "r.allowed, verdict = len(r.proofs), Place", new: "r.allowed, verdict = len(r.proofs)+1, Place",
 	},
+	{
+		rule: "LOST losses of long ago", file: dispBlame, test: "internal/disp/blame TestLossIsToldWithItsAge",
+		old: "lostAt := now.Add(-time.Duration(loss.LostFor) * time.Millisecond)", new: "lostAt := now",
+	},
+	{
+		rule: "BUDGET losses of a minute ago", file: dispBlame, test: "internal/disp/blame TestLossIsToldWithItsAge",
+		old: "return now.Sub(r.usedAt) > Retention", new: "return now.Sub(r.usedAt) > RetryInterval",
+	},
 	{
 		rule: "BUDGET losses at older gates", file: "internal/disp/link/crash.go", test: "internal/disp/coord TestTaskThatCrashesTargetsOfOlderGatesIsGivenUp",
 		old: "msgs.NoCrash && blamed {", new: "msgs.NoCrash && blamed && false {",
