Place a task at the gate that was taken over for it

What callers saw: a job whose revocation for another entry had reached several gates ended with "elsewhere" (502), although no other entry had it any more.

Cause: a refusal marks the gate as one to avoid, before takeOver revokes the job anew there. The task then went to another gate, which had the old revocation too. Three gates were taken over, and the refusal of the fourth ended the job.

Change: the task goes to the gate that was taken over, if that can run it. maxTakeovers counts for each gate, since one that was taken over may turn out to be full.

Result: with 8 gates that have the revocation, both new tests ended Abandoned after takeovers of g0, g1 and g2 before; now one gate is taken over, or as many as are full and one more.

--- a/internal/disp/coord/candidates.go
+++ b/internal/disp/coord/candidates.go
@@ -151,6 +151,11 @@
 	cands.truncate(n)
 }
 
+// includes reports whether the gate at addr is one of the candidates.
+func (cands *candidates) includes(addr string) bool {
+	return slices.ContainsFunc(cands.links, func(l *link.Link) bool { return l.Addr == addr })
+}
+
 // truncate keeps the first n gates.
 func (cands *candidates) truncate(n int) {
 	cands.links, cands.targets, cands.gates = cands.links[:n], cands.targets[:n], cands.gates[:n]
--- a/internal/disp/coord/takeover.go
+++ b/internal/disp/coord/takeover.go
@@ -7,20 +7,26 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
-// maxTakeovers is how often a task is placed again after its job was revoked for another entry.
+// maxTakeovers is how often a gate is taken over for a task. It bounds the refusals of a gate that
+// goes on to refuse the task.
 const maxTakeovers = 3
 
 // takeOver makes the gate that has refused a task in reply, since its job was revoked for another
 // entry, take it. It reports false, and does nothing, unless the job was submitted here after it was
-// revoked: then the entry for which it was has it no more, or gives it up now.
+// revoked: then the entry for which it was has it no more, or gives it up now. The task is then placed
+// at that gate if it can run it, since the others may have the same revocation.
 func (c *Coordinator) takeOver(e *execution, ts *taskState, reply msgs.TaskReply) bool {
 	revokedFor := time.Duration(reply.RevokedFor) * time.Millisecond
-	if c.RevokeAt == nil || c.GiveUpElsewhere == nil || ts.takeovers == maxTakeovers || revokedFor <= e.lastArrivedFor(c.now()) {
+	if c.RevokeAt == nil || c.GiveUpElsewhere == nil || ts.takeovers[ts.gate] == maxTakeovers || revokedFor <= e.lastArrivedFor(c.now()) {
 		return false
 	}
-	ts.takeovers++
+	if ts.takeovers == nil {
+		ts.takeovers = map[string]int{}
+	}
+	ts.takeovers[ts.gate]++
 	c.giveUpOnce(e)
 	c.RevokeAt(e.ctx, ts.gate, e.ID)
+	ts.takenOver = ts.gate
 	c.trace("job_taken_over", "job", e.ID, "task", ts.name, "gate", ts.gate, "revoked", revokedFor)
 	return true
 }
--- a/internal/disp/coord/takeover_test.go
+++ b/internal/disp/coord/takeover_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/link"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
@@ -44,3 +46,50 @@
 		}
 	}
 }
+
+// revokedGates returns n gates that have the revocation of a job for another entry, and a coordinator
+// that takes the job over there. Calls of RevokeAt add to revoked.
+func revokedGates(t *testing.T, n int, takes func(gate int) msgs.TaskReply) (c *Coordinator, revoked map[string]int) {
+	f := newFakeGates(t, n)
+	revoked = map[string]int{}
+	f.respond = func(gate int, _ msgs.Task) msgs.TaskReply {
+		if revoked[f.links[gate].Addr] == 0 {
+			return msgs.TaskReply{Result: msgs.Refused, Reason: cause.Revoked, RevokedFor: time.Minute.Milliseconds()}
+		}
+		return takes(gate)
+	}
+	c = f.coordinator()
+	c.GiveUpElsewhere = func(context.Context, string, bool) {}
+	c.RevokeAt = func(_ context.Context, gate, _ string) { revoked[gate]++ }
+	return c, revoked
+}
+
+// The task went to another gate after each takeover, and the job ended at the fourth.
+func TestTaskIsPlacedAtTheGateThatWasTakenOver(t *testing.T) {
+	c, revoked := revokedGates(t, 8, func(int) msgs.TaskReply { return msgs.TaskReply{Result: msgs.Done, RunTime: 10} })
+	if a := c.Submit(t.Context(), newTestJob(1, 100)); a.State != Done || len(revoked) != 1 {
+		t.Errorf("got %+v, revoked at %v", a, revoked)
+	}
+}
+
+// Gates that were taken over, and turned out to be full, counted against the gates after them.
+func TestTakeoversAreCountedForEachGate(t *testing.T) {
+	const full = maxTakeovers + 2 // gates
+	tried := map[int]bool{}
+	c, revoked := revokedGates(t, 8, func(gate int) msgs.TaskReply {
+		tried[gate] = true
+		if len(tried) <= full {
+			return msgs.TaskReply{Result: msgs.Refused, Reason: cause.NoCapacity}
+		}
+		return msgs.TaskReply{Result: msgs.Done, RunTime: 10}
+	})
+	links := c.Links()
+	c.Links = func() []*link.Link { // the gates that were found full come last
+		return slices.SortedStableFunc(slices.Values(links), func(a, b *link.Link) int { return revoked[a.Addr] - revoked[b.Addr] })
+	}
+	j := newTestJob(1, 100)
+	j.Steps[0].DeclaredRunTime = 2 * time.Second // so that the job is not refused as overdue
+	if a := c.Submit(t.Context(), j); a.State != Done || len(revoked) != full+1 {
+		t.Errorf("got %+v, revoked at %v", a, revoked)
+	}
+}
--- a/internal/disp/coord/task.go
+++ b/internal/disp/coord/task.go
@@ -62,10 +62,11 @@
 type taskState struct {
 	name      string
 	stepIndex int
-	failures  int    // number of failed runs
-	refusals  int    // number of refusals by gates
-	takeovers int    // number of refusals for an outdated revocation
-	gate      string // at which the task was last placed
+	failures  int            // number of failed runs
+	refusals  int            // number of refusals by gates
+	gate      string         // at which the task was last placed
+	takeovers map[string]int // refusals for an outdated revocation, by the gate
+	takenOver string         // gate that was taken over since the task was last placed; empty if none
 	// runTimeFactor is that of the gate at which the task was last placed; see pick.Gate.
 	runTimeFactor float64
 	avoid         map[string]bool // by target; true where the last placement ended otherwise than for lack of capacity
@@ -128,7 +129,7 @@
 		return msgs.TaskReply{}, false
 	}
 	sentAt := c.now()
-	ts.gate = l.Addr
+	ts.gate, ts.takenOver = l.Addr, ""
 	reply := c.send(e, l, m)
 	e.release(key)
 	c.recordLoss(l.Addr, ts.name, reply)
@@ -197,8 +198,12 @@
 
 // choose chooses a gate for a task with the given expected run time. It records nothing.
 func (cands *candidates) choose(e *execution, s Step, ts *taskState, expectedRunTime time.Duration) pick.Choice {
+	takenOver := ts.takenOver != "" && cands.includes(ts.takenOver)
 	for i, target := range cands.targets {
 		cands.gates[i].Avoid = ts.avoid[target]
+		if takenOver {
+			cands.gates[i].Avoid = cands.links[i].Addr != ts.takenOver
+		}
 		if s.MaxPerTarget > 0 && !e.belowLimit(stepTargetKey(ts.stepIndex, target), s.MaxPerTarget) {
 			cands.gates[i].Capacity.CPU = -1
 		}
--- a/test/mutants_test.go
+++ b/test/mutants_test.go
@@ -201,6 +201,14 @@
 		rule: "TWICE newer revocation", file: dispCoord + "takeover.go", test: "internal/disp/coord TestJobIsTakenOverOnlyFromAnOlderRevocation",
 		old: " || revokedFor <= e.lastArrivedFor(c.now())", new: "",
 	},
+	{
+		rule: "SERVED gate that was taken over", file: dispCoord + "task.go", test: "internal/disp/coord TestTaskIsPlacedAtTheGateThatWasTakenOver",
+		old: "takenOver := ts.takenOver != \"\" && cands.includes(ts.takenOver)", new: "takenOver := false",
+	},
+	{
+		rule: "SERVED takeovers of several gates", file: dispCoord + "takeover.go", test: "internal/disp/coord TestTakeoversAreCountedForEachGate",
+		old: "ts.takeovers[ts.gate] == maxTakeovers", new: "len(ts.takeovers) == maxTakeovers",
+	},
 	{
 		rule: "BUDGET losses in doubt", file: dispBlame, test: "internal/disp/coord TestTaskThatMayCrashTargetsIsNotPlacedForEver",
 		old: "case len(r.proofs) >= maxLost:", new: "case false:",
