End the wait for a gate that dies while it is taken over

What callers saw: a job whose task a gate had refused, since it was revoked there for another entry, was not answered in time if that gate died just then, though other gates were free.

Cause: RevokeAt asked the gate until it answered or the job ended. Each call that the end of the job cut short also counted as silence of the gate.

Change: RevokeAt ends when what runs at the silent gate counts as ended by the leases, as the revocations of GiveUp do, and at once at a gate that has been silent for so long. It reports whether the gate was taken over; if not, the task is placed elsewhere. Nothing of the job is started at that gate meanwhile, and one that comes back refuses the job until it is taken over. A call that ended with its job is not recorded.

The fakes of RevokeAt in existing tests return true.

--- a/internal/disp/coord/coord.go
+++ b/internal/disp/coord/coord.go
@@ -51,8 +51,9 @@
 	GiveUpIfKnown func(ctx context.Context, job string)
 	// RevokeAt makes the gate at an address take the tasks of a job from this entry, which it has
 	// refused for the sake of another one. It returns when no task of another entry may run there, or
-	// when ctx ends; nil means that this can't be done.
-	RevokeAt func(ctx context.Context, gate, job string)
+	// when ctx ends, and reports whether the gate takes them now; one that does not answer does not. Nil
+	// means that this can't be done.
+	RevokeAt func(ctx context.Context, gate, job string) bool
 	// OthersOut reports whether another entry is out of rotation, so that any of its jobs
 	// may be submitted here without a sign of that; nil means no.
 	OthersOut func() bool
--- a/internal/disp/coord/takeover.go
+++ b/internal/disp/coord/takeover.go
@@ -14,7 +14,8 @@
 // takeOver makes the gate that has refused a task in reply, since its job was revoked for another
 // entry, take it. It reports false, and does nothing, unless the job was submitted here after it was
 // revoked: then the entry for which it was has it no more, or gives it up now. The task is then placed
-// at that gate if it can run it, since the others may have the same revocation.
+// at that gate if it can run it, since the others may have the same revocation, or at another one if the
+// gate does not answer any more.
 func (c *Coordinator) takeOver(e *execution, ts *taskState, reply msgs.TaskReply) bool {
 	revokedFor := time.Duration(reply.RevokedFor) * time.Millisecond
 	if c.RevokeAt == nil || c.GiveUpElsewhere == nil || ts.takeovers[ts.gate] == maxTakeovers || revokedFor <= e.lastArrivedFor(c.now()) {
@@ -25,9 +26,11 @@
 	}
 	ts.takeovers[ts.gate]++
 	c.giveUpOnce(e)
-	c.RevokeAt(e.ctx, ts.gate, e.ID)
-	ts.takenOver = ts.gate
-	c.trace("job_taken_over", "job", e.ID, "task", ts.name, "gate", ts.gate, "revoked", revokedFor)
+	taken := c.RevokeAt(e.ctx, ts.gate, e.ID)
+	if taken {
+		ts.takenOver = ts.gate
+	}
+	c.trace("job_taken_over", "job", e.ID, "task", ts.name, "gate", ts.gate, "revoked", revokedFor, "taken", taken)
 	return true
 }
 
--- a/internal/disp/coord/takeover_test.go
+++ b/internal/disp/coord/takeover_test.go
@@ -37,7 +37,10 @@
 		}
 		c := f.coordinator()
 		c.GiveUpElsewhere = func(context.Context, string, bool) { givenUp++ }
-		c.RevokeAt = func(context.Context, string, string) { revoked++ }
+		c.RevokeAt = func(context.Context, string, string) bool {
+			revoked++
+			return true
+		}
 		j := newTestJob(1, 100)
 		j.Arrived = boot.Now().Add(-50 * time.Millisecond)
 		a := c.Submit(t.Context(), j)
@@ -60,7 +63,10 @@
 	}
 	c = f.coordinator()
 	c.GiveUpElsewhere = func(context.Context, string, bool) {}
-	c.RevokeAt = func(_ context.Context, gate, _ string) { revoked[gate]++ }
+	c.RevokeAt = func(_ context.Context, gate, _ string) bool {
+		revoked[gate]++
+		return true
+	}
 	return c, revoked
 }
 
@@ -93,3 +99,19 @@
 		t.Errorf("got %+v, revoked at %v", a, revoked)
 	}
 }
+
+// A gate that died after it had refused the task is not taken over, and was asked again.
+func TestTaskIsPlacedElsewhereIfTheGateWasNotTakenOver(t *testing.T) {
+	c, revoked := revokedGates(t, 2, func(int) msgs.TaskReply { return msgs.TaskReply{Result: msgs.Done, RunTime: 10} })
+	c.RevokeAt = func(_ context.Context, gate, _ string) bool {
+		if len(revoked) == 0 {
+			revoked[gate] = 0
+			return false
+		}
+		revoked[gate]++
+		return true
+	}
+	if a := c.Submit(t.Context(), newTestJob(1, 100)); a.State != Done || len(revoked) != 2 {
+		t.Errorf("got %+v, revoked at %v", a, revoked)
+	}
+}
--- a/internal/disp/giveup/revoke.go
+++ b/internal/disp/giveup/revoke.go
@@ -209,18 +209,38 @@
 }
 
 // RevokeAt revokes a job at the gate at addr for this entry, in place of an older revocation for another.
-// It returns when no task of another entry may run there, or when ctx ends.
-func (a *Asker) RevokeAt(ctx context.Context, addr, job string) {
-	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, revokeTimeout)
-		running, err := a.callGate(call, addr, []string{job})
-		cancel()
-		a.recordGate(addr, err)
-		if err == nil && len(running) == 0 {
-			return
+// It returns when no task of another entry may run there, or when ctx ends, and reports whether the gate
+// takes the tasks of this entry now. One that has not answered for gate.MaxOrphanTime does not; what runs
+// there counts as ended by the leases.
+func (a *Asker) RevokeAt(ctx context.Context, addr, job string) bool {
+	var end boot.Time // of the tasks there, since the gate is silent; 0 while it answers
+	for ctx.Err() == nil && !a.hasEnded(addr) {
+		running, err := a.callGateOnce(ctx, addr, job)
+		switch {
+		case err == nil && len(running) == 0:
+			return true
+		case err == nil:
+			end = 0
+		case end == 0:
+			end = a.silentSince(addr).Add(gate.MaxOrphanTime)
+		case a.now() >= end:
+			return false
 		}
 		boot.Sleep(ctx, revokeInterval)
 	}
+	return false
+}
+
+// callGateOnce is callGate for one job, with an end to the call, and records the outcome unless ctx has
+// ended.
+func (a *Asker) callGateOnce(ctx context.Context, addr, job string) ([]string, error) {
+	call, cancel := context.WithTimeout(ctx, revokeTimeout)
+	defer cancel()
+	running, err := a.callGate(call, addr, []string{job})
+	if ctx.Err() == nil {
+		a.recordGate(addr, err)
+	}
+	return running, err
 }
 
 // callGate revokes jobs at a gate, and returns those of which a task may still run. If the gate
--- a/internal/disp/proc/giveup.go
+++ b/internal/disp/proc/giveup.go
@@ -48,8 +48,11 @@
 	e.asker().GiveUpIfKnown(ctx, e.members.Addrs(memb.Entry), job)
 }
 
-// RevokeAt revokes a job for this entry at a gate that refuses it for the sake of another one.
-func (e *Entry) RevokeAt(ctx context.Context, gate, job string) { e.asker().RevokeAt(ctx, gate, job) }
+// RevokeAt revokes a job for this entry at a gate that refuses it for the sake of another one. It
+// reports whether the gate takes its tasks from this entry now.
+func (e *Entry) RevokeAt(ctx context.Context, gate, job string) bool {
+	return e.asker().RevokeAt(ctx, gate, job)
+}
 
 // asker returns what makes other entries give up jobs.
 func (e *Entry) asker() *giveup.Asker {
--- a/internal/disp/rules/cluster_test.go
+++ b/internal/disp/rules/cluster_test.go
@@ -236,7 +236,7 @@
 		GiveUpElsewhere: func(ctx context.Context, job string, repeated bool) { c.giveUpElsewhere(ctx, i, p, job, repeated) },
 		GiveUpIfKnown:   func(ctx context.Context, job string) { c.giveUpIfKnown(ctx, i, p, job) },
 		OthersOut:       func() bool { return p.rotation.Out() || len(p.others.Out()) > 0 },
-		RevokeAt:        func(ctx context.Context, gate, job string) { p.asker.RevokeAt(ctx, gate, job) },
+		RevokeAt:        func(ctx context.Context, gate, job string) bool { return p.asker.RevokeAt(ctx, gate, job) },
 		RunsElsewhere:   func(ctx context.Context, job string) bool { return c.runsElsewhere(ctx, i, p, job) },
 		LastStall:       func() boot.Time { return c.lastStall(i) },
 	}
--- a/test/mutants_test.go
+++ b/test/mutants_test.go
@@ -201,6 +201,26 @@
 		rule: "TWICE newer revocation", file: dispCoord + "takeover.go", test: "internal/disp/coord TestJobIsTakenOverOnlyFromAnOlderRevocation",
 		old: " || revokedFor <= e.lastArrivedFor(c.now())", new: "",
 	},
+	{
+		rule: "SERVED takeover of a gate that dies", file: dispGiveUp + "revoke.go", test: "internal/disp/giveup TestTakeoverOfGateThatDiesEnds",
+		old: "case a.now() >= end:", new: "case false:",
+	},
+	{
+		rule: "SERVED takeover of a dead gate", file: dispGiveUp + "revoke.go", test: "internal/disp/giveup TestTakeoverOfGateThatDiesEnds",
+		old: "ctx.Err() == nil && !a.hasEnded(addr)", new: "ctx.Err() == nil",
+	},
+	{
+		rule: "TWICE takeover of a gate that is silent for a moment", file: dispGiveUp + "revoke.go", test: "internal/disp/giveup TestTakeoverOfGateThatDiesEnds",
+		old: "end = a.silentSince(addr).Add(gate.MaxOrphanTime)", new: "end = a.silentSince(addr)",
+	},
+	{
+		rule: "TWICE takeover that is cut short", file: dispGiveUp + "revoke.go", test: "internal/disp/giveup TestTakeoverThatIsCutShortShowsNoSilence",
+		old: "if ctx.Err() == nil {\n\t\ta.recordGate(addr, err)\n\t}", new: "a.recordGate(addr, err)",
+	},
+	{
+		rule: "SERVED gate that was not taken over", file: dispCoord + "takeover.go", test: "internal/disp/coord TestTaskIsPlacedElsewhereIfTheGateWasNotTakenOver",
+		old: "if taken {", new: "if true {",
+	},
 	{
 		rule: "SERVED gate that was taken over", file: dispCoord + "task.go", test: "internal/disp/coord TestTaskIsPlacedAtTheGateThatWasTakenOver",
 		old: "takenOver := ts.takenOver != \"\" && cands.includes(ts.takenOver)", new: "takenOver := false",
