Have a job given up again when it is taken over after a newer submission

What callers saw: two entries could run a task of a job at once: one that had taken the job over at a gate, and one to which the caller had gone since, and from which it had come back.

Cause: the other entries were asked to give up the job once in an execution, but whether the revocation at a gate is outdated is decided by the latest submission. An entry that had revoked the job between the first takeover and that submission was never asked, and its tasks ran on at the other gates.

Change: the execution keeps as of which submission the others have given up the job, and has them give it up again if a newer one has arrived since.

--- a/internal/disp/coord/job.go
+++ b/internal/disp/coord/job.go
@@ -94,7 +94,7 @@
 	hasLeft         []func() bool  // HasLeft of all submissions
 	callers         int            // submissions whose connection, as far as is known, still exists
 	lastArrived     boot.Time      // when the latest submission arrived
-	takenOver       chan struct{}  // closed when other entries have given up the job, which was revoked for one of them; nil before
+	givenUp         *giveUpRound   // latest one, after the job was revoked for another entry; nil before
 	waitsUntil      boot.Time      // when the last caller stops waiting for the answer; 0 if unknown
 	inFlight        int            // tasks whose outcome the job is waiting for
 	started         bool           // a task has started or may have started
--- a/internal/disp/coord/takeover.go
+++ b/internal/disp/coord/takeover.go
@@ -34,27 +34,40 @@
 	return true
 }
 
-// giveUpOnce makes the other entries give up the job, and waits until they have; once, however many of
-// its tasks are refused.
+// giveUpRound is a call of GiveUpElsewhere for a job that is taken over.
+type giveUpRound struct {
+	arrived boot.Time     // when the latest submission before the call arrived
+	done    chan struct{} // closed when the call has returned
+}
+
+// giveUpOnce makes the other entries give up the job, and waits until they have; once after each
+// submission, however many of its tasks are refused. An entry to which the caller has gone in between has
+// the job anew.
 func (c *Coordinator) giveUpOnce(e *execution) {
-	e.mu.Lock()
-	first := e.takenOver == nil
-	if first {
-		e.takenOver = make(chan struct{})
-	}
-	done := e.takenOver
-	e.mu.Unlock()
+	round, first := e.giveUpRound()
 	if first {
 		c.GiveUpElsewhere(e.ctx, e.ID, true)
-		close(done)
+		close(round.done)
 		return
 	}
 	select {
-	case <-done:
+	case <-round.done:
 	case <-e.ctx.Done():
 	}
 }
 
+// giveUpRound returns the round in which other entries give up the job as of its latest submission,
+// and whether the caller has to make the call.
+func (e *execution) giveUpRound() (round *giveUpRound, first bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.givenUp != nil && e.lastArrived <= e.givenUp.arrived {
+		return e.givenUp, false
+	}
+	e.givenUp = &giveUpRound{arrived: e.lastArrived, done: make(chan struct{})}
+	return e.givenUp, true
+}
+
 // lastArrivedFor returns how long ago, at now, the latest submission arrived.
 func (e *execution) lastArrivedFor(now boot.Time) time.Duration {
 	e.mu.Lock()
--- a/internal/disp/coord/takeover_test.go
+++ b/internal/disp/coord/takeover_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -115,3 +116,37 @@
 		t.Errorf("got %+v, revoked at %v", a, revoked)
 	}
 }
+
+// The other entries were asked once, and one to which the caller had gone in between ran the job beside this one.
+func TestOthersGiveUpTheJobAgainAfterANewerSubmission(t *testing.T) {
+	f := newFakeGates(t, 1)
+	var tasks, givenUp atomic.Int64
+	var revokedAt atomic.Int64 // boot.Time of the later revocation
+	joined := make(chan struct{})
+	f.respond = func(int, msgs.Task) msgs.TaskReply {
+		switch tasks.Add(1) {
+		case 1:
+			<-joined
+			return msgs.TaskReply{Result: msgs.Refused, Reason: cause.Revoked, RevokedFor: boot.Now().Sub(boot.Time(revokedAt.Load())).Milliseconds()}
+		case 2:
+			return msgs.TaskReply{Result: msgs.Refused, Reason: cause.Revoked, RevokedFor: time.Minute.Milliseconds()}
+		}
+		return msgs.TaskReply{Result: msgs.Done, RunTime: 10}
+	}
+	c := f.coordinator()
+	c.GiveUpElsewhere = func(context.Context, string, bool) { givenUp.Add(1) }
+	c.RevokeAt = func(context.Context, string, string) bool { return true }
+	j := newTestJob(2, 100)
+	j.Steps[0].DeclaredRunTime = 2 * time.Second // so that the job is not refused as overdue
+	first := submitAsync(t.Context(), c, j)
+	waitUntil(t, "one task has been taken over", func() bool { return tasks.Load() == 3 })
+	revokedAt.Store(int64(boot.Now()))
+	time.Sleep(20 * time.Millisecond)
+	j.Arrived = boot.Now()
+	second := submitAsync(t.Context(), c, j)
+	waitUntil(t, "the newer submission has joined", func() bool { return callerCount(c) == 2 })
+	close(joined)
+	if a, b := <-first, <-second; a.State != Done || b.State != Done || givenUp.Load() != 2 {
+		t.Errorf("got %+v and %+v, given up elsewhere %d times", a, b, givenUp.Load())
+	}
+}
--- a/test/mutants_test.go
+++ b/test/mutants_test.go
@@ -201,6 +201,10 @@
 		rule: "TWICE newer revocation", file: dispCoord + "takeover.go", test: "internal/disp/coord TestJobIsTakenOverOnlyFromAnOlderRevocation",
 		old: " || revokedFor <= e.lastArrivedFor(c.now())", new: "",
 	},
+	{
+		rule: "TWICE takeover after a newer submission", file: dispCoord + "takeover.go", test: "internal/disp/coord TestOthersGiveUpTheJobAgainAfterANewerSubmission",
+		old: "e.givenUp != nil && e.lastArrived <= e.givenUp.arrived", new: "e.givenUp != nil",
+	},
 	{
 		rule: "SERVED takeover of a gate that dies", file: dispGiveUp + "revoke.go", test: "internal/disp/giveup TestTakeoverOfGateThatDiesEnds",
 		old: "case a.now() >= end:", new: "case false:",
