Look at all answers to tell whether a job runs elsewhere

What callers saw: a job that was being cancelled could run at two entries at once after one of them had stood still.

Cause: RunsElsewhere took the first state that another entry reported. Entries that were told of a cancellation answer "cancelled" for a minute, which hid the answer of one that had not been told yet and ran the job.

Change: only the states waiting and working count for RunsElsewhere, whoever answers first. What GET and a cancellation answer is as before.

Two new mutants are caught.

--- a/internal/disp/proc/entry.go
+++ b/internal/disp/proc/entry.go
@@ -227,11 +227,13 @@
 // askPeers asks all other entries about a job and returns the first state that
 // one reports, or the empty string if none does in time.
 func (e *Entry) askPeers(ctx context.Context, m msgs.Lookup) string {
-	return e.askPeersFor(ctx, m, func(string) time.Duration { return lookupTimeout })
+	timeout := func(string) time.Duration { return lookupTimeout }
+	return e.askPeersFor(ctx, m, timeout, func(state string) bool { return state != "" })
 }
 
-// askPeersFor is askPeers with a timeout for each entry, by its address.
-func (e *Entry) askPeersFor(ctx context.Context, m msgs.Lookup, timeout func(addr string) time.Duration) string {
+// askPeersFor is askPeers with a timeout for each entry, by its address, and returns the first state
+// that counts. The empty one must not.
+func (e *Entry) askPeersFor(ctx context.Context, m msgs.Lookup, timeout func(addr string) time.Duration, counts func(state string) bool) string {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	peers := e.members.Addrs(memb.Entry)
@@ -249,7 +251,7 @@
 		}()
 	}
 	for range peers {
-		if state := <-answers; state != "" {
+		if state := <-answers; counts(state) {
 			return state
 		}
 	}
--- a/internal/disp/proc/giveup.go
+++ b/internal/disp/proc/giveup.go
@@ -124,12 +124,15 @@
 
 // RunsElsewhere reports whether another entry runs the job, or has it waiting for capacity, or
 // has ended it with tasks that may still be running.
-// An entry that does not answer in time counts as not having it, though that is no proof.
+// An entry that does not answer in time counts as not having it, though that is no proof. One that
+// has been told of a cancellation proves nothing about those that have not.
 func (e *Entry) RunsElsewhere(ctx context.Context, job string) bool {
-	state := e.askPeersFor(ctx, msgs.Lookup{Job: job, Drain: true}, e.giveUpTimeoutFor)
-	return state == StateWaiting || state == StateWorking
+	return e.askPeersFor(ctx, msgs.Lookup{Job: job, Drain: true}, e.giveUpTimeoutFor, mayRun) != ""
 }
 
+// mayRun reports whether tasks of a job with the given state run or may be placed.
+func mayRun(state string) bool { return state == StateWaiting || state == StateWorking }
+
 // giveUpTimeoutFor returns how long to wait until an entry answers whether it runs a job. One that
 // was slow just now may live.
 func (e *Entry) giveUpTimeoutFor(addr string) time.Duration {
--- a/internal/disp/proc/stall_test.go
+++ b/internal/disp/proc/stall_test.go
@@ -85,3 +85,44 @@
 		t.Error("the job counts as not running while its task runs")
 	}
 }
+
+// signallingService closes a channel when it answers its only question.
+type signallingService struct {
+	inner    *EntryService
+	answered chan<- struct{}
+}
+
+func (s *signallingService) Lookup(m *msgs.Lookup, reply *msgs.LookupReply) error {
+	defer close(s.answered)
+	return s.inner.Lookup(m, reply)
+}
+
+// lateService answers some time after another entry has.
+type lateService struct {
+	inner *EntryService
+	after <-chan struct{}
+}
+
+func (s *lateService) Lookup(m *msgs.Lookup, reply *msgs.LookupReply) error {
+	<-s.after
+	time.Sleep(20 * time.Millisecond) // until the other answer has been read
+	return s.inner.Lookup(m, reply)
+}
+
+// The first answer counted: an entry that knew of the cancellation hid that another one, which had not been
+// told yet, ran the job.
+func TestCancellationDoesNotHideThatTheJobRunsElsewhere(t *testing.T) {
+	runs, _ := stalledEntry(t)
+	told, answered := newPeer(), make(chan struct{})
+	told.Coord.Cancel("j")
+	if newPeer(serve(t, map[string]any{EntryServiceName: told.Service()})).RunsElsewhere(t.Context(), "j") {
+		t.Error("the job counts as running where it was only cancelled")
+	}
+	asks := newPeer(
+		serve(t, map[string]any{EntryServiceName: &signallingService{told.Service(), answered}}),
+		serve(t, map[string]any{EntryServiceName: &lateService{runs.Service(), answered}}),
+	)
+	if !asks.RunsElsewhere(t.Context(), "j") {
+		t.Error("the job counts as not running")
+	}
+}
--- a/test/mutants_test.go
+++ b/test/mutants_test.go
@@ -201,6 +201,14 @@
 		rule: "TWICE newer revocation", file: dispCoord + "takeover.go", test: "internal/disp/coord TestJobIsTakenOverOnlyFromAnOlderRevocation",
 		old: " || revokedFor <= e.lastArrivedFor(c.now())", new: "",
 	},
+	{
+		rule: "TWICE cancellation that hides a run", file: dispProc + "giveup.go", test: "internal/disp/proc TestCancellationDoesNotHideThatTheJobRunsElsewhere",
+		old: "e.giveUpTimeoutFor, mayRun) != \"\"", new: "e.giveUpTimeoutFor, func(state string) bool { return state != \"\" }) == StateWorking",
+	},
+	{
+		rule: "SERVED cancellation that is no run", file: dispProc + "giveup.go", test: "internal/disp/proc TestCancellationDoesNotHideThatTheJobRunsElsewhere",
+		old: "{ return state == StateWaiting || state == StateWorking }", new: "{ return state != \"\" }",
+	},
 	{
 		rule: "TWICE takeover after a newer submission", file: dispCoord + "takeover.go", test: "internal/disp/coord TestOthersGiveUpTheJobAgainAfterANewerSubmission",
 		old: "e.givenUp != nil && e.lastArrived <= e.givenUp.arrived", new: "e.givenUp != nil",
