Turn the job away for longer than losses are remembered in its test

Cause: losses are remembered for ten minutes now, and TestLossesOfAllTasksAreKeptWhileTheJobIsTurnedAway turned the job away for three, so that it passed without the rule; the mutant showed it.

Change: the job comes back for twice as long as losses are remembered.

--- a/internal/disp/coord/loss_test.go
+++ b/internal/disp/coord/loss_test.go
@@ -45,8 +45,9 @@
 	for _, task := range []string{"j.0.0.0", "j.0.0.0", "j.0.0.0", "j.0.0.1", "j.0.0.1"} {
 		lose(task)
 	}
-	for range 6 {
-		now = now.Add(blame.RetryInterval / 2)
+	const step = blame.RetryInterval / 2
+	for range 2 * blame.Retention / step {
+		now = now.Add(step)
 		lose("j.0.0.0")
 		if a := c.Submit(t.Context(), newTestJob(2, 100)); a.Reason != cause.LostTargets {
 			t.Fatalf("got %+v", a)
