Call a loss a loss everywhere

Cause: the glossary says loss, the code said crash for the same thing (TaskCrash, LastCrash, CrashesSeen, RecordCrashes), and the package that counts them was called blame.

Change: msgs.Loss, Load.Losses, Sync.LossesSeen, RecordLosses; package loss; the log line task_blamed is task_given_up. Crash stays the word for what a loss proves. finishIfAnyLost stops at the first task that ends the job. Nothing else changes, the encodings neither.

--- a/internal/disp/coord/coord.go
+++ b/internal/disp/coord/coord.go
@@ -7,13 +7,13 @@
 	"time"
 
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/admit"
-	"github.com/gypsumlanding/gypsumlanding/internal/disp/blame"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/bulk"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cancel"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/estim"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/link"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/loss"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/retry"
 )
 
@@ -84,7 +84,7 @@
 	mu          sync.Mutex
 	jobs        map[string]*execution
 	guards      map[string]*bulk.Guard // by service
-	losses      blame.Log
+	losses      loss.Log
 	cancelled   cancel.Log
 	outageSince boot.Time // since when no gate can start tasks; 0 if one can
 }
--- a/internal/disp/coord/coord_test.go
+++ b/internal/disp/coord/coord_test.go
@@ -126,13 +126,13 @@
 	f.respond = loseWithTargets(1, msgs.CrashProven)
 	c := f.coordinator()
 	for i := range f.links {
-		c.RecordCrashes([]msgs.TaskCrash{{Number: 1, Task: "other.0.0.0", Crash: msgs.CrashProven, Entry: "e", Incarnation: 1, ID: uint64(i)}})
+		c.RecordLosses([]msgs.Loss{{Number: 1, Task: "other.0.0.0", Crash: msgs.CrashProven, Entry: "e", Incarnation: 1, ID: uint64(i)}})
 	}
 	if a := c.Submit(context.Background(), newTestJob(1, 100)); a.State != Done || f.receivedCount() != 2 {
 		t.Errorf("got %+v after %d runs", a, f.receivedCount())
 	}
 	for range 3 {
-		c.RecordCrashes([]msgs.TaskCrash{
+		c.RecordLosses([]msgs.Loss{
 			{Number: 1, Task: "j.0.0.0", Crash: msgs.CrashProven, Entry: "e", Incarnation: 1, ID: 1}, // that the reply told of
 			{Number: 2, Task: "j.0.0.0", Crash: msgs.CrashSuspected, Entry: "other", Incarnation: 7, ID: 1},
 		})
@@ -141,7 +141,7 @@
 	if a := c.Submit(context.Background(), newTestJob(1, 100)); a.State != Done {
 		t.Errorf("two losses, one of them proven: got %+v", a)
 	}
-	c.RecordCrashes([]msgs.TaskCrash{{Number: 2, Task: "j.0.0.0", Crash: msgs.CrashProven, Entry: "other", Incarnation: 8, ID: 1}})
+	c.RecordLosses([]msgs.Loss{{Number: 2, Task: "j.0.0.0", Crash: msgs.CrashProven, Entry: "other", Incarnation: 8, ID: 1}})
 	waitUntil(t, "the job is forgotten", func() bool { return c.unfinishedJob("j") == nil })
 	if a := c.Submit(context.Background(), newTestJob(1, 100)); a.State != Failed {
 		t.Errorf("two proven losses: got %+v", a)
--- a/internal/disp/coord/fake_test.go
+++ b/internal/disp/coord/fake_test.go
@@ -47,7 +47,7 @@
 	f.loads = append(f.loads, msgs.Load{Incarnation: 1, Service: "s", TargetIncarnation: string(rune('a' + i)), CPU: 1000, Memory: 1000, Speed: 1})
 	change(&f.loads[i])
 	f.mu.Unlock()
-	l := &link.Link{Addr: fmt.Sprint("g", i), Entry: "e", Incarnation: 1, Drop: func(string) {}, Orders: orders, Crashes: f.tellCrashes}
+	l := &link.Link{Addr: fmt.Sprint("g", i), Entry: "e", Incarnation: 1, Drop: func(string) {}, Orders: orders, Losses: f.tellLosses}
 	l.Call = func(_ context.Context, _, method string, args, reply any) error {
 		return f.handleCall(i, method, args, reply)
 	}
@@ -105,12 +105,12 @@
 	return c
 }
 
-func (f *fakeGates) tellCrashes(crashes []msgs.TaskCrash) {
+func (f *fakeGates) tellLosses(losses []msgs.Loss) {
 	f.mu.Lock()
 	c := f.coord
 	f.mu.Unlock()
 	if c != nil {
-		c.RecordCrashes(crashes)
+		c.RecordLosses(losses)
 	}
 }
 
--- a/internal/disp/coord/crash.go
+++ b/internal/disp/coord/loss.go
@@ -3,19 +3,19 @@
 import (
 	"fmt"
 
-	"github.com/gypsumlanding/gypsumlanding/internal/disp/blame"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/loss"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
-// RecordCrashes records losses of runs with a target. They may be of tasks of any entry, which may come
+// RecordLosses records losses of runs with a target. They may be of tasks of any entry, which may come
 // here next.
-func (c *Coordinator) RecordCrashes(crashes []msgs.TaskCrash) {
+func (c *Coordinator) RecordLosses(losses []msgs.Loss) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.now()
-	for _, t := range crashes {
-		c.losses.Add(t, now)
+	for _, l := range losses {
+		c.losses.Add(l, now)
 	}
 }
 
@@ -26,19 +26,20 @@
 	verdict := c.losses.Verdict(task, c.now())
 	c.mu.Unlock()
 	switch verdict {
-	case blame.Fail:
+	case loss.Fail:
 		e.finish(Answer{State: Failed, Reason: cause.CrashesTargets})
-	case blame.Abandon:
+	case loss.Abandon:
 		e.finish(Answer{State: Abandoned, Reason: cause.LostTargets})
 	default:
 		return false
 	}
-	c.trace("task_blamed", "job", e.ID, "task", task, "verdict", verdict)
+	c.trace("task_given_up", "job", e.ID, "task", task, "verdict", verdict)
 	return true
 }
 
-// finishIfAnyLost does the same for all tasks of a job that has been submitted before. The losses of
-// each of them are remembered from then on, also where they are too few.
+// finishIfAnyLost does the same for all tasks of a job, of which losses may be known from an earlier
+// submission. If it ends the job, those of each task are remembered from then on, also where they are
+// too few.
 func (c *Coordinator) finishIfAnyLost(e *execution) bool {
 	c.mu.Lock()
 	none := c.losses.Empty(c.now())
@@ -46,16 +47,15 @@
 	if none {
 		return false
 	}
-	lost := false
 	for i, s := range e.Steps {
 		for j := range s.Count {
-			lost = lost || c.finishIfLost(e, taskName(e.ID, i, j))
+			if c.finishIfLost(e, taskName(e.ID, i, j)) {
+				c.keepLosses(e)
+				return true
+			}
 		}
 	}
-	if lost {
-		c.keepLosses(e)
-	}
-	return lost
+	return false
 }
 
 // keepLosses makes the losses of all tasks of a job be remembered from now on.
--- a/internal/disp/coord/loss_test.go
+++ b/internal/disp/coord/loss_test.go
@@ -5,9 +5,9 @@
 	"sync/atomic"
 	"testing"
 
-	"github.com/gypsumlanding/gypsumlanding/internal/disp/blame"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/loss"
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
@@ -40,13 +40,13 @@
 	order := uint64(0)
 	lose := func(task string) {
 		order++
-		c.RecordCrashes([]msgs.TaskCrash{{Task: task, Crash: msgs.CrashSuspected, Entry: "e", Incarnation: 1, ID: order}})
+		c.RecordLosses([]msgs.Loss{{Task: task, Crash: msgs.CrashSuspected, Entry: "e", Incarnation: 1, ID: order}})
 	}
 	for _, task := range []string{"j.0.0.0", "j.0.0.0", "j.0.0.0", "j.0.0.1", "j.0.0.1"} {
 		lose(task)
 	}
-	const step = blame.RetryInterval / 2
-	for range 2 * blame.Retention / step {
+	const step = loss.RetryInterval / 2
+	for range 2 * loss.Retention / step {
 		now = now.Add(step)
 		lose("j.0.0.0")
 		if a := c.Submit(t.Context(), newTestJob(2, 100)); a.Reason != cause.LostTargets {
@@ -54,7 +54,7 @@
 		}
 	}
 	lose("j.0.0.1")
-	if got := c.losses.Verdict("j.0.0.1", now); got != blame.Abandon {
+	if got := c.losses.Verdict("j.0.0.1", now); got != loss.Abandon {
 		t.Errorf("got %v for the other task after its third loss", got)
 	}
 }
--- a/internal/disp/gate/crash.go
+++ b/internal/disp/gate/crash.go
@@ -54,7 +54,7 @@
 	}
 	r.crash = c
 	if c != msgs.NoCrash {
-		g.crashes.Add(msgs.TaskCrash{Task: r.msg.Name, Crash: c, Entry: r.id.entry, Incarnation: r.id.incarnation, ID: r.id.id}, g.now())
+		g.losses.Add(msgs.Loss{Task: r.msg.Name, Crash: c, Entry: r.id.entry, Incarnation: r.id.incarnation, ID: r.id.id}, g.now())
 		g.count(CrashPrefix + c.String())
 	}
 	g.finish(r, msgs.Lost, reason)
--- a/internal/disp/gate/crash_test.go
+++ b/internal/disp/gate/crash_test.go
@@ -189,21 +189,21 @@
 		f.update(func(f *fakeTarget) { f.down = true })
 		lost := <-replies
 		other := msgs.Sync{Sender: msgs.Sender{Entry: "other", Incarnation: 5, GateIncarnation: 7}}
-		got := o.Sync(other).Crashes
-		want := msgs.TaskCrash{Number: 1, Task: "a", Crash: lost.Crash, Entry: "e", Incarnation: 1, ID: 1}
+		got := o.Sync(other).Losses
+		want := msgs.Loss{Number: 1, Task: "a", Crash: lost.Crash, Entry: "e", Incarnation: 1, ID: 1}
 		if len(got) != 1 || got[0] != want {
 			t.Fatalf("got %+v, want %+v", got, want)
 		}
-		other.CrashesSeen = got[0].Number
-		if again := o.Sync(other).Crashes; len(again) > 0 {
+		other.LossesSeen = got[0].Number
+		if again := o.Sync(other).Losses; len(again) > 0 {
 			t.Errorf("told again: %+v", again)
 		}
 		other.GateIncarnation = 6
-		if restarted := o.Sync(other).Crashes; len(restarted) != 1 {
+		if restarted := o.Sync(other).Losses; len(restarted) != 1 {
 			t.Errorf("an entry that knows the losses of another incarnation is told %+v", restarted)
 		}
 		time.Sleep(11 * time.Minute)
-		if late := o.Sync(msgs.Sync{Sender: other.Sender}).Crashes; len(late) > 0 {
+		if late := o.Sync(msgs.Sync{Sender: other.Sender}).Losses; len(late) > 0 {
 			t.Errorf("told after eleven minutes: %+v", late)
 		}
 	})
--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/gypsumlanding/gypsumlanding/internal/disp/blame"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cbreak"
@@ -13,6 +12,7 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/evac"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/interf"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/lease"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/loss"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/revoke"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/rsrc"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/start"
@@ -67,7 +67,7 @@
 	missedPolls  int                 // consecutive polls without an answer
 	downAt       boot.Time           // when the target first refused a connection since it last answered; 0 if it has not
 	downWithRuns bool                // runs were there when downAt was set
-	crashes      blame.List          // losses of runs with the target
+	losses       loss.List           // losses of runs with the target
 	silent       bool                // missedPolls has reached maxMissedPolls, or the connection was refused
 	hedgeUntil   boot.Time           // end of the time during which a second poll is kept open
 	leaseEnd     boot.Time           // latest time at which the target's lease lapses, by Steady
@@ -182,9 +182,9 @@
 	g.wantKinds(m.WantKinds)
 	l := g.load()
 	if m.GateIncarnation != g.IncarnationID {
-		m.CrashesSeen = 0
+		m.LossesSeen = 0
 	}
-	l.Crashes = g.crashes.After(m.CrashesSeen, g.now())
+	l.Losses = g.losses.After(m.LossesSeen, g.now())
 	return l
 }
 
@@ -328,7 +328,7 @@
 func (g *Gate) load() msgs.Load {
 	now := g.now()
 	g.updateCold(now)
-	l := msgs.Load{LastCrash: g.crashes.Last(now), Incarnation: g.IncarnationID, Timestamp: int64(now), Speed: g.currentSpeed(), Leaving: g.stopping || g.incarnation.Leaving, Domain: g.domain()}
+	l := msgs.Load{LastLoss: g.losses.Last(now), Incarnation: g.IncarnationID, Timestamp: int64(now), Speed: g.currentSpeed(), Leaving: g.stopping || g.incarnation.Leaving, Domain: g.domain()}
 	if !g.targetKnown {
 		l.BlockedReason = cause.NoTarget
 		return l
--- a/internal/disp/link/link.go
+++ b/internal/disp/link/link.go
@@ -58,9 +58,9 @@
 	// Orders has the evacuations that this entry knows; nil means none. Each message carries
 	// the order of the gate's failure domain.
 	Orders *evac.Set
-	// Crashes is told the losses of runs with the target, those of tasks of this entry maybe more
+	// Losses is told the losses of runs with the target, those of tasks of this entry maybe more
 	// than once; nil discards them.
-	Crashes func(crashes []msgs.TaskCrash)
+	Losses func(losses []msgs.Loss)
 	// Now reads the clock; nil means boot.Now.
 	Now func() boot.Time
 	// Event logs a change of state; nil discards it.
@@ -84,7 +84,7 @@
 	closed          bool                // Run has ended, or ends without another call; final
 	kindsUntil      boot.Time           // until when Sync calls ask for Load.Kinds
 	downIncarnation uint64              // latest incarnation of the gate that restarted while its target was down; 0 if none
-	crashesSeen     int64               // highest TaskCrash.Number of this incarnation of the gate
+	lossesSeen      int64               // highest Loss.Number of this incarnation of the gate
 	waker           boot.Waker          // makes Run look at the state, and make a Sync call, at once
 }
 
@@ -153,7 +153,7 @@
 func (l *Link) RunTask(ctx context.Context, m msgs.Task, valid func() bool) msgs.TaskReply {
 	reply := l.runTask(ctx, m, valid)
 	if reply.Crash != msgs.NoCrash {
-		l.tellCrashes([]msgs.TaskCrash{{Task: m.Name, Crash: reply.Crash, Entry: l.Entry, Incarnation: l.Incarnation, ID: m.ID}})
+		l.tellLosses([]msgs.Loss{{Task: m.Name, Crash: reply.Crash, Entry: l.Entry, Incarnation: l.Incarnation, ID: m.ID}})
 	}
 	return reply
 }
--- a/internal/disp/link/link_test.go
+++ b/internal/disp/link/link_test.go
@@ -26,9 +26,9 @@
 	onTask      func(call int, m msgs.Task) (msgs.TaskReply, error)
 	tasks       []msgs.Task
 	cancelled   []uint64
-	orders      []msgs.Order     // of the Sync calls
-	crashes     []msgs.TaskCrash // that it tells of
-	told        []msgs.TaskCrash // that the link has passed on
+	orders      []msgs.Order // of the Sync calls
+	losses      []msgs.Loss  // that it tells of
+	told        []msgs.Loss  // that the link has passed on
 	drops       int
 }
 
@@ -37,14 +37,14 @@
 	f.onTask = func(int, msgs.Task) (msgs.TaskReply, error) { return msgs.TaskReply{Result: msgs.Done}, nil }
 	return f, &Link{
 		Addr: "g", Entry: "e", Incarnation: 1, Call: f.call, Drop: func(string) { f.drops++ },
-		Now: f.clock, Orders: &evac.Set{}, Crashes: f.recordTold,
+		Now: f.clock, Orders: &evac.Set{}, Losses: f.recordTold,
 	}
 }
 
-func (f *fakeGate) recordTold(crashes []msgs.TaskCrash) {
+func (f *fakeGate) recordTold(losses []msgs.Loss) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.told = append(f.told, crashes...)
+	f.told = append(f.told, losses...)
 }
 
 func (f *fakeGate) clock() boot.Time {
@@ -95,10 +95,10 @@
 	f.cancelled = append(f.cancelled, m.Cancel...)
 	f.orders = append(f.orders, m.Order)
 	f.syncs++
-	for _, c := range f.crashes {
-		load.LastCrash = c.Number
-		if m.GateIncarnation != f.incarnation || c.Number > m.CrashesSeen {
-			load.Crashes = append(load.Crashes, c)
+	for _, c := range f.losses {
+		load.LastLoss = c.Number
+		if m.GateIncarnation != f.incarnation || c.Number > m.LossesSeen {
+			load.Losses = append(load.Losses, c)
 		}
 	}
 	*out = load
@@ -111,8 +111,8 @@
 	if !argsOK || !replyOK {
 		return peer.ErrBroken
 	}
-	for _, c := range f.crashes {
-		load.LastCrash = c.Number
+	for _, c := range f.losses {
+		load.LastLoss = c.Number
 	}
 	f.tasks = append(f.tasks, *m)
 	result, err := f.onTask(len(f.tasks), *m)
--- a/internal/disp/link/crash.go
+++ b/internal/disp/link/loss.go
@@ -5,30 +5,30 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
-// knownCrash returns the highest number of a loss that the gate has told of.
-func (l *Link) knownCrash() int64 {
+// newestLoss returns the highest number of a loss that the gate has told of.
+func (l *Link) newestLoss() int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.crashesSeen
+	return l.lossesSeen
 }
 
-// tellCrashes passes on losses.
-func (l *Link) tellCrashes(crashes []msgs.TaskCrash) {
-	if len(crashes) > 0 && l.Crashes != nil {
-		l.Crashes(crashes)
+// tellLosses passes on losses.
+func (l *Link) tellLosses(losses []msgs.Loss) {
+	if len(losses) > 0 && l.Losses != nil {
+		l.Losses(losses)
 	}
 }
 
-// confirmCrashes records that the losses in the reply of an incarnation of the gate to a Sync call, whose
+// confirmLosses records that the losses in the reply of an incarnation of the gate to a Sync call, whose
 // load has been applied, have been passed on.
-func (l *Link) confirmCrashes(incarnation uint64, crashes []msgs.TaskCrash) {
+func (l *Link) confirmLosses(incarnation uint64, losses []msgs.Loss) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if incarnation != l.load.Incarnation {
 		return
 	}
-	for _, c := range crashes {
-		l.crashesSeen = max(l.crashesSeen, c.Number)
+	for _, loss := range losses {
+		l.lossesSeen = max(l.lossesSeen, loss.Number)
 	}
 }
 
--- a/internal/disp/link/crash_test.go
+++ b/internal/disp/link/loss_test.go
@@ -39,7 +39,7 @@
 		if r := <-replies; r.Result != msgs.Lost || r.Crash != tc.want {
 			t.Errorf("%s: got %v, crash %v, want %v", tc.name, r.Result, r.Crash, tc.want)
 		}
-		assumed := msgs.TaskCrash{Task: "a", Crash: tc.want, Entry: "e", Incarnation: 1, ID: 3}
+		assumed := msgs.Loss{Task: "a", Crash: tc.want, Entry: "e", Incarnation: 1, ID: 3}
 		if told := len(f.told) == 1 && f.told[0] == assumed; told != (tc.want != msgs.NoCrash) {
 			t.Errorf("%s: told %+v", tc.name, f.told)
 		}
@@ -49,7 +49,7 @@
 // A link tells each loss once, and all that a new incarnation of the gate knows.
 func TestLinkTellsEachLossOnce(t *testing.T) {
 	f, l := newFakeGate()
-	f.crashes = []msgs.TaskCrash{{Number: 1, Task: "a", Crash: msgs.CrashProven}, {Number: 2, Task: "b", Crash: msgs.CrashSuspected}}
+	f.losses = []msgs.Loss{{Number: 1, Task: "a", Crash: msgs.CrashProven}, {Number: 2, Task: "b", Crash: msgs.CrashSuspected}}
 	for range 3 {
 		l.sync(context.Background())
 	}
@@ -60,7 +60,7 @@
 	if len(f.told) != 4 {
 		t.Errorf("told %v, want 1 and 2 of each incarnation", f.told)
 	}
-	if n := len(l.View(f.clock()).Load.Crashes); n != 0 {
+	if n := len(l.View(f.clock()).Load.Losses); n != 0 {
 		t.Errorf("the view keeps %d losses", n)
 	}
 }
@@ -72,7 +72,7 @@
 	l.sync(context.Background())
 	f.advance(minSyncInterval)
 	f.mu.Lock()
-	f.crashes = []msgs.TaskCrash{{Number: 7, Task: "a", Crash: msgs.CrashProven}}
+	f.losses = []msgs.Loss{{Number: 7, Task: "a", Crash: msgs.CrashProven}}
 	f.mu.Unlock()
 	if r := l.RunTask(context.Background(), msgs.Task{ID: 1}, nil); r.Result != msgs.Done {
 		t.Fatalf("got %v", r.Result)
--- a/internal/disp/link/sync.go
+++ b/internal/disp/link/sync.go
@@ -32,7 +32,7 @@
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	reply := &msgs.Load{}
-	err := l.Call(ctx, l.Addr, SyncMethod, &msgs.Sync{Sender: sender, Cancel: cancels, Order: order, WantKinds: l.wantsKinds(), CrashesSeen: l.knownCrash()}, reply)
+	err := l.Call(ctx, l.Addr, SyncMethod, &msgs.Sync{Sender: sender, Cancel: cancels, Order: order, WantKinds: l.wantsKinds(), LossesSeen: l.newestLoss()}, reply)
 	l.mu.Lock()
 	l.lastSync = l.now()
 	l.mu.Unlock()
@@ -41,11 +41,11 @@
 		return
 	}
 	l.confirmCancels(cancels)
-	crashes := reply.Crashes
-	reply.Crashes = nil
+	losses := reply.Losses
+	reply.Losses = nil
 	l.applyLoad(*reply, true)
-	l.tellCrashes(crashes)
-	l.confirmCrashes(reply.Incarnation, crashes)
+	l.tellLosses(losses)
+	l.confirmLosses(reply.Incarnation, losses)
 	l.confirmOrder(evac.Order(order))
 }
 
@@ -79,7 +79,7 @@
 		l.previousEnd = max(l.previousEnd, l.echoedReceived.Add(gate.MaxOrphanTime))
 		l.echoedReceived = 0
 		l.confirmed = evac.Order{}
-		l.crashesSeen = 0
+		l.lossesSeen = 0
 		if l.load.BlockedReason == cause.TargetCrashed {
 			l.downIncarnation = l.load.Incarnation
 		}
@@ -125,7 +125,7 @@
 	if now < l.recheckUntil {
 		interval = blockedSyncInterval
 	}
-	if l.orderUnconfirmed() || l.load.LastCrash > l.crashesSeen {
+	if l.orderUnconfirmed() || l.load.LastLoss > l.lossesSeen {
 		interval = 0
 	}
 	return max(min(l.lastEcho, l.loadReceived).Add(interval), l.lastSync.Add(minSyncInterval)).Sub(now)
--- a/internal/disp/blame/list.go
+++ b/internal/disp/loss/list.go
@@ -1,4 +1,4 @@
-package blame
+package loss
 
 import (
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
@@ -17,12 +17,12 @@
 
 // item is a loss and its time.
 type item struct {
-	msgs.TaskCrash
+	msgs.Loss
 	at boot.Time
 }
 
 // Add adds a loss at now, and numbers it.
-func (l *List) Add(c msgs.TaskCrash, now boot.Time) {
+func (l *List) Add(c msgs.Loss, now boot.Time) {
 	l.last++
 	c.Number = l.last
 	l.items = append(l.items, item{c, now})
@@ -40,13 +40,13 @@
 }
 
 // After returns the losses within Retention before now that have a higher number.
-func (l *List) After(number int64, now boot.Time) []msgs.TaskCrash {
-	var crashes []msgs.TaskCrash
+func (l *List) After(number int64, now boot.Time) []msgs.Loss {
+	var losses []msgs.Loss
 	for _, i := range l.items {
 		if i.Number > number && now.Sub(i.at) <= Retention {
 			i.LostFor = now.Sub(i.at).Milliseconds()
-			crashes = append(crashes, i.TaskCrash)
+			losses = append(losses, i.Loss)
 		}
 	}
-	return crashes
+	return losses
 }
--- a/internal/disp/blame/list_test.go
+++ b/internal/disp/loss/list_test.go
@@ -1,4 +1,4 @@
-package blame
+package loss
 
 import (
 	"fmt"
@@ -10,10 +10,10 @@
 
 func ExampleList() {
 	var l List
-	l.Add(msgs.TaskCrash{Task: "a", Crash: msgs.CrashProven}, now)
-	l.Add(msgs.TaskCrash{Task: "b", Crash: msgs.CrashSuspected}, now)
+	l.Add(msgs.Loss{Task: "a", Crash: msgs.CrashProven}, now)
+	l.Add(msgs.Loss{Task: "b", Crash: msgs.CrashSuspected}, now)
 	seen := l.Last(now)
-	l.Add(msgs.TaskCrash{Task: "c", Crash: msgs.CrashProven}, now)
+	l.Add(msgs.Loss{Task: "c", Crash: msgs.CrashProven}, now)
 	for _, c := range l.After(seen, now) {
 		fmt.Println(c.Number, c.Task, c.Crash)
 	}
@@ -24,7 +24,7 @@
 func TestLossesOfOneCrashAreAllTold(t *testing.T) {
 	var l List
 	for i := range 300 {
-		l.Add(msgs.TaskCrash{Task: fmt.Sprint(i), Crash: msgs.CrashProven}, now)
+		l.Add(msgs.Loss{Task: fmt.Sprint(i), Crash: msgs.CrashProven}, now)
 	}
 	if got := len(l.After(0, now)); got != 300 {
 		t.Errorf("%d of 300 losses are told", got)
@@ -54,12 +54,12 @@
 func TestListIsBounded(t *testing.T) {
 	var l List
 	for i := range 2 * maxItems {
-		l.Add(msgs.TaskCrash{Task: fmt.Sprint(i), Crash: msgs.CrashProven}, now)
+		l.Add(msgs.Loss{Task: fmt.Sprint(i), Crash: msgs.CrashProven}, now)
 	}
 	if got := l.After(0, now); len(got) != maxItems || got[0].Number != maxItems+1 {
 		t.Errorf("%d losses from number %d on", len(got), got[0].Number)
 	}
-	l.Add(msgs.TaskCrash{Task: "later", Crash: msgs.CrashProven}, now.Add(Retention+time.Second))
+	l.Add(msgs.Loss{Task: "later", Crash: msgs.CrashProven}, now.Add(Retention+time.Second))
 	if n := len(l.items); n != 1 {
 		t.Errorf("%d losses are kept after Retention", n)
 	}
--- a/internal/disp/blame/blame.go
+++ b/internal/disp/loss/loss.go
@@ -1,4 +1,4 @@
-// Package blame decides whether a task may be placed again after runs of it were lost with
+// Package loss decides whether a task may be placed again after runs of it were lost with
 // their targets.
 //
 // The load that it answers: tasks that crash whatever target starts them, beside others that are
@@ -8,7 +8,7 @@
 // may have been one.
 //
 // The package reads no clock and does no I/O.
-package blame
+package loss
 
 import (
 	"time"
@@ -72,7 +72,7 @@
 
 // Add adds a loss at now, unless it proves nothing. One that has been added before counts by what
 // proves more.
-func (l *Log) Add(loss msgs.TaskCrash, now boot.Time) {
+func (l *Log) Add(loss msgs.Loss, now boot.Time) {
 	if loss.Crash == msgs.NoCrash {
 		return
 	}
--- a/internal/disp/blame/blame_test.go
+++ b/internal/disp/loss/loss_test.go
@@ -1,4 +1,4 @@
-package blame
+package loss
 
 import (
 	"fmt"
@@ -12,8 +12,8 @@
 const now = boot.Time(time.Hour)
 
 // loss returns the loss of a task with the given order of an entry.
-func loss(order uint64, c msgs.Crash) msgs.TaskCrash {
-	return msgs.TaskCrash{Number: 1, Task: "j.0.0.0", Crash: c, Entry: "e", Incarnation: 1, ID: order}
+func loss(order uint64, c msgs.Crash) msgs.Loss {
+	return msgs.Loss{Number: 1, Task: "j.0.0.0", Crash: c, Entry: "e", Incarnation: 1, ID: order}
 }
 
 // Two proven crashes fail a job. Losses that prove less never do, but a task with three is not
--- a/internal/disp/proc/links.go
+++ b/internal/disp/proc/links.go
@@ -98,7 +98,7 @@
 	l := &link.Link{
 		Addr: addr, Entry: e.Name, Incarnation: e.Incarnation,
 		Call: e.pool.Call, Drop: e.pool.Drop, Event: e.Event, Orders: &e.Orders,
-		Crashes: e.Coord.RecordCrashes,
+		Losses: e.Coord.RecordLosses,
 	}
 	e.links[addr] = l
 	go e.runLink(e.ctx, l)
--- a/internal/disp/rules/checker_test.go
+++ b/internal/disp/rules/checker_test.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
-	"github.com/gypsumlanding/gypsumlanding/internal/disp/blame"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/coord"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/loss"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/targ"
 )
 
@@ -150,7 +150,7 @@
 // started again for its attempts. c.mu must be held.
 func (c *checker) countStart(job *jobRecord, task string) {
 	lost := job.crashes[task] + job.fatalStarts[task]
-	if c.lossesKnown && lost >= crashLimit && time.Since(job.crashedAt[task]) < blame.RetryInterval {
+	if c.lossesKnown && lost >= crashLimit && time.Since(job.crashedAt[task]) < loss.RetryInterval {
 		c.addViolation("BUDGET: %s starts after %d targets have crashed under it, which their gates know", task, lost)
 	}
 	crashes := lost + job.felled[task]
--- a/internal/disp/rules/cluster_test.go
+++ b/internal/disp/rules/cluster_test.go
@@ -220,7 +220,7 @@
 	for g := range c.gates {
 		l := &link.Link{
 			Addr: fmt.Sprintf("g%d", g), Entry: fmt.Sprintf("e%d", i), Incarnation: c.lastIncarnation, Now: now, Drop: func(string) {}, Orders: &p.orders,
-			Crashes: func(crashes []msgs.TaskCrash) { p.coord.RecordCrashes(crashes) },
+			Losses: func(losses []msgs.Loss) { p.coord.RecordLosses(losses) },
 			Call: func(ctx context.Context, _, method string, args, reply any) error {
 				return c.call(ctx, i, p, g, method, args, reply)
 			},
--- a/internal/disp/rules/stubborn_test.go
+++ b/internal/disp/rules/stubborn_test.go
@@ -5,7 +5,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/gypsumlanding/gypsumlanding/internal/disp/blame"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/loss"
 )
 
 const (
@@ -64,7 +64,7 @@
 }
 
 // checkStubborn lets callers submit jobs again and again whose tasks take their targets down, while
-// kill kills processes. No task must go on to a fourth target, but for one in each blame.RetryInterval.
+// kill kills processes. No task must go on to a fourth target, but for one in each loss.RetryInterval.
 func checkStubborn(t *testing.T, kill func(c *cluster, i int)) {
 	t.Helper()
 	for _, s := range stubbornWorks {
@@ -73,7 +73,7 @@
 			if len(violations) > 0 {
 				t.Error(violations)
 			}
-			if most := crashLimit + int(stubbornTime/blame.RetryInterval); starts < crashesToFail || starts > most {
+			if most := crashLimit + int(stubbornTime/loss.RetryInterval); starts < crashesToFail || starts > most {
 				t.Errorf("%d starts, want %d to %d", starts, crashesToFail, most)
 			}
 		})
--- a/internal/wire/msgs/crash.go
+++ b/internal/wire/msgs/loss.go
@@ -28,9 +28,9 @@
 	return "unknown"
 }
 
-// TaskCrash is the loss of a run with its target. Entry, Incarnation and ID identify the order to run
+// Loss is the loss of a run with its target. Entry, Incarnation and ID identify the order to run
 // the task, which is lost once at most, whoever tells of it.
-type TaskCrash struct {
+type Loss struct {
 	Number      int64  // of the loss, from 1 in each incarnation of the gate; 0 if the gate has not told of it
 	Task        string // name of the task
 	Crash       Crash
@@ -40,14 +40,14 @@
 	LostFor     int64  // for how long the run had been lost when the gate told of it, ms
 }
 
-// crashesCodec returns a codec for a list of losses, each encoded as an array.
-func crashesCodec(items *[]TaskCrash) *sliceCodec[TaskCrash] {
-	return &sliceCodec[TaskCrash]{
+// lossesCodec returns a codec for a list of losses, each encoded as an array.
+func lossesCodec(items *[]Loss) *sliceCodec[Loss] {
+	return &sliceCodec[Loss]{
 		items: items,
-		encode: func(e *msgpack.Encoder, c TaskCrash) error {
+		encode: func(e *msgpack.Encoder, c Loss) error {
 			return encodeArray(e, c.Number, c.Task, int(c.Crash), c.Entry, c.Incarnation, c.ID, c.LostFor)
 		},
-		decode: func(d *msgpack.Decoder) (c TaskCrash, err error) {
+		decode: func(d *msgpack.Decoder) (c Loss, err error) {
 			return c, decodeArray(d, &c.Number, &c.Task, (*int)(&c.Crash), &c.Entry, &c.Incarnation, &c.ID, &c.LostFor)
 		},
 	}
--- a/internal/wire/msgs/msgs_test.go
+++ b/internal/wire/msgs/msgs_test.go
@@ -29,7 +29,7 @@
 		Incarnation: 1, Timestamp: 2, Service: "s", TargetIncarnation: "t", Labels: []string{"l"}, CPU: 3, Memory: 4, GPU: 5,
 		UsedCPU: 6, UsedMemory: 7, UsedGPU: 8, QueuedWork: 9, Speed: 1.5, BlockedReason: "a", Leaving: true, Domain: "z", ColdFor: 10,
 		Interference: []Interference{{Slowed: "a", By: "b", Factor: 150, Evidence: 60}, {Slowed: "b", By: "a", Factor: 120, Evidence: 70}}, Kinds: []KindRuns{{Kind: "a", Runs: 1}},
-		LastCrash: 11, Crashes: []TaskCrash{{Number: 11, Task: "t", Crash: CrashProven, Entry: "e", Incarnation: 14, ID: 15, LostFor: 16}},
+		LastLoss: 11, Losses: []Loss{{Number: 11, Task: "t", Crash: CrashProven, Entry: "e", Incarnation: 14, ID: 15, LostFor: 16}},
 	}
 	order := Order{Domain: "z", Version: 14, Evacuated: true}
 	return []any{
@@ -57,7 +57,7 @@
 			Cancel: []uint64{12, 13}, Order: order, Kind: "k", WantKinds: true, LeastRunTime: 7,
 		},
 		&TaskReply{Result: Failed, Reason: "r", RunTime: 1, Load: load, Crash: CrashSuspected, RevokedFor: 13},
-		&Sync{Sender: Sender{Entry: "e", Incarnation: 1, GateIncarnation: 2, EchoedTimestamp: 3}, Cancel: []uint64{4, 5}, Order: order, WantKinds: true, CrashesSeen: 6},
+		&Sync{Sender: Sender{Entry: "e", Incarnation: 1, GateIncarnation: 2, EchoedTimestamp: 3}, Cancel: []uint64{4, 5}, Order: order, WantKinds: true, LossesSeen: 6},
 		&load,
 		&Revoke{Sender: Sender{Entry: "e", Incarnation: 1, GateIncarnation: 2, EchoedTimestamp: 3}, Jobs: []string{"j", "k"}},
 		&RevokeReply{Applied: true, Incarnation: 1, Timestamp: 2, Running: []string{"j"}},
--- a/internal/wire/msgs/task.go
+++ b/internal/wire/msgs/task.go
@@ -54,7 +54,7 @@
 	Order           Order    // newest order of the gate's failure domain that the sender knows; zero if none
 	Kind            string   // kind of the task; see package interf. Empty for none
 	WantKinds       bool     // the Loads of the next second shall have Kinds
-	LeastRunTime    int64    // the caller's estimate of the run time on a target of speed 1 if it is below ExpectedRunTime, ms; otherwise 0
+	LeastRunTime    int64    // the caller's estimate of the run time on a target of speed 1 if the entry expects more, ms; otherwise 0
 }
 
 // TaskReply is the reply to Task.
@@ -76,8 +76,8 @@
 	Cancel    []uint64 // IDs of tasks to stop
 	Order     Order    // as in Task
 	WantKinds bool     // the Loads of the next second shall have Kinds
-	// CrashesSeen is the highest TaskCrash.Number of the addressed incarnation that the sender knows.
-	CrashesSeen int64
+	// LossesSeen is the highest Loss.Number of the addressed incarnation that the sender knows.
+	LossesSeen int64
 }
 
 // Load is the capacity and use of a gate's target.
@@ -102,8 +102,8 @@
 
 	Interference []Interference // pairs of kinds that slow each other down; usually empty
 	Kinds        []KindRuns     // runs at the target by kind; empty unless there is interference
-	LastCrash    int64          // number of the newest loss with the target; 0 if there is none of late
-	Crashes      []TaskCrash    // recent losses with the target above Sync.CrashesSeen; only in replies to Sync
+	LastLoss     int64          // number of the newest loss with the target; 0 if there is none of late
+	Losses       []Loss         // recent losses with the target above Sync.LossesSeen; only in replies to Sync
 }
 
 // Interference means that tasks of one kind run longer beside tasks of another.
@@ -225,37 +225,37 @@
 	return decodeArray(d, (*int)(&m.Result), &m.Reason, &m.RunTime, &m.Load, (*int)(&m.Crash), &m.RevokedFor)
 }
 
-// EncodeMsgpack writes the message, without CrashesSeen if that is 0.
+// EncodeMsgpack writes the message, without LossesSeen if that is 0.
 func (m *Sync) EncodeMsgpack(e *msgpack.Encoder) error {
 	fields := []any{m.Entry, m.Incarnation, m.GateIncarnation, m.EchoedTimestamp, m.Cancel, &m.Order, m.WantKinds}
-	if m.CrashesSeen != 0 {
-		fields = append(fields, m.CrashesSeen)
+	if m.LossesSeen != 0 {
+		fields = append(fields, m.LossesSeen)
 	}
 	return encodeArray(e, fields...)
 }
 
-// DecodeMsgpack reads the message. One from an older process has no WantKinds, or no CrashesSeen.
+// DecodeMsgpack reads the message. One from an older process has no WantKinds, or no LossesSeen.
 func (m *Sync) DecodeMsgpack(d *msgpack.Decoder) error {
-	return decodeArray(d, &m.Entry, &m.Incarnation, &m.GateIncarnation, &m.EchoedTimestamp, &m.Cancel, &m.Order, &m.WantKinds, &m.CrashesSeen)
+	return decodeArray(d, &m.Entry, &m.Incarnation, &m.GateIncarnation, &m.EchoedTimestamp, &m.Cancel, &m.Order, &m.WantKinds, &m.LossesSeen)
 }
 
-// EncodeMsgpack writes the message, without LastCrash and Crashes if there is no loss.
+// EncodeMsgpack writes the message, without LastLoss and Losses if there is no loss.
 func (m *Load) EncodeMsgpack(e *msgpack.Encoder) error {
 	fields := []any{m.Incarnation, m.Timestamp, m.Service, m.TargetIncarnation, m.Labels,
 		m.CPU, m.Memory, m.GPU, m.UsedCPU, m.UsedMemory, m.UsedGPU,
 		m.QueuedWork, m.Speed, m.BlockedReason, m.Leaving, m.Domain, m.ColdFor, interferenceCodec(&m.Interference), kindsCodec(&m.Kinds)}
-	if m.LastCrash != 0 {
-		fields = append(fields, m.LastCrash, crashesCodec(&m.Crashes))
+	if m.LastLoss != 0 {
+		fields = append(fields, m.LastLoss, lossesCodec(&m.Losses))
 	}
 	return encodeArray(e, fields...)
 }
 
 // DecodeMsgpack reads the message. One from an older process has no Interference and no
-// Kinds, or no LastCrash and Crashes.
+// Kinds, or no LastLoss and Losses.
 func (m *Load) DecodeMsgpack(d *msgpack.Decoder) error {
 	return decodeArray(d, &m.Incarnation, &m.Timestamp, &m.Service, &m.TargetIncarnation, &m.Labels,
 		&m.CPU, &m.Memory, &m.GPU, &m.UsedCPU, &m.UsedMemory, &m.UsedGPU,
-		&m.QueuedWork, &m.Speed, &m.BlockedReason, &m.Leaving, &m.Domain, &m.ColdFor, interferenceCodec(&m.Interference), kindsCodec(&m.Kinds), &m.LastCrash, crashesCodec(&m.Crashes))
+		&m.QueuedWork, &m.Speed, &m.BlockedReason, &m.Leaving, &m.Domain, &m.ColdFor, interferenceCodec(&m.Interference), kindsCodec(&m.Kinds), &m.LastLoss, lossesCodec(&m.Losses))
 }
 
 // EncodeMsgpack writes the message.
--- a/test/mutants_test.go
+++ b/test/mutants_test.go
@@ -8,7 +8,7 @@
 	editFile   = "internal/entry/edit/edit.go"
 	dispGate   = "internal/disp/gate/"
 	dispCoord  = "internal/disp/coord/"
-	dispBlame  = "internal/disp/blame/blame.go"
+	dispLoss   = "internal/disp/loss/loss.go"
 	dispStart  = "internal/disp/start/start.go"
 	dispLink   = "internal/disp/link/link.go"
 	dispSync   = "internal/disp/link/sync.go"
@@ -182,7 +182,7 @@
 		old: "max(0, remaining)", new: "max(remaining, g.remaining(r, 0))",
 	},
 	{
-		rule: "BUDGET losses that a gate has not told", file: "internal/disp/link/crash.go", test: "internal/disp/link TestGateThatDiesWithItsTargetDownLeavesASuspicion",
+		rule: "BUDGET losses that a gate has not told", file: "internal/disp/link/loss.go", test: "internal/disp/link TestGateThatDiesWithItsTargetDownLeavesASuspicion",
 		old: " || l.downIncarnation == incarnation", new: "",
 	},
 	{
@@ -194,40 +194,40 @@
 		old: "if r.msg.LeastRunTime > 0 {", new: "if false {",
 	},
 	{
-		rule: "LOST job turned away for ever", file: dispBlame, test: "internal/disp/blame TestTaskOfACallerThatKeepsComingIsTriedOnceInRetryInterval",
+		rule: "LOST job turned away for ever", file: dispLoss, test: "internal/disp/loss TestTaskOfACallerThatKeepsComingIsTriedOnceInRetryInterval",
 		old: "if now.Sub(r.lostAt) > RetryInterval {", new: "if false {",
 	},
 	{
-		rule: "BUDGET losses of the other tasks", file: dispCoord + "crash.go", test: "internal/disp/coord TestLossesOfAllTasksAreKeptWhileTheJobIsTurnedAway",
-		old: "\tif lost {\n\t\tc.keepLosses(e)\n\t}\n", new: "",
+		rule: "BUDGET losses of the other tasks", file: dispCoord + "loss.go", test: "internal/disp/coord TestLossesOfAllTasksAreKeptWhileTheJobIsTurnedAway",
+		old: "\t\t\t\tc.keepLosses(e)\n", new: "",
 	},
 	{
 		rule: "BUDGET losses told after the job", file: dispLink, test: "internal/disp/coord TestLossCountsAfterTheJobHasEnded",
 		old: "if reply.Crash != msgs.NoCrash {", new: "if false {",
 	},
 	{
-		rule: "LOST losses that are told twice", file: dispBlame, test: "internal/disp/blame TestLossToldByAGateThatWasSilentCountsOnce",
+		rule: "LOST losses that are told twice", file: dispLoss, test: "internal/disp/loss TestLossToldByAGateThatWasSilentCountsOnce",
 		old: "key := id{loss.Entry, loss.Incarnation, loss.ID}", new: "key := id{loss.Entry, uint64(loss.Number), loss.ID}",
 	},
 	{
-		rule: "BUDGET one more loss", file: dispBlame, test: "internal/disp/blame TestOneMoreLossOfATaskThatWasLostTooOftenIsEnough",
+		rule: "BUDGET one more loss", file: dispLoss, test: "internal/disp/loss TestOneMoreLossOfATaskThatWasLostTooOftenIsEnough",
 		old: "r.allowed, verdict = len(r.proofs), Place", new: "r.allowed, verdict = len(r.proofs)+1, Place",
 	},
 	{
-		rule: "LOST losses of long ago", file: dispBlame, test: "internal/disp/blame TestLossIsToldWithItsAge",
+		rule: "LOST losses of long ago", file: dispLoss, test: "internal/disp/loss TestLossIsToldWithItsAge",
 		old: "lostAt := now.Add(-time.Duration(loss.LostFor) * time.Millisecond)", new: "lostAt := now",
 	},
 	{
-		rule: "BUDGET losses of a minute ago", file: dispBlame, test: "internal/disp/blame TestLossIsToldWithItsAge",
+		rule: "BUDGET losses of a minute ago", file: dispLoss, test: "internal/disp/loss TestLossIsToldWithItsAge",
 		old: "return now.Sub(r.usedAt) > Retention", new: "return now.Sub(r.usedAt) > RetryInterval",
 	},
 	{
-		rule: "BUDGET losses at older gates", file: "internal/disp/link/crash.go", test: "internal/disp/coord TestTaskThatCrashesTargetsOfOlderGatesIsGivenUp",
+		rule: "BUDGET losses at older gates", file: "internal/disp/link/loss.go", test: "internal/disp/coord TestTaskThatCrashesTargetsOfOlderGatesIsGivenUp",
 		old: "msgs.NoCrash && blamed {", new: "msgs.NoCrash && blamed && false {",
 	},
 	{
 		rule: "BUDGET losses heard of while busy", file: dispSync, test: "internal/disp/link TestBusyLinkAsksForLossesAtOnce",
-		old: " || l.load.LastCrash > l.crashesSeen", new: "",
+		old: " || l.load.LastLoss > l.lossesSeen", new: "",
 	},
 	{
 		rule: "UNASKED request after its cancel", file: dispCoord + "coord.go", test: "internal/disp/coord TestCancelledJobIsNotRunWhenItsRequestComesLater",
@@ -290,12 +290,12 @@
 		old: "ts.takeovers[ts.gate] == maxTakeovers", new: "len(ts.takeovers) == maxTakeovers",
 	},
 	{
-		rule: "BUDGET losses in doubt", file: dispBlame, test: "internal/disp/coord TestTaskThatMayCrashTargetsIsNotPlacedForEver",
+		rule: "BUDGET losses in doubt", file: dispLoss, test: "internal/disp/coord TestTaskThatMayCrashTargetsIsNotPlacedForEver",
 		old: "case len(r.proofs) >= maxLost:", new: "case false:",
 	},
 	{
 		rule: "BUDGET losses of other entries", file: dispGate + "gate.go", test: "internal/disp/rules TestCrashesAreKnownToTheEntryThatTakesOver",
-		old: "l.Crashes = g.crashes.After(m.CrashesSeen, g.now())", new: "",
+		old: "l.Losses = g.losses.After(m.LossesSeen, g.now())", new: "",
 	},
 	{
 		rule: "LIMIT start that does not fit any more", file: dispGate + "order.go", test: "internal/disp/gate TestGateDoesNotRepeatStartBeyondCapacity",
