Store until when a crash counts as proven, not for how long

House rule: deadlines are stored, never durations. State kept for how long the run was expected to go on when it was last seen, and worked out each time how late a crash may be.

Change: the time is worked out when the run is seen. Behaviour is unchanged.

--- a/internal/disp/start/start.go
+++ b/internal/disp/start/start.go
@@ -40,15 +40,15 @@
 // zero value has not been ordered.
 type State struct {
 	phase      Phase
-	orderedAt  boot.Time     // when the start was ordered under its present number; 0 if that was at an incarnation before
-	begun      bool          // the target has answered the start, or listed the run, and so will list its end
-	stopAt     boot.Time     // when it was decided to stop the run; 0 if it was not
-	seenAt     boot.Time     // when a call was sent whose answer shows the run in progress; 0 if none was
-	remaining  time.Duration // for how long the run was expected to go on at seenAt
-	crash      msgs.Crash    // what the latest restart of the target under its ID has proved
-	begunOnce  bool          // the run had begun before the target restarted under its ID
-	excludedAt boot.Time     // from when the run can't start any more and, if it was in progress, is being stopped; 0 if it may
-	byStop     bool          // excludedAt is the acknowledgement of a stop
+	orderedAt  boot.Time  // when the start was ordered under its present number; 0 if that was at an incarnation before
+	begun      bool       // the target has answered the start, or listed the run, and so will list its end
+	stopAt     boot.Time  // when it was decided to stop the run; 0 if it was not
+	seenAt     boot.Time  // when a call was sent whose answer shows the run in progress; 0 if none was
+	provenTo   boot.Time  // until when a run that was there at seenAt can hardly have ended; not after seenAt if it may
+	crash      msgs.Crash // what the latest restart of the target under its ID has proved
+	begunOnce  bool       // the run had begun before the target restarted under its ID
+	excludedAt boot.Time  // from when the run can't start any more and, if it was in progress, is being stopped; 0 if it may
+	byStop     bool       // excludedAt is the acknowledgement of a stop
 }
 
 // Phase returns the phase of s.
@@ -138,7 +138,8 @@
 func (s State) seen(at boot.Time, remaining time.Duration) State {
 	s.begun = true
 	if at >= s.seenAt {
-		s.seenAt, s.remaining = at, remaining
+		s.seenAt = at
+		s.provenTo = at.Add(min(maxUnseen, time.Duration(unseenShare*float64(remaining))))
 	}
 	return s
 }
@@ -194,10 +195,7 @@
 
 // seenUntil reports whether the run was last seen so shortly before a time that it can hardly have
 // ended by then. What has been seen since shows that the target was not down at that time.
-func (s State) seenUntil(t boot.Time) bool {
-	unseen := t.Sub(s.seenAt)
-	return unseen >= 0 && unseen <= min(maxUnseen, time.Duration(unseenShare*float64(s.remaining)))
-}
+func (s State) seenUntil(t boot.Time) bool { return s.seenAt <= t && t <= s.provenTo }
 
 // CrashIfExcluded returns what it proves about the task if its run is excluded and has not been
 // listed since, and whether the run may have started at all.
--- a/test/mutants_test.go
+++ b/test/mutants_test.go
@@ -155,7 +155,7 @@
 	{
 		rule: "LOST silent target", file: dispStart, test: "internal/disp/start TestCrash",
 		old: " && downAt > 0 && ", new: " && ",
-		more: []edit{{dispStart, "unseen >= 0 && ", ""}},
+		more: []edit{{dispStart, "s.seenAt <= t && ", ""}},
 	},
 	{
 		rule: "LOST listing asked for before the order", file: dispGate + "apply.go", test: "internal/disp/gate TestListingOfAnEarlierRunIsNoCrashUnderTheTask",
