--- a/internal/disp/gate/gate.go
+++ b/internal/disp/gate/gate.go
@@ -328,7 +328,10 @@
 func (g *Gate) load() msgs.Load {
 	now := g.now()
 	g.updateCold(now)
-	l := msgs.Load{LastLoss: g.losses.Last(now), Incarnation: g.IncarnationID, Timestamp: int64(now), Speed: g.currentSpeed(), Leaving: g.stopping || g.incarnation.Leaving, Domain: g.domain()}
+	l := msgs.Load{
+		Incarnation: g.IncarnationID, Timestamp: int64(now), Speed: g.currentSpeed(), Domain: g.domain(),
+		Leaving: g.stopping || g.incarnation.Leaving, LastLoss: g.losses.Last(now),
+	}
 	if !g.targetKnown {
 		l.BlockedReason = cause.NoTarget
 		return l
--- a/internal/disp/link/sync.go
+++ b/internal/disp/link/sync.go
@@ -29,10 +29,11 @@
 		sender = msgs.Sender{Entry: l.Entry, Incarnation: l.Incarnation}
 	}
 	cancels, order := l.cancelsToSend(), l.orderToSend()
+	m := &msgs.Sync{Sender: sender, Cancel: cancels, Order: order, WantKinds: l.wantsKinds(), LossesSeen: l.newestLoss()}
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	reply := &msgs.Load{}
-	err := l.Call(ctx, l.Addr, SyncMethod, &msgs.Sync{Sender: sender, Cancel: cancels, Order: order, WantKinds: l.wantsKinds(), LossesSeen: l.newestLoss()}, reply)
+	err := l.Call(ctx, l.Addr, SyncMethod, m, reply)
 	l.mu.Lock()
 	l.lastSync = l.now()
 	l.mu.Unlock()
