--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -21,6 +21,7 @@
 	"cancelcut":     cancelCut,
 	"cancelrestart": cancelRestart,
 	"label":         labelChurn,
+	"perserver":     perServerChurn,
 }
 
 func main() {
--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -21,6 +21,7 @@
 type spec struct {
 	MS   []int  `json:"ms"`             // work of a task, by step
 	Need string `json:"need,omitempty"` // label that the job requires
+	Most int    `json:"most,omitempty"` // most tasks of a step on one worker
 }
 
 // started is a task that a worker has begun.
@@ -271,6 +272,15 @@
 	if s.Need != "" && !slices.Contains([]string{w.kind, w.rack}, s.Need) {
 		w.onBreak(fmt.Sprintf("%s requires label %q and starts on worker %s, whose labels are %q and %q", o.Task, s.Need, w.name, w.kind, w.rack))
 	}
+	ofStep := 1
+	for task := range w.runs {
+		if strings.HasPrefix(task, strings.Join(parts[:3], ".")+".") && task != o.Task {
+			ofStep++
+		}
+	}
+	if s.Most > 0 && ofStep > s.Most {
+		w.onBreak(fmt.Sprintf("%s is task %d of its step on worker %s, of %d at most", o.Task, ofStep, w.name, s.Most))
+	}
 	now := time.Now()
 	w.runs[o.Task] = &run{number: o.Run, begun: now, due: now.Add(time.Duration(s.MS[step]) * time.Millisecond)}
 	return ""
