--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -31,7 +31,8 @@
 	worker string
 }
 
-// worker is a sound worker, as PROTOCOL.md describes it.
+// worker is a sound worker, as PROTOCOL.md describes it. A call that it has received before a crash and not
+// carried out is lost with it.
 type worker struct {
 	name, addr, control string
 	service, zone, rack string
@@ -41,6 +42,7 @@
 
 	mu      sync.Mutex
 	life    int
+	down    bool // it has crashed and is not back
 	id      string
 	kind    string
 	born    time.Time
@@ -77,7 +79,7 @@
 	}
 	w.mu.Lock()
 	w.life++
-	w.born, w.kind = time.Now(), kind
+	w.down, w.born, w.kind = false, time.Now(), kind
 	w.id = fmt.Sprintf("i-%s-%d-%x", w.name, w.life, w.born.UnixNano())
 	w.seq, w.fence, w.lease, w.seen, w.nextEnd = 0, 0, time.Time{}, 0, 1
 	w.runs, w.highest, w.ended, w.changed = map[string]*run{}, map[string]int{}, nil, make(chan struct{})
@@ -97,7 +99,7 @@
 	w.mu.Lock()
 	close(w.stop)
 	server, n := w.server, len(w.runs)
-	w.runs = map[string]*run{}
+	w.runs, w.down = map[string]*run{}, true
 	w.life++ // nothing that this life has received is carried out any more
 	w.mu.Unlock()
 	_ = server.Close()
@@ -201,6 +203,10 @@
 	}
 	w.mu.Lock()
 	life := w.life
+	if w.down {
+		w.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
 	if want := r.Header.Get("Gypsumlanding-Expect-Instance"); want != "" && want != w.id {
 		w.mu.Unlock()
 		rw.WriteHeader(http.StatusMisdirectedRequest)
