--- a/review/stand-3/cluster.go
+++ b/review/stand-3/cluster.go
@@ -25,6 +25,7 @@
 	serviceName = "huvo11a"
 	hostName    = "nony24.example"
 	prefix      = "/lohu930/"
+	otherPrefix = "/pule252/"
 	graceTime   = 6 * time.Second // grace-s
 )
 
@@ -83,7 +84,7 @@
 		return c, err
 	}
 	go func() { _ = (&http.Server{Handler: c.store}).Serve(ln) }()
-	c.writeManifest(7, routeTimeoutMS)
+	c.writeManifest(7, routeTimeoutMS, true)
 	for i := range fronts {
 		host := 2 + i
 		p := &process{name: fmt.Sprintf("front-%d", i+1), role: "entry"}
@@ -156,14 +157,21 @@
 
 func (c *cluster) frontAddr(i int) string { return c.addr(2+i, "front") }
 
-// writeManifest writes a version of the manifest with one queue.
-func (c *cluster) writeManifest(version, timeoutMS int) {
+// writeManifest writes a version of the manifest, with two queues or without the one at prefix.
+func (c *cluster) writeManifest(version, timeoutMS int, both bool) {
+	var routes []any
+	for name, p := range map[string]string{"r-3hwrr6x": prefix, "r-9n73hh2": otherPrefix} {
+		if both || p != prefix {
+			routes = append(routes, map[string]any{
+				"name": name, "host": hostName, "prefix": p, "kind": "unsafe", "timeout-ms": timeoutMS, "slo-ms": 60,
+				"priority": 0, "service": serviceName, "attempts": 2, "stretch": 1.6,
+			})
+		}
+	}
+	c.rec.log("the operator writes version %d of the manifest, %d queues", version, len(routes))
 	manifest, _ := json.Marshal(map[string]any{
 		"version": version,
-		"routes": []any{map[string]any{
-			"name": "r-3hwrr6x", "host": hostName, "prefix": prefix, "kind": "unsafe", "timeout-ms": timeoutMS, "slo-ms": 60,
-			"priority": 0, "service": serviceName, "attempts": 2, "stretch": 1.6,
-		}},
+		"routes":  routes,
 		"services": []any{map[string]any{
 			"name": serviceName, "health-path": "/health", "max-conns": 64, "protocol": "h1", "tls": false, "rejects-overload": false, "standby": false,
 		}},
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -15,9 +15,10 @@
 
 // cases play a case and report whether the rule was broken.
 var cases = map[string]func(root string, rec *recorder, trouble bool) (broken bool, err error){
-	"stop":   playStop,
-	"cancel": playCancel,
-	"label":  playLabel,
+	"stop":    playStop,
+	"cancel":  playCancel,
+	"label":   playLabel,
+	"dropped": playDropped,
 }
 
 // current is the cluster of the case that is played.
