Stop after a signal that comes while the servers are being started

A signal to stop in the first moments of a process ended it, with the requests that it had read: their callers got no answer.

Cause: kratos starts the servers and runs the hooks before it listens to signals, so that for some moments the default action of SIGTERM holds.

Change: the daemon listens from before the start, and stops itself once it has started. Both the library and the daemon may hear a signal, or a second one comes: the drain runs once.

--- a/internal/daem/life/life.go
+++ b/internal/daem/life/life.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
+	"os/signal"
+	"sync"
 	"syscall"
 	"time"
 
@@ -29,6 +32,9 @@
 	stopTimeout       = 70 * time.Second // for closing one server
 )
 
+// stopSignals are the signals to stop.
+var stopSignals = []os.Signal{syscall.SIGTERM, syscall.SIGINT}
+
 // keepAlive makes a server notice within about a second that a client's connection was reset
 // while the network lost the reset, once the network works again.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 10}
@@ -50,38 +56,64 @@
 	Drain func(ctx context.Context)
 }
 
-// Run serves until SIGTERM or SIGINT, then calls Drain and closes the servers. If a
-// server fails or ctx ends first, the servers are closed without a call of Drain. Run
-// returns the error of a server that failed to serve or to close, or nil.
+// Run serves until SIGTERM or SIGINT, then calls Drain and closes the servers. A signal that comes
+// while the servers are being started counts as well. If a server fails or ctx ends first, the servers
+// are closed without a call of Drain. Run returns the error of a server that failed to serve or to
+// close, or nil.
 func (d Daemon) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	// The library listens to signals only after the servers have begun to serve. Until then a signal
+	// would end the process.
+	early := make(chan os.Signal, 1)
+	signal.Notify(early, stopSignals...)
+	defer signal.Stop(early)
+	started := make(chan struct{})
+	var drained sync.Once
 	app := kratos.New(
 		kratos.Name(d.Name),
 		kratos.Context(ctx),
 		kratos.Server(d.servers()...),
-		kratos.Signal(syscall.SIGTERM, syscall.SIGINT),
+		kratos.Signal(stopSignals...),
 		kratos.StopTimeout(stopTimeout),
 		kratos.AfterStart(func(context.Context) error {
 			d.Log.Event("started")
 			if d.Started != nil {
 				d.Started(ctx)
 			}
+			close(started)
 			return nil
 		}),
 		kratos.BeforeStop(func(context.Context) error {
-			d.Log.Event("stopping")
-			if d.Drain != nil {
-				d.Drain(ctx)
-			}
+			drained.Do(func() { d.drain(ctx) })
 			return nil
 		}),
 	)
+	go func() {
+		select {
+		case <-started:
+		case <-ctx.Done():
+			return
+		}
+		select {
+		case <-early:
+			_ = app.Stop() // fails only with a registry
+		case <-ctx.Done():
+		}
+	}()
 	err := app.Run()
 	d.Log.Event("stopped")
 	return err
 }
 
+// drain finishes the work in progress.
+func (d Daemon) drain(ctx context.Context) {
+	d.Log.Event("stopping")
+	if d.Drain != nil {
+		d.Drain(ctx)
+	}
+}
+
 // ParseSettings parses args into set. It returns -1 if the program should go on, and
 // otherwise the code to exit with: ExitUsage after printing each fault to out as a line,
 // or ExitOK if only a check of the settings was requested.
