Answer all callers of an entry before its planned end

Cause: the drain waited for jobs and did not end them. waitForJobs returned .3 s before the kill with jobs left, and the servers then waited for these until the SIGKILL. Nothing looked at whether a job could be done before the end: tasks were placed up to the last moment whose end lay after the kill. The periods were constants beside the grace time, so with 2 s the wait outlasted the kill.

What each waited for and what its caller was told had no line: job_withdrawn says it now.

Change: disp/drain computes one plan of a stop from the grace time, without I/O: until when jobs are taken, doors are open, answers are due, and how many callers may still wait at a moment. The coordinator follows it. A job that can't be done in time is withdrawn as soon as that is known: nothing of it is placed any more, its tasks at gates are cancelled, and their replies tell whether it is refused (503, nothing has started) or abandoned (502). A task that runs may end at any moment, so its job waits until the last answers are due, unless there are more callers than can be told by then. The process stays until no task of its jobs may be running, as it is asked about them. A submission behind an earlier one of which a task may have started gets 502 too.

The stand-in of the platform did not kill what it had told to stop, so no test and no soak could see this. It does now, after its grace time, and a request that ends without an answer in a planned stop counts as a violation, unless something else has disturbed its entry.

Why this works: every job in the table of jobs, and every submission that waits behind one, is looked at each 20 ms until the process ends, and none is left without an answer after the time when the last are due, whatever the gates do.

--- a/cmd/gypsumlanding/process.go
+++ b/cmd/gypsumlanding/process.go
@@ -14,6 +14,7 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/coord"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/drain"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/gate"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/giveup"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/interf"
@@ -33,16 +34,8 @@
 	// membersPollWait is how long a poll waits for a change of the members. It is
 	// longer because changes of the members are also learned in other ways.
 	membersPollWait = 5 * time.Second
-	// drainMargin is the time that remains before the platform kills the process when
-	// it stops waiting for unfinished work.
-	drainMargin       = 300 * time.Millisecond
-	drainPollInterval = 50 * time.Millisecond
-	// lameDuckPeriod is how long an entry still accepts new connections after the
-	// signal to stop, so that the load balancer has time to switch to other entries.
-	lameDuckPeriod = 2500 * time.Millisecond
-	// acceptJobsPeriod is how long an entry still accepts jobs on open connections
-	// after the signal to stop.
-	acceptJobsPeriod = 2900 * time.Millisecond
+	// drainPollInterval is the interval at which a stopping entry checks whether work is left.
+	drainPollInterval = 20 * time.Millisecond
 	// configWait is how long after its start an entry lets requests wait for the first
 	// configuration. A store that answers delivers it sooner.
 	configWait = 250 * time.Millisecond
@@ -130,10 +123,13 @@
 			go p.followOperator(ctx, store, e)
 			go p.followMembers(ctx, store, e)
 		},
-		Drain: func(context.Context) {
+		Drain: func(ctx context.Context) {
+			plan := drain.New(boot.Now(), p.cfg.DrainTime)
 			close(draining)
-			callers.Drain(boot.Now().Add(acceptJobsPeriod))
-			p.waitForJobs(e.Coord.Running)
+			callers.Drain(plan)
+			// It goes on after the drain: a request that was read just before may have a job yet.
+			go e.Coord.Stop(ctx, plan)
+			p.awaitDrained(plan, e.Coord)
 		},
 	}.Run(ctx)
 }
@@ -146,15 +142,14 @@
 	}
 }
 
-// waitForJobs waits for lameDuckPeriod, and then until no job is running or all but
-// drainMargin of the time to stop has passed.
-func (p process) waitForJobs(countRunning func() int) {
-	drainStart := boot.Now()
-	timeout := p.cfg.DrainTime - drainMargin
-	for boot.Now().Sub(drainStart) < lameDuckPeriod || countRunning() > 0 && boot.Now().Sub(drainStart) < timeout {
+// awaitDrained waits until new connections are no longer expected and no job is left, or until the
+// process has to exit.
+func (p process) awaitDrained(plan drain.Plan, c *coord.Coordinator) {
+	start := boot.Now()
+	for now := start; now < plan.ExitBy && (now < plan.ConnectUntil || c.Unsettled() > 0); now = boot.Now() {
 		time.Sleep(drainPollInterval)
 	}
-	p.log.Event("drained", "left", countRunning(), "after", boot.Now().Sub(drainStart))
+	p.log.Event("drained", "left", c.Running(), "unsettled", c.Unsettled(), "after", boot.Now().Sub(start))
 }
 
 // runNode runs the gate of a target until it has stopped after a signal.
@@ -199,8 +194,8 @@
 		Name: "gypsumlanding-node", Servers: servers, Log: p.log,
 		Started: func(ctx context.Context) { go n.Run(ctx) },
 		Drain: func(ctx context.Context) {
-			timeout := p.cfg.DrainTime - drainMargin
-			ctx, cancel := context.WithTimeout(ctx, timeout)
+			now := boot.Now()
+			ctx, cancel := context.WithTimeout(ctx, drain.New(now, p.cfg.DrainTime).AnswerBy.Sub(now))
 			defer cancel()
 			g.Drain(ctx)
 		},
--- a/internal/disp/cause/cause.go
+++ b/internal/disp/cause/cause.go
@@ -97,7 +97,7 @@
 
 // Abandonments returns the reasons for which an entry abandons a job.
 func Abandonments() []string {
-	return []string{CallerDisconnected, Cancelled, CutOff, LostTargets, RunsElsewhere, WaitOver}
+	return []string{CallerDisconnected, Cancelled, CutOff, LostTargets, RunsElsewhere, Stopping, WaitOver}
 }
 
 // Retries returns the reasons for which an entry places a task again, in sorted order.
--- a/internal/disp/coord/coord.go
+++ b/internal/disp/coord/coord.go
@@ -11,6 +11,7 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/bulk"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cancel"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
+	"github.com/gypsumlanding/gypsumlanding/internal/disp/drain"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/estim"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/link"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/loss"
@@ -77,6 +78,7 @@
 	retries    retry.Planner
 	limiter    admit.Limiter
 	nextTaskID atomic.Uint64
+	stopPlan   atomic.Pointer[drain.Plan] // nil unless the process is stopping
 
 	candidatePool sync.Pool // of *candidates
 	interference  interference
@@ -233,6 +235,7 @@
 	e.mu.Unlock()
 	c.trace("job", "job", e.ID, "route", e.Route.Name, "state", stateNames[a.State], "reason", a.Reason,
 		"ms", took.Milliseconds(), "retries", retries, "delay", a.RetryAfter)
+	c.traceWithdrawal(e, stateNames[a.State])
 }
 
 func (c *Coordinator) now() boot.Time {
--- a/internal/disp/coord/job.go
+++ b/internal/disp/coord/job.go
@@ -13,6 +13,7 @@
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/route"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/rsrc"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/stall"
+	"github.com/gypsumlanding/gypsumlanding/internal/wire/msgs"
 )
 
 // Step is a group of identical tasks of a job.
@@ -87,6 +88,7 @@
 	drained     chan struct{}   // closed when the job has ended and outstanding is empty
 	concluded   sync.Once       // the end of the job is reported once, whoever waited for it
 	confirming  chan struct{}   // holds a value while it is checked whether a caller still waits
+	withdrawn   chan struct{}   // closed when the job is withdrawn
 	confirmedAt atomic.Int64    // boot.Time as of which a caller was known to wait
 	waiting     []*execution    // submissions that wait for drained; guarded by Coordinator.mu
 
@@ -99,19 +101,31 @@
 	inFlight        int            // tasks whose outcome the job is waiting for
 	started         bool           // a task has started or may have started
 	unfinishedTasks int            // tasks of all steps that are not done
+	steps           []stepCounts   // one per step
+	withdrawal      *withdrawal    // nil unless the job is withdrawn
 	answer          *Answer        // nil until the job has ended
 	retries         int            // unsuccessful placements of all tasks before the job ended
 	tasksByTarget   map[string]int // tasks at a target, by stepTargetKey
 }
 
+// stepCounts counts the tasks of a step.
+type stepCounts struct {
+	unfinished int // tasks that are not done
+	inFlight   int // those of them whose outcome the job is waiting for
+}
+
 // newExecution returns the execution of a job with one caller.
 func newExecution(j Job) *execution {
-	e := &execution{Job: j, callers: 1, lastArrived: j.Arrived, waitsUntil: j.WaitsUntil, tasksByTarget: map[string]int{}, drained: make(chan struct{}), confirming: make(chan struct{}, 1)}
+	e := &execution{
+		Job: j, callers: 1, lastArrived: j.Arrived, waitsUntil: j.WaitsUntil, tasksByTarget: map[string]int{},
+		drained: make(chan struct{}), confirming: make(chan struct{}, 1), withdrawn: make(chan struct{}),
+	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.confirmedAt.Store(int64(stall.EarliestSend(j.Arrived)))
 	e.hasLeft = []func() bool{j.HasLeft}
 	for _, s := range j.Steps {
 		e.unfinishedTasks += s.Count
+		e.steps = append(e.steps, stepCounts{unfinished: s.Count})
 		e.stepDone = append(e.stepDone, make(chan struct{}))
 	}
 	return e
@@ -146,13 +160,17 @@
 func (e *execution) refuse(a Answer) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.started || e.inFlight > 0 || e.answer != nil {
+	if e.answer != nil || e.mayHaveStarted() {
 		return false
 	}
 	e.end(a)
 	return true
 }
 
+// mayHaveStarted reports whether a task may have started, or may still start at a gate. The caller
+// holds mu.
+func (e *execution) mayHaveStarted() bool { return e.started || e.inFlight > 0 }
+
 // join adds the caller of another submission; a WaitsUntil of 0, for unknown, counts as
 // later than any other. It reports false, and does nothing, if the job has ended.
 func (e *execution) join(j Job) bool {
@@ -233,16 +251,17 @@
 	return e.answer != nil
 }
 
-// beginSend counts a task as in flight and outstanding before it is sent at now. It
-// reports false, and counts nothing, if the job has ended. It ends the job first if its
-// callers have stopped waiting.
-func (e *execution) beginSend(now boot.Time) bool {
+// beginSend counts a task of a step as in flight and outstanding before it is sent at now. It
+// reports false, and counts nothing, if the job has ended or is withdrawn. It ends the job first if
+// its callers have stopped waiting.
+func (e *execution) beginSend(step int, now boot.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.endIfUnawaited(now) || e.ctx.Err() != nil {
+	if e.endIfUnawaited(now) || e.ctx.Err() != nil || e.withdrawal != nil {
 		return false
 	}
 	e.inFlight++
+	e.steps[step].inFlight++
 	e.outstanding.Add(1)
 	return true
 }
@@ -254,23 +273,22 @@
 	return e.answer != nil
 }
 
-// endSend records that the job no longer waits for a task it sent, and whether that
-// task may have started.
-func (e *execution) endSend(started bool) {
+// endSend records that the job no longer waits for a task of a step that it sent, and the result. The
+// last task that is done ends the job, and so does the last one in flight if the job is withdrawn.
+func (e *execution) endSend(step int, result msgs.Result) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.inFlight--
-	e.started = e.started || started
-}
-
-// taskDone records that a task is done. The last task ends the job.
-func (e *execution) taskDone() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.unfinishedTasks--
+	e.steps[step].inFlight--
+	e.started = e.started || result != msgs.Refused
+	if result == msgs.Done {
+		e.unfinishedTasks--
+		e.steps[step].unfinished--
+	}
 	if e.unfinishedTasks == 0 {
 		e.end(Answer{State: Done})
 	}
+	e.endIfWithdrawn()
 }
 
 // state returns the current state of the job.
@@ -280,7 +298,7 @@
 	switch {
 	case e.answer != nil:
 		return e.answer.State
-	case e.started || e.inFlight > 0:
+	case e.mayHaveStarted():
 		return Working
 	}
 	return Waiting
--- a/internal/disp/coord/task.go
+++ b/internal/disp/coord/task.go
@@ -43,7 +43,6 @@
 	for i := range s.Count {
 		go func() {
 			if c.runTask(e, s, stepIndex, i) {
-				e.taskDone()
 				done <- struct{}{}
 			}
 		}()
@@ -66,6 +65,7 @@
 	refusals  int            // number of refusals by gates
 	gate      string         // at which the task was last placed
 	takeovers map[string]int // refusals for an outdated revocation, by the gate
+	wait      time.Duration  // expected until the task starts, when it was last placed; 0 before
 	takenOver string         // gate that was taken over since the task was last placed; empty if none
 	// runTimeFactor is that of the gate at which the task was last placed; see pick.Gate.
 	runTimeFactor float64
@@ -73,11 +73,11 @@
 }
 
 // runTask places a task until it is done, and then reports true. It reports false if
-// the job ends first. A task of a job that was revoked is not placed again: another entry has
+// the job ends or is withdrawn first. A task of a job that was revoked is not placed again: another entry has
 // the job.
 func (c *Coordinator) runTask(e *execution, s Step, stepIndex, taskIndex int) bool {
 	ts := &taskState{name: taskName(e.ID, stepIndex, taskIndex), stepIndex: stepIndex, avoid: map[string]bool{}}
-	for e.ctx.Err() == nil && !e.finishIfUnawaited(c.now()) && c.confirm(e) {
+	for e.ctx.Err() == nil && !e.finishIfUnawaited(c.now()) && c.confirm(e) && !c.withdrawIfTooLate(e, ts.wait) {
 		if c.finishIfLost(e, ts.name) {
 			return false
 		}
@@ -130,7 +130,7 @@
 	}
 	sentAt := c.now()
 	ts.gate, ts.takenOver = l.Addr, ""
-	reply := c.send(e, l, m)
+	reply := c.send(e, ts.stepIndex, l, m)
 	e.release(key)
 	c.recordRetry(e, ts, target, reply, c.now().Sub(sentAt))
 	return reply, true
@@ -168,7 +168,7 @@
 		c.count(ApartCounter)
 	}
 	gate, target := cands.links[choice.Gate], cands.targets[choice.Gate]
-	ts.runTimeFactor = max(cands.gates[choice.Gate].RunTimeFactor, 1)
+	ts.runTimeFactor, ts.wait = max(cands.gates[choice.Gate].RunTimeFactor, 1), choice.Wait
 	view := gate.View(c.now())
 	c.trace("task_placed", "job", e.ID, "task", ts.name, "gate", gate.Addr, "target", target,
 		"used", view.Used.CPU, "of", view.Load.CPU, "speed", int(100*view.Load.Speed), "age", c.now().Sub(view.LastAnswer),
@@ -220,10 +220,11 @@
 	return maxQueueTime
 }
 
-// send makes a gate run a task and returns the reply. If the job ends first, send
-// cancels the task and returns without waiting for the gate.
-func (c *Coordinator) send(e *execution, l *link.Link, m msgs.Task) msgs.TaskReply {
-	if !e.beginSend(c.now()) {
+// send makes a gate run a task of a step and returns the reply. If the job ends first, send
+// cancels the task and returns without waiting for the gate. If the job is withdrawn, send cancels
+// the task and goes on waiting: the reply says whether it has started.
+func (c *Coordinator) send(e *execution, step int, l *link.Link, m msgs.Task) msgs.TaskReply {
+	if !e.beginSend(step, c.now()) {
 		return msgs.TaskReply{Result: msgs.Refused, Reason: cause.JobEnded}
 	}
 	replies := make(chan msgs.TaskReply, 1)
@@ -231,14 +232,20 @@
 		defer e.outstanding.Done()
 		replies <- l.RunTask(context.Background(), m, func() bool { return c.confirmed(e) })
 	}()
-	select {
-	case reply := <-replies:
-		e.endSend(reply.Result != msgs.Refused)
-		return reply
-	case <-e.ctx.Done():
-		l.Cancel(m.ID)
-		e.endSend(true)
-		return msgs.TaskReply{Result: msgs.Lost, Reason: cause.JobEnded}
+	withdrawn := e.withdrawn
+	for {
+		select {
+		case reply := <-replies:
+			e.endSend(step, reply.Result)
+			return reply
+		case <-withdrawn:
+			l.Cancel(m.ID)
+			withdrawn = nil
+		case <-e.ctx.Done():
+			l.Cancel(m.ID)
+			e.endSend(step, msgs.Lost)
+			return msgs.TaskReply{Result: msgs.Lost, Reason: cause.JobEnded}
+		}
 	}
 }
 
--- a/internal/stand/fleet/proc.go
+++ b/internal/stand/fleet/proc.go
@@ -17,6 +17,10 @@
 	exitErr error         // result of cmd.Wait; set before done is closed
 }
 
+// raceOptions are the options of programs that are built with the race detector. It would keep each
+// process for a second after its end, past the time at which a platform kills it.
+const raceOptions = "GORACE=atexit_sleep_ms=0"
+
 // StartProc starts a program, whose output is appended to the file name.log in dir.
 func StartProc(dir, name, program string, args ...string) (*Proc, error) {
 	logFile, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -24,6 +28,7 @@
 		return nil, err
 	}
 	cmd := exec.Command(program, args...)
+	cmd.Env = append(os.Environ(), raceOptions)
 	cmd.Stdout = logFile
 	cmd.Stderr = logFile
 	if err := cmd.Start(); err != nil {
--- a/internal/stand/psim/caller.go
+++ b/internal/stand/psim/caller.go
@@ -60,10 +60,15 @@
 			client = &http.Client{Transport: &http.Transport{DialContext: p.balancer.dial}}
 		}
 		a := &attempt{callerHash: hashOf("caller " + strconv.Itoa(int(caller))), tried: tried}
+		sentAt := time.Now()
 		code, answer := p.send(a.context(p.ctx), client, routeHost, http.MethodPost, routePrefix+id, body)
 		if len(tried) > 0 {
 			client.CloseIdleConnections()
 		}
+		entry := int(a.entry.Load()) + 1
+		if waited := time.Since(sentAt); code == 0 && waited < requestTimeout && !p.stops.excuses(entryName(entry), sentAt) {
+			p.checker.addViolation("job %s got no answer from e%d, which was told to stop, after %v", id, entry, waited)
+		}
 		tried = append(tried, int(a.entry.Load()))
 		state = jobState(code, answer)
 	}
--- a/internal/stand/psim/checker.go
+++ b/internal/stand/psim/checker.go
@@ -205,3 +205,10 @@
 // MetricsAddr returns the address at which an entry serves its metrics and status.
 // Entries are numbered from 1.
 func (p *Platform) MetricsAddr(entry int) string { return address(entry, p.ports.metrics) }
+
+// Starts returns how many tasks of a job have started.
+func (p *Platform) Starts(job string) int {
+	p.checker.mu.Lock()
+	defer p.checker.mu.Unlock()
+	return p.checker.startsByJob[job]
+}
--- a/internal/stand/psim/psim.go
+++ b/internal/stand/psim/psim.go
@@ -29,8 +29,8 @@
 	serviceName    = "plan"
 	routeHost      = "jobs.example"
 	routePrefix    = "/plan/"
-	graceSeconds   = 6    // between the signal to stop and the kill
-	targetMilliCPU = 4000 // capacity of each target, in thousandths of a core
+	defaultGrace   = 6 * time.Second // between the signal to stop and the kill
+	targetMilliCPU = 4000            // capacity of each target, in thousandths of a core
 	resubmitDelay  = 1300 * time.Millisecond
 	requestTimeout = 10 * time.Second
 )
@@ -42,6 +42,7 @@
 	Proxies bool   // put a proxy before each address of an entry, node or target, and between each process and the store
 	Seed    uint64 // of what the targets draw: how slowly they answer and stop
 	Limits  Limits
+	Grace   time.Duration // between the signal to stop a process and the kill; 0 means 6 s
 }
 
 // Platform is a small simulated platform on which the dispatcher runs. Make one with
@@ -58,6 +59,8 @@
 	callers  []*http.Client
 	balancer balancer
 	draws    *draws // of all targets
+	grace    time.Duration
+	stops    stops // of entries
 
 	evacuations evacuations
 
@@ -85,7 +88,7 @@
 	if o.Nodes == 0 {
 		o.Nodes = 4
 	}
-	p := &Platform{dir: dir, program: program, maxBody: cmp.Or(o.Limits.MaxBodyBytes, defaultMaxBodyBytes), procs: map[string]*fleet.Proc{}, args: map[string][]string{}, proxies: map[string]*netem.Proxy{}, draws: newDraws(o.Seed)}
+	p := &Platform{dir: dir, program: program, maxBody: cmp.Or(o.Limits.MaxBodyBytes, defaultMaxBodyBytes), grace: cmp.Or(o.Grace, defaultGrace), procs: map[string]*fleet.Proc{}, args: map[string][]string{}, proxies: map[string]*netem.Proxy{}, draws: newDraws(o.Seed)}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	p.callers = newCallers(&p.balancer)
 	p.ports = ports{
@@ -180,13 +183,13 @@
 [limits]
 %s
 [bounds]
-grace-s = %d
+grace-s = %g
 resend-ms = %d
 stop-ms = %d
 [platform]
 address = %q
 `, name, host, domain, p.ports.internal, p.ports.internal, fmt.Sprintf("%s:%d", seedIP, p.ports.control), address(host, p.ports.target), serviceName,
-		address(host, p.ports.front), address(host, p.ports.ready), address(host, p.ports.control), o.Limits.lines(), graceSeconds, resubmitDelay.Milliseconds(), stopBound.Milliseconds(), storeAddr)
+		address(host, p.ports.front), address(host, p.ports.ready), address(host, p.ports.control), o.Limits.lines(), p.grace.Seconds(), resubmitDelay.Milliseconds(), stopBound.Milliseconds(), storeAddr)
 	path := filepath.Join(p.dir, name+".toml")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return err
@@ -247,11 +250,15 @@
 // Exited returns a channel that is closed when the named process has ended.
 func (p *Platform) Exited(name string) <-chan struct{} { return p.proc(name).Done() }
 
-// Stop sends SIGTERM to the named process and waits for its end. It returns nil if the
-// process exited with status 0, as fleet.Proc.Stop does.
+// Stop sends SIGTERM to the named process, waits for its end, and kills it after the grace time. It
+// returns nil if the process exited with status 0, as fleet.Proc.Stop does.
 func (p *Platform) Stop(name string) error {
 	defer p.refuse(name)
-	return p.proc(name).Stop()
+	proc := p.proc(name)
+	p.stops.begin(name)
+	kill := time.AfterFunc(p.grace, proc.Kill)
+	defer kill.Stop()
+	return proc.Stop()
 }
 
 func (p *Platform) proc(name string) *fleet.Proc {
--- a/internal/stand/soak/failures.go
+++ b/internal/stand/soak/failures.go
@@ -88,6 +88,12 @@
 	return 1
 }
 
+// breaksCallers reports whether the failure may end requests of an entry without an answer. A planned
+// stop may not.
+func (f failure) breaksCallers() bool {
+	return f.prefix == "f" || f.prefix == "e" && f.kind != "stop" && f.kind != "hup"
+}
+
 // crashingEvery is the number of jobs of which one crashes its targets while some do.
 const crashingEvery = 8
 
--- a/internal/stand/soak/soak.go
+++ b/internal/stand/soak/soak.go
@@ -152,7 +152,7 @@
 			r.failureCounts[f.kind]++
 			active.Go(func() {
 				defer r.release(name)
-				f.inject(r, name, i+1, duration)
+				r.inject(f, name, i+1, duration)
 				<-tokens
 			})
 		} else {
@@ -163,6 +163,16 @@
 	active.Wait()
 }
 
+// inject injects a failure into a component, and notes when it may break the connections of an entry's
+// callers.
+func (r *runner) inject(f failure, name string, i int, duration time.Duration) {
+	if f.breaksCallers() {
+		r.platform.Disturb(i)
+		defer r.platform.Disturb(i)
+	}
+	f.inject(r, name, i, duration)
+}
+
 // reserve reserves a component for one failure. It reports false if another failure
 // is in progress there.
 func (r *runner) reserve(name string) bool {
--- a/test/mutant_test.go
+++ b/test/mutant_test.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, m := range slices.Concat(mutants, evacuationMutants, interferenceMutants, lossMutants) {
+	for _, m := range slices.Concat(mutants, evacuationMutants, interferenceMutants, lossMutants, stopMutants) {
 		t.Run(m.rule, func(t *testing.T) {
 			t.Parallel()
 			m.mustFail(t, root)
