Refuse uploads that a stopping entry can't take any more

What callers saw: a request whose body was still being sent when its entry was stopped got no answer; one whose body ended after the time from which jobs are refused was begun all the same, and could lose its connection at the kill.

Cause: the arrival of a request decided whether its job is taken, not the time at which it had been read, and nothing ended an upload before the read time-out of up to 30 s.

--- a/cmd/gypsumlanding/process.go
+++ b/cmd/gypsumlanding/process.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-kratos/kratos/v2/transport"
+	"github.com/gypsumlanding/gypsumlanding/internal/daem/guard"
 	"github.com/gypsumlanding/gypsumlanding/internal/daem/life"
 	"github.com/gypsumlanding/gypsumlanding/internal/daem/logs"
 	"github.com/gypsumlanding/gypsumlanding/internal/daem/stats"
@@ -36,6 +37,9 @@
 	membersPollWait = 5 * time.Second
 	// drainPollInterval is the interval at which a stopping entry checks whether work is left.
 	drainPollInterval = 20 * time.Millisecond
+	// maxDrainSleep bounds how late it notices a suspension of the machine, during which timers
+	// stand still.
+	maxDrainSleep = 100 * time.Millisecond
 	// configWait is how long after its start an entry lets requests wait for the first
 	// configuration. A store that answers delivers it sooner.
 	configWait = 250 * time.Millisecond
@@ -127,7 +131,8 @@
 			plan := drain.New(boot.Now(), p.cfg.DrainTime)
 			close(draining)
 			callers.Drain(plan)
-			// It goes on after the drain: a request that was read just before may have a job yet.
+			// Both go on after the drain: a request that is being read may become a job yet.
+			go abortUploads(ctx, plan, clients)
 			go e.Coord.Stop(ctx, plan)
 			p.awaitDrained(plan, e.Coord)
 		},
@@ -142,6 +147,14 @@
 	}
 }
 
+// abortUploads ends the uploads that have not ended when jobs are refused.
+func abortUploads(ctx context.Context, plan drain.Plan, clients *guard.Guard) {
+	for now := boot.Now(); plan.Accepts(now) && ctx.Err() == nil; now = boot.Now() {
+		boot.Sleep(ctx, min(plan.AcceptUntil.Sub(now), maxDrainSleep))
+	}
+	clients.AbortBodies()
+}
+
 // awaitDrained waits until new connections are no longer expected and no job is left, or until the
 // process has to exit.
 func (p process) awaitDrained(plan drain.Plan, c *coord.Coordinator) {
--- a/internal/daem/guard/body.go
+++ b/internal/daem/guard/body.go
@@ -52,7 +52,24 @@
 	return n, err
 }
 
-// extendDeadline gives the client the time for its next bytes.
+// AbortBodies makes all bodies fail that are being read, as their requests will be refused.
+func (g *Guard) AbortBodies() {
+	g.conns.Range(func(_, conn any) bool {
+		if c, ok := conn.(*Conn); ok && c.Phase() == Body {
+			c.abortBody()
+		}
+		return true
+	})
+}
+
+// abortBody ends the read of a body that waits for the client, and all that follow.
+func (c *Conn) abortBody() {
+	c.bodyAborted.Store(true)
+	// The connection fails anyway if this does.
+	_ = c.SetReadDeadline(time.Unix(1, 0))
+}
+
+// extendDeadline gives the client the time for its next bytes, unless the body was aborted.
 func (b *body) extendDeadline() {
 	now := time.Now()
 	deadline := time.Unix(0, b.conn.bodySince.Load()).Add(readTimeout)
@@ -61,6 +78,9 @@
 	}
 	// The connection fails anyway if this does.
 	_ = b.conn.SetReadDeadline(deadline)
+	if b.conn.bodyAborted.Load() {
+		b.conn.abortBody()
+	}
 }
 
 // grow reserves as many bytes as have been read already.
@@ -85,6 +105,7 @@
 	c.body = body{ReadCloser: r.Body, conn: c, length: r.ContentLength, allowed: freeBytes}
 	c.bodySince.Store(c.progress.Load()) // the header has just arrived
 	c.bodyRead.Store(0)
+	c.bodyAborted.Store(false)
 	c.Enter(Body)
 	r.Body = &c.body
 }
--- a/internal/daem/guard/conn.go
+++ b/internal/daem/guard/conn.go
@@ -21,6 +21,7 @@
 	headerEnded        bool
 	lastHeader         atomic.Int64 // bytes of the latest header that ended
 	body               body
+	bodyAborted        atomic.Bool // by AbortBodies
 	once               sync.Once
 }
 
--- a/test/mutants_stop_test.go
+++ b/test/mutants_stop_test.go
@@ -1,10 +1,11 @@
 package test
 
 const (
-	coordStop = dispCoord + "stop.go"
-	drainPlan = "internal/disp/drain/plan.go"
-	drainTest = "internal/disp/drain TestPlanEndsBeforeTheKill"
-	stopCoord = "internal/disp/coord "
+	coordStop    = dispCoord + "stop.go"
+	drainPlan    = "internal/disp/drain/plan.go"
+	drainTest    = "internal/disp/drain TestPlanEndsBeforeTheKill"
+	stopCoord    = "internal/disp/coord "
+	stopPlatform = "platform "
 )
 
 // stopMutants are the mutants of planned stops.
@@ -25,4 +26,6 @@
 	{rule: "REFUSED a job that has begun", file: coordStop, old: "if e.mayHaveStarted() {\n\t\treturn Answer{State: Abandoned", new: "if false {\n\t\treturn Answer{State: Abandoned", test: stopCoord + "TestStopAnswersJobsThatWait"},
 	{rule: "REFUSED an earlier submission has begun", file: coordStop, old: "e.started = e.started || begun", new: "", test: stopCoord + "TestStopAnswersSubmissionThatWaitsForAnEarlierOne"},
 	{rule: "REFUSED tasks at gates are not cancelled", file: dispCoord + "task.go", old: "case <-withdrawn:\n\t\t\tl.Cancel(m.ID)\n", new: "case <-withdrawn:\n", test: stopCoord + "TestStopRefusesJobWhoseTasksWaitAtGates"},
+	{rule: "LOST uploads", file: "internal/daem/guard/body.go", old: "\t\t\tc.abortBody()\n", new: "", test: stopPlatform + "TestUploadInProgressIsRefusedByTheDrain"},
+	{rule: "LOST jobs uploaded late", file: "platform/caller.go", old: "!errors.Is(err, guard.ErrBusy) && h.refusing(h.now())", new: "false", test: stopPlatform + "TestJobUploadedAfterTheDrainIsRefused"},
 }
