Wait longer for gates before a withdrawn job is told that it may have run

What callers saw: at an entry with a seventh of a core, 6 and 15 of 300 jobs that had not begun got 502 instead of 503 with grace times of .5 and 1 s (a larger form of TestStoppedEntryAnswersAllCallers, a trial), since the entry did not read the gates' replies to its cancellations within 100 ms.

Change: it waits up to 300 ms, as long as a call to a gate may take, but the last jobs are still withdrawn 100 ms before the last answers are due: to withdraw them sooner would cut them short. Withdrawn jobs count among the callers that wait to be told, and those that have waited the longest are ended first when there are too many.

--- a/internal/disp/coord/stop.go
+++ b/internal/disp/coord/stop.go
@@ -15,9 +15,12 @@
 	// stopCheckInterval is the interval at which the unfinished jobs are checked while the process
 	// is stopping.
 	stopCheckInterval = 20 * time.Millisecond
-	// settleTimeout is how long a withdrawn job waits for the gates to tell whether its tasks have
-	// started.
-	settleTimeout = 100 * time.Millisecond
+	// settleTimeout is how long a withdrawn job waits at most for the gates to tell whether its tasks
+	// have started.
+	settleTimeout = 300 * time.Millisecond
+	// settleLead is how long before the last answers are due the last jobs are withdrawn, so that the
+	// gates can tell. It cuts jobs short, so it is no longer than a call takes as a rule.
+	settleLead = 100 * time.Millisecond
 	// elsewhereDelay is the delay before the caller of a job that was refused by a process which is
 	// stopping may retry. Another entry may serve it.
 	elsewhereDelay = time.Second
@@ -67,25 +70,28 @@
 // submission is a submission of a job that waits for its answer.
 type submission struct {
 	*execution
+	known  *withdrawal   // the job's withdrawal when it was looked at; nil if it was not withdrawn
 	needed time.Duration // least time until it is done
 	begun  bool          // it waits for the end of an earlier submission, of which a task may have started
 }
 
 // withdrawLate withdraws the jobs that can't be done in time, and as many others as callers wait that
-// could not be told in time. It ends the jobs that were withdrawn settleTimeout ago.
+// could not be told in time. It ends the withdrawn jobs for which it is time.
 func (c *Coordinator) withdrawLate(p drain.Plan) {
 	now := c.now()
-	var rest []submission
+	var rest, withdrawn []submission
 	for _, s := range c.unanswered() {
 		switch {
-		case s.endIfUnsettled(now, p):
+		case s.known != nil:
+			withdrawn = append(withdrawn, s)
 		case !p.Allows(now, s.needed):
 			s.withdraw(now, p, s.needed, s.begun)
 		default:
 			rest = append(rest, s)
 		}
 	}
-	excess := len(rest) - p.MaxWaiting(now.Add(settleTimeout+stopCheckInterval))
+	endUnsettled(withdrawn, now, len(rest)+len(withdrawn)-p.MaxWaiting(now))
+	excess := len(rest) - p.MaxWaiting(now.Add(settleLead+stopCheckInterval))
 	if excess <= 0 {
 		return
 	}
@@ -97,19 +103,31 @@
 	}
 }
 
+// endUnsettled ends the withdrawn jobs for which the gates have had settleTimeout at now, and at least
+// n of them, those first that have waited the longest.
+func endUnsettled(withdrawn []submission, now boot.Time, n int) {
+	slices.SortFunc(withdrawn, func(a, b submission) int { return cmp.Compare(a.known.at, b.known.at) })
+	for i, s := range withdrawn {
+		if i < n || now >= s.known.at.Add(settleTimeout) {
+			s.endWithdrawn()
+		}
+	}
+}
+
 // unanswered returns the submissions that wait for their answers.
 func (c *Coordinator) unanswered() []submission {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var all []submission
-	for _, e := range c.jobs {
-		if !e.hasEnded() {
-			all = append(all, submission{execution: e, needed: c.timeNeeded(e, 0)})
+	add := func(e *execution, begun bool) {
+		if w, ended := e.withdrawalState(); !ended {
+			all = append(all, submission{execution: e, known: w, needed: c.timeNeeded(e, 0), begun: begun})
 		}
+	}
+	for _, e := range c.jobs {
+		add(e, false)
 		for _, w := range e.waiting {
-			if !w.hasEnded() {
-				all = append(all, submission{execution: w, needed: c.timeNeeded(w, 0), begun: e.hasBegun()})
-			}
+			add(w, e.hasBegun())
 		}
 	}
 	return all
@@ -177,9 +195,16 @@
 
 // isWithdrawn reports whether the job is withdrawn.
 func (e *execution) isWithdrawn() bool {
+	w, _ := e.withdrawalState()
+	return w != nil
+}
+
+// withdrawalState returns the withdrawal of the job, nil if it is not withdrawn, and whether the
+// job has ended.
+func (e *execution) withdrawalState() (w *withdrawal, ended bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.withdrawal != nil
+	return e.withdrawal, e.answer != nil
 }
 
 // withdraw withdraws the job at now, unless it has ended or is withdrawn. It ends at once if no task is
@@ -205,19 +230,11 @@
 	}
 }
 
-// endIfUnsettled ends a job that was withdrawn settleTimeout before now, though gates have not told
-// what became of its tasks, and any withdrawn one when the last answers are due. It reports whether the
-// job is withdrawn.
-func (e *execution) endIfUnsettled(now boot.Time, p drain.Plan) bool {
+// endWithdrawn ends a job that is withdrawn, though gates have not told what became of its tasks.
+func (e *execution) endWithdrawn() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.withdrawal == nil {
-		return false
-	}
-	if now >= min(e.withdrawal.at.Add(settleTimeout), p.AnswerBy) {
-		e.end(e.stopAnswer())
-	}
-	return true
+	e.end(e.stopAnswer())
 }
 
 // stopAnswer returns the answer to a job that the process can't wait for. The caller holds mu.
