Let the soak signal and pause entries while they stop

A planned stop in the soak was one signal to an undisturbed process. By its duration it is now that; the signal twice with the one to read the settings between; or a pause while the entry drains. None of the three excuses a request without an answer.

--- a/cmd/gypsumlanding/process.go
+++ b/cmd/gypsumlanding/process.go
@@ -8,14 +8,12 @@
 	"time"
 
 	"github.com/go-kratos/kratos/v2/transport"
-	"github.com/gypsumlanding/gypsumlanding/internal/daem/guard"
 	"github.com/gypsumlanding/gypsumlanding/internal/daem/life"
 	"github.com/gypsumlanding/gypsumlanding/internal/daem/logs"
 	"github.com/gypsumlanding/gypsumlanding/internal/daem/stats"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/boot"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/cause"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/coord"
-	"github.com/gypsumlanding/gypsumlanding/internal/disp/drain"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/gate"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/giveup"
 	"github.com/gypsumlanding/gypsumlanding/internal/disp/interf"
@@ -35,11 +33,6 @@
 	// membersPollWait is how long a poll waits for a change of the members. It is
 	// longer because changes of the members are also learned in other ways.
 	membersPollWait = 5 * time.Second
-	// drainPollInterval is the interval at which a stopping entry checks whether work is left.
-	drainPollInterval = 20 * time.Millisecond
-	// maxDrainSleep bounds how late it notices a suspension of the machine, during which timers
-	// stand still.
-	maxDrainSleep = 100 * time.Millisecond
 	// configWait is how long after its start an entry lets requests wait for the first
 	// configuration. A store that answers delivers it sooner.
 	configWait = 250 * time.Millisecond
@@ -128,13 +121,8 @@
 			go p.followMembers(ctx, store, e)
 		},
 		Drain: func(ctx context.Context) {
-			plan := drain.New(boot.Now(), p.cfg.DrainTime)
 			close(draining)
-			callers.Drain(plan)
-			// Both go on after the drain: a request that is being read may become a job yet.
-			go abortUploads(ctx, plan, clients)
-			go e.Coord.Stop(ctx, plan)
-			p.awaitDrained(plan, e.Coord)
+			p.drainEntry(ctx, e.Coord, callers, clients)
 		},
 	}.Run(ctx)
 }
@@ -147,24 +135,6 @@
 	}
 }
 
-// abortUploads ends the uploads that have not ended when jobs are refused.
-func abortUploads(ctx context.Context, plan drain.Plan, clients *guard.Guard) {
-	for now := boot.Now(); plan.Accepts(now) && ctx.Err() == nil; now = boot.Now() {
-		boot.Sleep(ctx, min(plan.AcceptUntil.Sub(now), maxDrainSleep))
-	}
-	clients.AbortBodies()
-}
-
-// awaitDrained waits until new connections are no longer expected and no job is left, or until the
-// process has to exit.
-func (p process) awaitDrained(plan drain.Plan, c *coord.Coordinator) {
-	start := boot.Now()
-	for now := start; now < plan.ExitBy && (now < plan.ConnectUntil || c.Unsettled() > 0); now = boot.Now() {
-		time.Sleep(drainPollInterval)
-	}
-	p.log.Event("drained", "left", c.Running(), "unsettled", c.Unsettled(), "after", boot.Now().Sub(start))
-}
-
 // runNode runs the gate of a target until it has stopped after a signal.
 func (p process) runNode(ctx context.Context) error {
 	store := platform.NewStore(p.cfg.StoreAddr)
@@ -207,10 +177,7 @@
 		Name: "gypsumlanding-node", Servers: servers, Log: p.log,
 		Started: func(ctx context.Context) { go n.Run(ctx) },
 		Drain: func(ctx context.Context) {
-			now := boot.Now()
-			ctx, cancel := context.WithTimeout(ctx, drain.New(now, p.cfg.DrainTime).AnswerBy.Sub(now))
-			defer cancel()
-			g.Drain(ctx)
+			p.drainNode(ctx, g)
 		},
 	}.Run(ctx)
 }
--- a/internal/stand/soak/failures.go
+++ b/internal/stand/soak/failures.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"syscall"
 	"time"
 
@@ -26,7 +27,7 @@
 var failures = []failure{
 	{"kill", "e", killAndRelaunch},
 	{"kill", "n", killAndRelaunch},
-	{"stop", "e", stopAndRelaunch},
+	{"stop", "e", stopBesideSignals},
 	{"stop", "n", stopAndRelaunch},
 	{"pause", "e", pause},
 	{"pause", "n", pause},
@@ -147,6 +148,37 @@
 	r.relaunch(name)
 }
 
+// signalAgainDelay is how long after the signal to stop an entry gets further signals. None has ended
+// by then.
+const signalAgainDelay = 50 * time.Millisecond
+
+// stopBesideSignals stops an entry as planned, and starts it again. By the duration, it gets only the
+// signal to stop; that signal twice, and the one to read its settings; or it is paused while it stops.
+func stopBesideSignals(r *runner, name string, i int, duration time.Duration) {
+	var signals sync.WaitGroup
+	if r.startingFor(name) <= 0 {
+		switch duration.Milliseconds() % 3 {
+		case 1:
+			signals.Go(func() { r.signalAfter(name, signalAgainDelay, syscall.SIGHUP, syscall.SIGTERM) })
+		case 2:
+			signals.Go(func() {
+				r.signalAfter(name, signalAgainDelay, syscall.SIGSTOP)
+				r.signalAfter(name, duration, syscall.SIGCONT)
+			})
+		}
+	}
+	stopAndRelaunch(r, name, i, duration)
+	signals.Wait()
+}
+
+// signalAfter sends signals to a process after a delay.
+func (r *runner) signalAfter(name string, delay time.Duration, signals ...syscall.Signal) {
+	time.Sleep(delay)
+	for _, sig := range signals {
+		r.signal(name, sig)
+	}
+}
+
 // relaunch starts a process again.
 func (r *runner) relaunch(name string) {
 	r.mu.Lock()
