Play planned stops in the model of all processes

The properties of disp/rules had no entry that is stopped as planned. The new event lets one drain and kills it after its grace time, beside lost connections, orders and answers, silent targets and gates that die. A request whose connection ends with a stopped entry more than .2 s after it was sent is a violation (LOST), as is a start of a job that was refused. New kinds come last, so the draws of all other properties stay as they were.

With the check of the jobs taken out the first schedule fails (LOST), with all jobs refused the first as well (REFUSED).

Besides, the delay after which another entry may serve a refused caller stands once.

--- a/internal/disp/coord/doc.go
+++ b/internal/disp/coord/doc.go
@@ -5,5 +5,6 @@
 //
 // Jobs are not stored; a job ends when the last of its callers has left or stopped
 // waiting. A job is refused only while none of its tasks has started, and fails only
-// once one of its tasks has failed as often as its route allows.
+// once one of its tasks has failed as often as its route allows. While the process is stopping, jobs that
+// it can't wait for are withdrawn: see Coordinator.Stop.
 package coord
--- a/internal/disp/coord/job.go
+++ b/internal/disp/coord/job.go
@@ -64,7 +64,8 @@
 	// Refused means that no task has started and none will start.
 	Refused
 	// Abandoned means that the job was given up for another entry, or that its callers have disconnected
-	// or have stopped waiting, or that a task was lost with its target too often. It may have run.
+	// or have stopped waiting, or that a task was lost with its target too often, or that the process is
+	// stopping. It may have run.
 	Abandoned
 	// Cancelled means that the job was cancelled, and that none of its tasks will be placed.
 	Cancelled
--- a/internal/disp/coord/stop.go
+++ b/internal/disp/coord/stop.go
@@ -21,9 +21,8 @@
 	// settleLead is how long before the last answers are due the last jobs are withdrawn, so that the
 	// gates can tell. It cuts jobs short, so it is no longer than a call takes as a rule.
 	settleLead = 100 * time.Millisecond
-	// elsewhereDelay is the delay before the caller of a job that was refused by a process which is
-	// stopping may retry. Another entry may serve it.
-	elsewhereDelay = time.Second
+	// ElsewhereDelay is the delay before a refused caller may retry that another entry may serve.
+	ElsewhereDelay = time.Second
 	// leastRunTimePercent is the part of the expected run time of a task, in percent, that the task
 	// takes at least: no job that has begun is given up for a task that may end sooner.
 	leastRunTimePercent = 50
@@ -242,7 +241,7 @@
 	if e.mayHaveStarted() {
 		return Answer{State: Abandoned, Reason: cause.Stopping}
 	}
-	return Answer{State: Refused, Reason: cause.Stopping, RetryAfter: elsewhereDelay}
+	return Answer{State: Refused, Reason: cause.Stopping, RetryAfter: ElsewhereDelay}
 }
 
 // traceWithdrawal logs what a withdrawn job waited for, and what its callers are told.
--- a/internal/disp/rules/caller_test.go
+++ b/internal/disp/rules/caller_test.go
@@ -115,6 +115,7 @@
 	if c.awaitReset(callerCtx, entry) || p.ctx.Err() != nil {
 		return coord.Answer{State: coord.Abandoned}
 	}
+	sentAt := time.Now()
 	ctx, disconnect := context.WithCancel(context.Background())
 	request, endRequest := context.WithCancel(context.Background())
 	context.AfterFunc(ctx, func() {
@@ -169,6 +170,7 @@
 		c.awaitReset(callerCtx, entry)
 	case <-p.ctx.Done():
 		disconnect()
+		c.checkStopped(p, id, sentAt)
 	case <-waitOver:
 		disconnect()
 	case <-ctx.Done():
--- a/internal/disp/rules/cluster_test.go
+++ b/internal/disp/rules/cluster_test.go
@@ -84,6 +84,7 @@
 	orders   evac.Set
 	links    []*link.Link
 	serves   atomic.Bool // it has a configuration, and so the orders that came with it
+	stopping atomic.Bool // it was told to stop
 }
 
 // newCluster starts the given numbers of entries and gates, with one target for each
--- a/test/mutants_stop_test.go
+++ b/test/mutants_stop_test.go
@@ -20,6 +20,10 @@
 			{coordStop, "!p.Allows(now, needed) {", "false {"},
 		},
 	},
+	{
+		rule: "LOST jobs are not looked at", file: coordStop, test: "internal/disp/rules TestRulesHoldWhenEntriesAreStopped",
+		old: "\t\tc.withdrawLate(p)\n", new: "", more: []edit{{coordStop, "!p.Allows(now, needed) {", "false {"}},
+	},
 	{rule: "LOST silent gates", file: coordStop, old: "if i < n || now >= s.known.at.Add(settleTimeout) {", new: "if i < 0 {", test: stopCoord + "TestStopWaitsForTasksThatRun"},
 	{rule: "LOST many callers", file: drainPlan, old: "max(0, int(p.AnswerBy.Sub(now)/answerCost))", new: "1 << 30", test: stopCoord + "TestStopTellsManyCallersInTime"},
 	{rule: "LOST tasks that run are cut short", file: coordStop, old: "if e.steps[i].unfinished > e.steps[i].inFlight {", new: "if e.steps[i].unfinished > 0 {", test: stopCoord + "TestStopWaitsForTasksThatRun"},
